--- a/apps/sagechute-load/CallerSend.cpp
+++ b/apps/sagechute-load/CallerSend.cpp
@@ -31,10 +31,9 @@
         return;
     Request& request = *found;
     request.addresses = location.addresses;
-    request.address = 0;
     // Pinned callers spread over their addresses; others obey the order that they were told.
-    if (!request.flow.plan.pinnedTo.empty())
-        request.address = serial % request.addresses.size();
+    const std::size_t first = request.flow.plan.pinnedTo.empty() ? 0 : serial;
+    request.address = (first + request.addressesTried) % request.addresses.size();
     if (!request.record.repeatable && request.session.empty()) {
         request.session = location.session;
         request.sequence = request.flow.clients[request.client]->nextSequence();
@@ -112,12 +111,22 @@
         && (verdict.kind == toString(ErrorKind::Draining) || verdict.kind == toString(ErrorKind::CutOff));
     if (verdict.end != SendEnd::Unreachable && !refusedHere)
         return false;
-    request.flow.clients[request.client]->forget();
+    Client& client = *request.flow.clients[request.client];
+    client.forget();
     if (++request.addressesTried >= request.addresses.size())
         return false;
-    request.address = (request.address + 1) % request.addresses.size();
     constexpr Duration shortPause = std::chrono::milliseconds(10);
-    sendAfter(request.serial, jittered(shortPause));
+    if (request.mayHaveRun) {
+        request.address = (request.address + 1) % request.addresses.size();
+        sendAfter(request.serial, jittered(shortPause));
+        return true;
+    }
+    // The old session would lead back to the router that refused, or to one that is gone and can only say "unknown". As
+    // the request has certainly not run, a new session cannot double it.
+    request.session.clear();
+    m_loop.after(jittered(shortPause), [this, &client, serial = request.serial] {
+        client.locate([this, serial](const Location& location) { sendFirst(serial, location); });
+    });
     return true;
 }
 
--- a/apps/sagechute-load/Statistics.cpp
+++ b/apps/sagechute-load/Statistics.cpp
@@ -37,8 +37,13 @@
         }
     }
     if (!backlogged.empty()) {
-        m_busySlotSeconds += std::min(sample.busySlotSeconds, sample.slotSeconds);
-        m_slotSeconds += sample.slotSeconds;
+        const double busy = std::min(sample.busySlotSeconds, sample.slotSeconds);
+        const double seconds = std::chrono::duration<double>(sample.time - *m_lastTime).count();
+        unsigned waiting = 0;
+        for (const CustomerSample* it : backlogged)
+            waiting += it->leastWaiting;
+        m_busySlotSeconds += busy;
+        m_slotSeconds += std::min(sample.slotSeconds, busy + waiting * seconds);
     }
     if (backlogged.size() >= 2)
         m_pairTime += sample.time - *m_lastTime;
--- a/apps/sagechute-load/Statistics.h
+++ b/apps/sagechute-load/Statistics.h
@@ -60,7 +60,8 @@
 /// service of those few ms.
 ///
 /// Utilisation is busy slot time over offered slot time in the intervals in which some request of the pool waited
-/// throughout; what is missing from the whole is the idle time while work waited.
+/// throughout; what is missing from the whole is the idle time while work waited. No more slots count as idle than
+/// requests waited: when the last of a load waits behind a long answer, the other slots have nothing to run.
 class PoolMeter {
 public:
     void sample(const PoolSample&);
--- a/apps/sagechute-router/Executor.cpp
+++ b/apps/sagechute-router/Executor.cpp
@@ -39,7 +39,12 @@
     return result;
 }
 
-void Executor::run(routing::SendMessage& action) { m_outlets.sendMessage(action); }
+void Executor::run(routing::SendMessage& action)
+{
+    m_outlets.board.countMessage(action.kind, action.bytes.size());
+    m_outlets.sendMessage(action);
+}
+
 void Executor::run(routing::SendDatagram& action) { m_outlets.sendDatagram(action); }
 void Executor::run(routing::ForgetPeer& action) { m_outlets.forgetPeer(action.vm); }
 void Executor::run(routing::Publish& action) { m_outlets.snapshot.publish(std::move(action.snapshot)); }
--- a/apps/sagechute-router/LogReader.cpp
+++ b/apps/sagechute-router/LogReader.cpp
@@ -55,7 +55,7 @@
     m_sent.fetch_add(requestBytes);
     const LogOffset from = m_next.load(std::memory_order_relaxed);
     const absl::StatusOr<config::LogBatch> batch = m_log.read(config::configStream, from, longPoll);
-    if (batch.ok()) {
+    if (batch.ok() && batch->first <= from) {
         m_received.fetch_add(bytesOf(*batch));
         m_inbox.push(routing::LogRead { asked, batch->records });
         // The core tells its next offset only after it has applied these; reading before would bring the same records
@@ -64,9 +64,10 @@
             pause(std::chrono::milliseconds(1));
         return;
     }
+    // Records that this router lacks are gone. Taking the answer for a fresh one would leave it at its old
+    // configuration for good.
+    m_snapshotTried = m_snapshotTried && !batch.ok();
     m_inbox.push(routing::LogFailed {});
-    if (errorKind(batch.status()) == ErrorKind::RetentionExceeded)
-        m_snapshotTried = false;
     pause(retryDelay);
 }
 
--- a/apps/sagechute-router/Options.cpp
+++ b/apps/sagechute-router/Options.cpp
@@ -31,6 +31,8 @@
         .count(
             "cells-per-pool", cellsPerPool, 0, 4096, "parts of a pool with an owner each; 0 follows the fleet resource")
         .count("offer-window", offerWindow, 1, 1024, "waiting requests of one customer that a router offers at a time")
+        .count("window-slack", windowSlack, 0, 64,
+            "requests sent to a target beyond its slots, to hide a slot's turnaround")
         .real("affinity-slack", affinitySlack, -1, 1,
             "part of the fairness bound for prefix affinity; below 0 follows the fleet resource")
         .count("http-threads", httpThreads, 1, 64, "threads that serve callers")
@@ -81,6 +83,7 @@
     settings.policy = scheduling::parsePolicy(policy).value_or(scheduling::Policy::Cells);
     settings.cellsPerPool = static_cast<std::uint32_t>(cellsPerPool);
     settings.cells.offersPerRouterAndCustomer = static_cast<std::uint32_t>(offerWindow);
+    settings.windowSlack = static_cast<std::uint32_t>(windowSlack);
     settings.cells.grantLifetime = grantLifetime;
     if (affinitySlack >= 0)
         settings.cells.affinitySlack = affinitySlack;
--- a/apps/sagechute-router/Options.h
+++ b/apps/sagechute-router/Options.h
@@ -29,8 +29,9 @@
     std::uint64_t maxConnections = 8192;
     std::uint64_t maxBodyBytes = 4 << 20;
     std::uint64_t offerWindow = 32;
+    std::uint64_t windowSlack = 1;
     double affinitySlack = -1; ///< Below 0: what the fleet resource says.
-    Duration summaryInterval = std::chrono::seconds(1);
+    Duration summaryInterval = std::chrono::seconds(2);
     Duration freshness = std::chrono::seconds(4);
     Duration suspicion = std::chrono::milliseconds(1500);
     Duration probeInterval = std::chrono::milliseconds(500);
--- a/apps/sagechute-router/StatusBoard.cpp
+++ b/apps/sagechute-router/StatusBoard.cpp
@@ -67,6 +67,9 @@
 StatusBoard::StatusBoard()
     : m_control(counterFamily(
         m_metrics, "sagechute_control_bytes_total", "Bytes between routers and to the log, headers included"))
+    , m_messages(counterFamily(m_metrics, "sagechute_messages_total", "Messages to other routers by kind"))
+    , m_messageBytes(
+          counterFamily(m_metrics, "sagechute_message_bytes_total", "Payload of messages to other routers by kind"))
     , m_requests(counterFamily(m_metrics, "sagechute_requests_total", "Requests of callers by outcome"))
     , m_gap(gaugeFamily(m_metrics, "sagechute_fairness_gap",
           "Largest difference of weighted service between two backlogged customers"))
@@ -90,6 +93,13 @@
     m_requests.Add({ { "outcome", std::string(toString(outcome)) } }).Increment();
 }
 
+void StatusBoard::countMessage(std::string_view kind, std::size_t bytes)
+{
+    const prometheus::Labels labels { { "kind", std::string(kind) } };
+    m_messages.Add(labels).Increment();
+    m_messageBytes.Add(labels).Increment(static_cast<double>(bytes));
+}
+
 void StatusBoard::update(const routing::RouterStatus& status, const ControlBytes& bytes, Duration coreTime)
 {
     const auto count = [this](const std::string& purpose, const peer::ByteCount& value) {
--- a/apps/sagechute-router/StatusBoard.h
+++ b/apps/sagechute-router/StatusBoard.h
@@ -33,6 +33,9 @@
     void update(const routing::RouterStatus&, const ControlBytes&, Duration coreTime);
     void countOutcome(Outcome);
 
+    /// A message to another router, by kind: payload only, the transport counts headers.
+    void countMessage(std::string_view kind, std::size_t bytes);
+
     nlohmann::json statusDocument() const;
     std::string exposition() const { return m_metrics.exposition(); }
 
@@ -42,6 +45,8 @@
 
     process::Metrics m_metrics;
     prometheus::Family<prometheus::Counter>& m_control;
+    prometheus::Family<prometheus::Counter>& m_messages;
+    prometheus::Family<prometheus::Counter>& m_messageBytes;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Gauge>& m_gap;
     prometheus::Family<prometheus::Gauge>& m_gapBound;
--- a/apps/sagechute-router/main.cpp
+++ b/apps/sagechute-router/main.cpp
@@ -147,7 +147,7 @@
         Outlets outlets()
         {
             return { *m_attempts, m_snapshot, m_board,
-                [this](const routing::SendMessage& it) { m_streams->send(it.to, it.address, it.bytes); },
+                [this](const routing::SendMessage& it) { m_streams->send(it.to, it.address, it.bytes, it.lazy ? peer::Urgency::Lazy : peer::Urgency::Prompt); },
                 [this](const VmId& vm) { m_streams->forget(vm); },
                 [this](const routing::SendDatagram& it) { m_socket->send(it.address, it.bytes); },
                 [this] { m_server->stopListening(); }, [this] { m_exited.store(true); } };
--- a/include/sagechute/Config.h
+++ b/include/sagechute/Config.h
@@ -133,7 +133,8 @@
 /// @param mayHaveBeenTaken whether an append may nevertheless have taken effect.
 absl::Status logUnavailable(std::string_view message, bool mayHaveBeenTaken);
 
-/// @return whether an append may have taken effect though it ended with this error; false only when that is certainly not so.
+/// @return whether an append may have taken effect though it ended with this error; false only when that is certainly
+/// not so.
 bool mayHaveBeenTaken(const absl::Status&);
 
 /// The platform's log as the product needs it: a port. Calls may block and may come from several threads; the offsets
--- a/include/sagechute/Operators.h
+++ b/include/sagechute/Operators.h
@@ -70,19 +70,16 @@
 };
 
 /// Exit codes of sagechutectl.
-enum ExitCode : int {
-    exitDone = 0,
-    exitDiffers = 1, ///< `diff` found differences, or `who-is-behind` found somebody.
-    exitWrongUsage = 2,
-    exitRefused = 3, ///< The document or the change was refused; nothing changed.
-    exitConflict = 4, ///< Another change came first, or other resources refer to the one to delete; nothing changed.
-    exitNotFound = 5,
-    exitNoAccess = 6, ///< The key is wrong, or lacks the role.
-    exitUnavailable
-    = 7, ///< The API or the log cannot be reached; the message says whether a change may have been taken.
-    exitNotYetInForce = 8, ///< Accepted, but not in force on every router within the time limit.
-    exitInternal = 9,
-};
+inline constexpr int exitDone = 0;
+inline constexpr int exitDiffers = 1; ///< `diff` found differences, or `who-is-behind` found somebody.
+inline constexpr int exitWrongUsage = 2;
+inline constexpr int exitRefused = 3; ///< The document or the change was refused; nothing changed.
+inline constexpr int exitConflict = 4; ///< Another change came first, or others refer to it; nothing changed.
+inline constexpr int exitNotFound = 5;
+inline constexpr int exitNoAccess = 6; ///< The key is wrong, or lacks the role.
+inline constexpr int exitUnavailable = 7; ///< No API or no log; the message says whether a change may have been taken.
+inline constexpr int exitNotYetInForce = 8; ///< Accepted, but not in force on every router within the time limit.
+inline constexpr int exitInternal = 9;
 
 /// An answer of the API as the command line sees it.
 struct ApiAnswer {
--- a/include/sagechute/Peer.h
+++ b/include/sagechute/Peer.h
@@ -29,6 +29,7 @@
     /// in.
     std::string fleetSecret;
     Duration flushDelay = std::chrono::milliseconds(2); ///< Messages to one peer within this time leave together.
+    Duration lazyDelay = std::chrono::milliseconds(25); ///< The same for Urgency::Lazy.
 
     /// A message sent after a silence this long takes a ping along, and messages unanswered for this long are followed
     /// by one. An idle connection is not pinged: 370 of them would cost more than the whole control budget.
@@ -64,6 +65,12 @@
     virtual void onDown(const RouterLife&) = 0;
 };
 
+/// How long a message may wait for others to the same peer. A segment's headers outweigh most messages.
+enum class Urgency {
+    Prompt, ///< At most StreamOptions::flushDelay; takes along what waits.
+    Lazy, ///< At most StreamOptions::lazyDelay.
+};
+
 /// One ordered, batched stream of messages to each peer in use, over HTTP/2. Messages are lost only when a stream
 /// breaks, and then both sides are told.
 class MessageStreams {
@@ -75,7 +82,12 @@
     /// received.
     /// @param peerAddress "ADDRESS:PORT" of the peer's listener.
     /// @param message at most 4 MB; a larger one breaks the stream, so that its loss does not pass unnoticed.
-    virtual void send(const VmId& peer, const std::string& peerAddress, std::string message) = 0;
+    virtual void send(const VmId& peer, const std::string& peerAddress, std::string message, Urgency) = 0;
+
+    void send(const VmId& peer, const std::string& peerAddress, std::string message)
+    {
+        send(peer, peerAddress, std::move(message), Urgency::Prompt);
+    }
 
     /// Closes the stream to a peer that is gone and drops what waits for it; no down() follows.
     virtual void forget(const VmId& peer) = 0;
--- a/include/sagechute/Routing.h
+++ b/include/sagechute/Routing.h
@@ -28,11 +28,12 @@
     std::vector<std::string> seeds; ///< Gossip addresses to join by.
     scheduling::Policy policy = scheduling::Policy::Cells;
     std::uint32_t cellsPerPool = 0; ///< 0: what the fleet resource says.
+    std::uint32_t windowSlack = 1; ///< Requests sent to a target beyond its slots, to hide the turnaround of a slot.
     membership::GossipSettings gossip;
     scheduling::CellSettings cells;
     delivery::OutcomeMemorySettings outcomes;
     delivery::RetrySettings retries;
-    Duration summaryInterval = std::chrono::seconds(1); ///< Between two summaries of a pool to the same peers.
+    Duration summaryInterval = std::chrono::seconds(2); ///< Between two summaries of a pool to the same peers.
     Duration idleNoticeInterval = std::chrono::milliseconds(50); ///< Least time between notices of free slots.
     Duration progressInterval = std::chrono::seconds(1); ///< Between two reports of a running request's service.
     /// Without a sign of the log or of a majority for longer, a router starts nothing. A target that leaves gets new
@@ -152,6 +153,8 @@
     VmId to;
     std::string address;
     Purpose purpose = Purpose::Scheduling;
+    std::string_view kind; ///< Of the message, for metrics.
+    bool lazy = false; ///< May wait a little for other messages to the same router.
     std::string bytes;
 };
 
--- a/include/sagechute/Scheduling.h
+++ b/include/sagechute/Scheduling.h
@@ -257,8 +257,9 @@
 /// @param targetsInPool all targets of the pool.
 std::uint32_t cellOf(const TargetId&, const std::vector<TargetId>& targetsInPool, std::uint32_t cellCount);
 
-/// Chooses the cell for each offer of one pool, from the digests of all cells: the router's own cell first; one with free
-/// slots when the own is full; else, of the cells that would serve the customer next, the one with the fewest of its offers.
+/// Chooses the cell for each offer of one pool, from the digests of all cells: the router's own cell first; one with
+/// free slots when the own is full; else the one with the fewest offers of the customer, so that it waits in every
+/// cell.
 class OfferPlacer {
 public:
     static std::unique_ptr<OfferPlacer> make(PoolId);
@@ -280,7 +281,8 @@
 
     /// @param offered where it is offered and since when.
     /// @return another cell to move the offer to, when that is clearly better.
-    virtual std::optional<CellId> better(TimePoint now, const CellId& offered, TimePoint since, Cost virtualService) = 0;
+    virtual std::optional<CellId> better(TimePoint now, const CellId& offered, TimePoint since, Cost virtualService)
+        = 0;
 };
 
 } // namespace sagechute::scheduling
--- a/include/sagechute/Steward.h
+++ b/include/sagechute/Steward.h
@@ -212,7 +212,9 @@
     virtual void configure(const config::ConfigView&, TimePoint now) = 0;
 
     /// @param number that of the ReadState. @param state nullopt when the target did not answer.
-    virtual void stateRead(const TargetId&, std::uint64_t number, const std::optional<ObservedState>& state, TimePoint now) = 0;
+    virtual void stateRead(
+        const TargetId&, std::uint64_t number, const std::optional<ObservedState>& state, TimePoint now)
+        = 0;
     virtual void loadGranted(const TargetId&, TimePoint now) = 0;
 
     /// @param wait time until it is worth asking again, for any target.
--- a/include/sagechute/Wire.h
+++ b/include/sagechute/Wire.h
@@ -140,6 +140,9 @@
     ConfigRecordsMessage, ConfigSnapshotMessage, OutcomePartMessage, OutcomesTakenMessage, InheritedMessage,
     ResyncRequestMessage>;
 
+/// @return the name of a message's kind, such as "offer", for metrics and transcripts.
+std::string_view kindName(const Message&);
+
 std::string encode(const Message&);
 
 /// @return the message, or BadRequest for anything that is not exactly one well-formed message.
--- a/src/membership/GossipMember.cpp
+++ b/src/membership/GossipMember.cpp
@@ -26,11 +26,11 @@
 std::unique_ptr<Gossip> Gossip::make(
     MemberSummary self, std::vector<std::string> seeds, const GossipSettings& settings, std::unique_ptr<Random> random)
 {
-    return std::make_unique<GossipMember>(std::move(self), std::move(seeds), settings, std::move(random));
+    return std::make_unique<GossipMember>(std::move(self), seeds, settings, std::move(random));
 }
 
-GossipMember::GossipMember(
-    MemberSummary self, std::vector<std::string> seeds, const GossipSettings& settings, std::unique_ptr<Random> random)
+GossipMember::GossipMember(MemberSummary self, const std::vector<std::string>& seeds, const GossipSettings& settings,
+    std::unique_ptr<Random> random)
     : m_settings(settings)
     , m_random(std::move(random))
     , m_table(std::move(self), settings)
--- a/src/membership/GossipMember.h
+++ b/src/membership/GossipMember.h
@@ -19,7 +19,8 @@
 
 class GossipMember final : public Gossip {
 public:
-    GossipMember(MemberSummary self, std::vector<std::string> seeds, const GossipSettings&, std::unique_ptr<Random>);
+    GossipMember(
+        MemberSummary self, const std::vector<std::string>& seeds, const GossipSettings&, std::unique_ptr<Random>);
 
     std::vector<Datagram> tick(TimePoint now) override;
     std::vector<Datagram> receive(TimePoint now, const std::string& fromAddress, std::string_view bytes) override;
--- a/src/membership/MemberSpread.cpp
+++ b/src/membership/MemberSpread.cpp
@@ -81,6 +81,10 @@
         } else if (i != m_self || m_isLeaving) {
             // The sender's own status is in every datagram's header.
             const Claim claim = claimAbout(i);
+            const bool isThere = std::any_of(message.claims.begin(), message.claims.end(),
+                [&claim](const Claim& it) { return it.tag == claim.tag; });
+            if (isThere)
+                continue;
             const std::size_t bytes = claim.state == MemberState::Alive ? kClaimWithStatusBytes : kClaimBytes;
             if (used + bytes > most)
                 continue;
--- a/src/membership/ProbeBook.h
+++ b/src/membership/ProbeBook.h
@@ -66,7 +66,7 @@
         for (std::size_t tries = m_order.size(); tries > 0; --tries) {
             if (m_next >= m_order.size())
                 shuffle(random);
-            const VmId vm = m_order[m_next];
+            VmId vm = m_order[m_next];
             if (isWanted(vm)) {
                 ++m_next;
                 return vm;
--- a/src/operators/ApiHandlers.cpp
+++ b/src/operators/ApiHandlers.cpp
@@ -16,7 +16,7 @@
     /// A kind in a path that is none is a wrong path, not a wrong document.
     absl::StatusOr<config::Kind> kindIn(const ApiCall& call)
     {
-        const absl::StatusOr<config::Kind> kind = config::parseKind(call.path[2]);
+        absl::StatusOr<config::Kind> kind = config::parseKind(call.path[2]);
         if (kind.ok())
             return kind;
         return makeError(ErrorKind::NotFound, std::string(kind.status().message()), errorRemedy(kind.status()));
--- a/src/operators/ChangeService.cpp
+++ b/src/operators/ChangeService.cpp
@@ -133,7 +133,7 @@
 
 absl::Status ChangeService::readAll()
 {
-    const absl::Status status = m_follower.readToEnd();
+    absl::Status status = m_follower.readToEnd();
     if (status.ok())
         return status;
     return config::logUnavailable(
--- a/src/operators/ChangeWaiters.cpp
+++ b/src/operators/ChangeWaiters.cpp
@@ -5,7 +5,7 @@
 namespace sagechute::operators {
 
 void ChangeWaiters::add(
-    std::shared_ptr<net::ServerExchange> exchange, LogOffset offset, nlohmann::json document, TimePoint until)
+    const std::shared_ptr<net::ServerExchange>& exchange, LogOffset offset, nlohmann::json document, TimePoint until)
 {
     auto waiter = std::make_shared<Waiter>();
     waiter->exchange = exchange;
--- a/src/operators/ChangeWaiters.h
+++ b/src/operators/ChangeWaiters.h
@@ -17,7 +17,7 @@
     /// Takes over the answer: it is given once the configuration up to @p offset is in force everywhere, or at @p until
     /// with what is known then.
     /// @param document the answer, to which the progress is added.
-    void add(std::shared_ptr<net::ServerExchange>, LogOffset offset, nlohmann::json document, TimePoint until);
+    void add(const std::shared_ptr<net::ServerExchange>&, LogOffset offset, nlohmann::json document, TimePoint until);
 
     /// Answers those that are done.
     void settle(TimePoint now, const FleetPoller&);
--- a/src/operators/CtlClient.cpp
+++ b/src/operators/CtlClient.cpp
@@ -20,7 +20,7 @@
 
     struct StatusMeaning {
         int status;
-        ExitCode code;
+        int code;
     };
     constexpr std::array<StatusMeaning, 11> meanings { {
         { 400, exitRefused },
--- a/src/operators/CtlShow.cpp
+++ b/src/operators/CtlShow.cpp
@@ -169,8 +169,9 @@
             table.add({ prefix, value.is_structured() ? "-" : valueText(value) });
             return;
         }
+        const std::string start = prefix.empty() ? prefix : prefix + "/";
         for (const auto& [name, item] : value.items())
-            describeInto(table, prefix.empty() ? name : prefix + "/" + name, item);
+            describeInto(table, start + name, item);
     }
 
 } // namespace
--- a/src/operators/SharedReplica.cpp
+++ b/src/operators/SharedReplica.cpp
@@ -49,7 +49,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        const absl::StatusOr<bool> adopted = m_replica->adopt(snapshot);
+        absl::StatusOr<bool> adopted = m_replica->adopt(snapshot);
         if (!adopted.ok() || !*adopted)
             return adopted;
         m_feed.restartAt(m_replica->offset());
--- a/src/operators/Watchers.cpp
+++ b/src/operators/Watchers.cpp
@@ -55,7 +55,7 @@
     m_thread = std::thread([this] { run(); });
 }
 
-void Watchers::add(std::shared_ptr<net::ServerExchange> exchange, const WatchRequest& request)
+void Watchers::add(const std::shared_ptr<net::ServerExchange>& exchange, const WatchRequest& request)
 {
     if (!m_replica.eventsAfter(request.from, request.kind, 1)) {
         exchange->respond(net::errorResponse(listAgain(request.from)));
--- a/src/operators/Watchers.h
+++ b/src/operators/Watchers.h
@@ -42,7 +42,7 @@
 
     /// Takes over the answer of a request: a stream of events, or an error when there are too many watches or the
     /// offset is past what is held.
-    void add(std::shared_ptr<net::ServerExchange>, const WatchRequest&);
+    void add(const std::shared_ptr<net::ServerExchange>&, const WatchRequest&);
 
     /// The configuration has moved on.
     void wake();
--- a/src/peer/PeerRecord.h
+++ b/src/peer/PeerRecord.h
@@ -70,6 +70,7 @@
     bool isUp = false; ///< The listener was told so.
     bool isConnecting = false;
     bool flushQueued = false;
+    TimePoint flushAt {}; ///< When the queued flush is due.
     Backoff backoff;
 
 private:
--- a/src/peer/SessionCallbacks.cpp
+++ b/src/peer/SessionCallbacks.cpp
@@ -3,7 +3,6 @@
 #include "peer/StreamConnection.h"
 
 #include <algorithm>
-#include <cstring>
 
 namespace sagechute::peer {
 namespace {
@@ -129,7 +128,7 @@
     std::string& pending = connection.m_pending;
     std::size_t& offset = connection.m_pendingOffset;
     const std::size_t n = std::min(length, pending.size() - offset);
-    std::memcpy(buf, pending.data() + offset, n);
+    std::copy_n(pending.data() + offset, n, buf);
     offset += n;
     const bool isEmpty = offset == pending.size();
     if (isEmpty) {
--- a/src/peer/StreamLoop.cpp
+++ b/src/peer/StreamLoop.cpp
@@ -50,9 +50,9 @@
     m_thread.join();
 }
 
-void StreamLoop::send(const VmId& peer, const std::string& peerAddress, std::string message)
+void StreamLoop::send(const VmId& peer, const std::string& peerAddress, std::string message, Urgency urgency)
 {
-    post({ Command::Kind::Send, peer, peerAddress, std::move(message) });
+    post({ Command::Kind::Send, peer, peerAddress, std::move(message), urgency });
 }
 
 void StreamLoop::forget(const VmId& peer) { post({ Command::Kind::Forget, peer, {}, {} }); }
@@ -89,7 +89,7 @@
 {
     int timeout = -1;
     if (!m_connections.empty() || !m_peers.empty() || m_acceptPaused) {
-        const TimePoint next = m_dueFlushes.empty() ? m_nextTick : std::min(m_nextTick, m_dueFlushes.front().at);
+        const TimePoint next = m_dueFlushes.empty() ? m_nextTick : std::min(m_nextTick, m_dueFlushes.begin()->first);
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(next - steadyNow());
         timeout = std::max(0, static_cast<int>(left.count()));
     }
@@ -147,10 +147,12 @@
         return;
     }
     peer.add(std::move(command.message));
-    if (peer.flushQueued)
+    const TimePoint due = now + (command.urgency == Urgency::Prompt ? m_options.flushDelay : m_options.lazyDelay);
+    if (peer.flushQueued && peer.flushAt <= due)
         return;
     peer.flushQueued = true;
-    m_dueFlushes.push_back({ now + m_options.flushDelay, command.peer });
+    peer.flushAt = due;
+    m_dueFlushes.emplace(due, command.peer);
 }
 
 void StreamLoop::overflow(PeerRecord& peer)
--- a/src/peer/StreamLoop.h
+++ b/src/peer/StreamLoop.h
@@ -11,7 +11,7 @@
 #include <sagechute/Peer.h>
 
 #include <atomic>
-#include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -27,7 +27,8 @@
     StreamLoop(const StreamOptions&, StreamListener&, UniqueFd listener, UniqueFd poller, WakeSignal);
     ~StreamLoop() override;
 
-    void send(const VmId& peer, const std::string& peerAddress, std::string message) override;
+    using MessageStreams::send;
+    void send(const VmId& peer, const std::string& peerAddress, std::string message, Urgency) override;
     void forget(const VmId& peer) override;
     std::string listenAddress() const override { return m_listenAddress; }
     ByteCount bytes() const override { return { m_traffic.sent, m_traffic.received }; }
@@ -39,11 +40,7 @@
         VmId peer;
         std::string address;
         std::string message;
-    };
-
-    struct DueFlush {
-        TimePoint at;
-        VmId peer;
+        Urgency urgency = Urgency::Prompt;
     };
 
     void onEstablished(StreamConnection&) override;
@@ -92,7 +89,8 @@
 
     std::unordered_map<std::uint64_t, std::unique_ptr<StreamConnection>> m_connections;
     std::unordered_map<VmId, PeerRecord> m_peers;
-    std::deque<DueFlush> m_dueFlushes;
+    std::multimap<TimePoint, VmId>
+        m_dueFlushes; ///< An entry counts while its time is still the peer's PeerRecord::flushAt.
     std::uint64_t m_nextId;
     TimePoint m_nextTick {};
     bool m_acceptPaused = false;
--- a/src/peer/StreamLoopPeers.cpp
+++ b/src/peer/StreamLoopPeers.cpp
@@ -51,11 +51,11 @@
 
 void StreamLoop::flushDue(TimePoint now)
 {
-    while (!m_dueFlushes.empty() && m_dueFlushes.front().at <= now) {
-        const VmId vm = std::move(m_dueFlushes.front().peer);
-        m_dueFlushes.pop_front();
-        const auto it = m_peers.find(vm);
-        if (it == m_peers.end())
+    while (!m_dueFlushes.empty() && m_dueFlushes.begin()->first <= now) {
+        const auto due = m_dueFlushes.extract(m_dueFlushes.begin());
+        const auto it = m_peers.find(due.mapped());
+        // A prompt message after a lazy one has brought the time forward: the lazy one's entry is stale.
+        if (it == m_peers.end() || !it->second.flushQueued || it->second.flushAt != due.key())
             continue;
         it->second.flushQueued = false;
         progress(it->second, now);
--- a/src/routing/CorePeers.cpp
+++ b/src/routing/CorePeers.cpp
@@ -119,8 +119,7 @@
     if (PoolRouter* owner = poolOwning(message.cell))
         owner->resynchronised(now, from, message);
     else
-        m_outbox.message(
-            m_gossip->view(), from.vm, Purpose::Scheduling, wire::NotOwnerMessage { message.cell, 0 });
+        m_outbox.message(m_gossip->view(), from.vm, Purpose::Scheduling, wire::NotOwnerMessage { message.cell, 0 });
 }
 
 void Core::receive(TimePoint now, const RouterLife& from, wire::ResyncRequestMessage& message)
--- a/src/routing/CoreRequests.cpp
+++ b/src/routing/CoreRequests.cpp
@@ -49,12 +49,15 @@
         return "the attempt failed";
     }
 
-/// What a resend gets when the first send's answer was too large to remember.
-delivery::KeptAnswer answerNotKept(const RequestId& id)
-{
-    const absl::Status status = makeError(ErrorKind::OutcomeLost, "the request ran to its end, but its answer was too large to keep", "check its effect; do not send it as a new request");
-    return { Outcome::Unknown, httpStatus(ErrorKind::OutcomeLost), "application/json", errorDocument(status).dump(), toString(id) };
-}
+    /// What a resend gets when the first send's answer was too large to remember.
+    delivery::KeptAnswer answerNotKept(const RequestId& id)
+    {
+        const absl::Status status
+            = makeError(ErrorKind::OutcomeLost, "the request ran to its end, but its answer was too large to keep",
+                "check its effect; do not send it as a new request");
+        return { Outcome::Unknown, httpStatus(ErrorKind::OutcomeLost), "application/json", errorDocument(status).dump(),
+            toString(id) };
+    }
 
 } // namespace
 
@@ -65,8 +68,8 @@
             ErrorKind::Draining, "this router is stopping", "ask /v1/locate of another address and send it there");
     const config::Service* service = m_config->findService(arrival.service);
     if (!service && !m_replica->offset())
-        return makeError(ErrorKind::CutOff, "this router has no configuration yet",
-            "send it to another address from /v1/locate");
+        return makeError(
+            ErrorKind::CutOff, "this router has no configuration yet", "send it to another address from /v1/locate");
     if (!service)
         return makeError(ErrorKind::NotFound, "there is no service of that name",
             "check the name in the path, or ask an operator to declare it");
--- a/src/routing/Outbox.cpp
+++ b/src/routing/Outbox.cpp
@@ -2,13 +2,29 @@
 
 namespace sagechute::routing {
 
+namespace {
+
+    /// The end of a request frees a slot that the window's slack already covers, so it can ride with the next offer or
+    /// grant. A notice of free slots is a summary without customers, and is waited for.
+    bool isLazy(const wire::Message& message)
+    {
+        if (const auto* summary = std::get_if<wire::SummaryMessage>(&message))
+            return !summary->summary.customers.empty();
+        return std::holds_alternative<wire::SettleMessage>(message)
+            || std::holds_alternative<wire::ProgressMessage>(message)
+            || std::holds_alternative<wire::WithdrawMessage>(message);
+    }
+
+} // namespace
+
 void Outbox::message(
     const membership::MembershipView& view, const VmId& to, Purpose purpose, const wire::Message& message)
 {
     const membership::Member* member = view.find(to);
     if (!member)
         return;
-    add(SendMessage { to, member->summary.peerAddress, purpose, wire::encode(message) });
+    add(SendMessage {
+        to, member->summary.peerAddress, purpose, wire::kindName(message), isLazy(message), wire::encode(message) });
 }
 
 std::string_view toString(Purpose purpose)
--- a/src/routing/PoolLedger.cpp
+++ b/src/routing/PoolLedger.cpp
@@ -28,51 +28,86 @@
     return result;
 }
 
-std::vector<VmId> PoolRouter::summaryReceivers(TimePoint now) const
+// The counters matter where grants are made: at the pool's owners, and at the next in line for this router's own cells,
+// so that the service charged here outlives this router.
+std::vector<VmId> PoolRouter::ledgerReceivers() const
+{
+    std::set<VmId> receivers;
+    for (const auto& [index, owners] : m_owners) {
+        if (!owners.empty())
+            receivers.insert(owners.front());
+        if (owners.size() > 1 && m_cells.contains(index))
+            receivers.insert(owners[1]);
+    }
+    return takeTurns(receivers);
+}
+
+// Routers that only offer need to know where slots are free.
+std::vector<VmId> PoolRouter::digestReceivers(TimePoint now, const std::vector<VmId>& told) const
 {
     std::set<VmId> receivers;
-    for (const auto& entry : m_owners)
-        receivers.insert(entry.second.begin(), entry.second.end());
     for (const auto& [vm, since] : m_offerers) {
-        if (now - since <= offererMemory)
+        if (now - since <= offererMemory && std::find(told.begin(), told.end(), vm) == told.end())
             receivers.insert(vm);
     }
-    receivers.erase(m_settings.life.vm);
+    return takeTurns(receivers);
+}
+
+// Beyond the fan-out the receivers take turns, so that each still hears of every owner within a few rounds.
+std::vector<VmId> PoolRouter::takeTurns(const std::set<VmId>& candidates) const
+{
     std::vector<VmId> result;
-    for (const VmId& it : receivers) {
+    for (const VmId& it : candidates) {
         const membership::Member* member = m_view.find(it);
-        if (member && member->state == membership::MemberState::Alive)
+        if (it != m_settings.life.vm && member && member->state == membership::MemberState::Alive)
             result.push_back(it);
     }
-    // Beyond the fan-out the receivers take turns, so that each still hears of every owner within a few rounds.
-    if (result.size() > mostSummaryReceivers) {
-        const std::size_t first = (m_summariesSent * mostSummaryReceivers) % result.size();
-        std::rotate(result.begin(), result.begin() + static_cast<std::ptrdiff_t>(first), result.end());
-        result.resize(mostSummaryReceivers);
-    }
+    if (result.size() <= mostSummaryReceivers)
+        return result;
+    const std::size_t first = (m_summariesSent * mostSummaryReceivers) % result.size();
+    std::rotate(result.begin(), result.begin() + static_cast<std::ptrdiff_t>(first), result.end());
+    result.resize(mostSummaryReceivers);
     return result;
 }
 
+// A router that has just become an owner may know nothing of what was served before.
+void PoolRouter::pullLedger()
+{
+    if (m_cells.empty()) {
+        m_ledgerPulled = false;
+        return;
+    }
+    for (const auto& entry : m_owners) {
+        const VmId& owner = entry.second.empty() ? m_settings.life.vm : entry.second.front();
+        if (m_ledgerPulled || owner == m_settings.life.vm)
+            continue;
+        m_ledgerPulled = true;
+        send(owner, Purpose::Ledger, wire::LedgerPullMessage { m_pool });
+    }
+}
+
 void PoolRouter::sendSummaries(TimePoint now)
 {
     if (!usesCells())
         return;
-    const std::vector<VmId> receivers = summaryReceivers(now);
-    if (receivers.empty())
+    pullLedger();
+    const std::vector<VmId> owners = ledgerReceivers();
+    const std::vector<VmId> others = digestReceivers(now, owners);
+    if (owners.empty() && others.empty())
         return;
-    if (!m_ledgerPulled) {
-        m_ledgerPulled = true;
-        send(receivers.front(), Purpose::Ledger, wire::LedgerPullMessage { m_pool });
-    }
     const bool full = m_summariesSent % fullSummaryEvery == 0;
     scheduling::PoolSummary summary = m_ledger->summarize(full);
     summary.cells = digests();
     ++m_summariesSent;
-    const bool idle
-        = std::all_of(summary.cells.begin(), summary.cells.end(), [](const auto& it) { return it.waiting == 0; });
-    if (summary.customers.empty() && idle && !full)
+    if (!summary.customers.empty() || !summary.cells.empty()) {
+        for (const VmId& it : owners)
+            send(it, Purpose::Ledger, wire::SummaryMessage { summary });
+    }
+    summary.customers.clear();
+    summary.full = false;
+    if (summary.cells.empty())
         return;
-    for (const VmId& it : receivers)
+    for (const VmId& it : others)
         send(it, Purpose::Ledger, wire::SummaryMessage { summary });
 }
 
--- a/src/routing/PoolOffers.cpp
+++ b/src/routing/PoolOffers.cpp
@@ -81,8 +81,8 @@
     if (CellScheduler* scheduler = schedulerOf(source))
         scheduler->withdraw(now, request.id);
     else if (source.owner != m_settings.life.vm)
-        send(source.owner, Purpose::Scheduling,
-            wire::WithdrawMessage { wire::cellKey(source.cell), request.id.serial });
+        send(
+            source.owner, Purpose::Scheduling, wire::WithdrawMessage { wire::cellKey(source.cell), request.id.serial });
 }
 
 void PoolRouter::forgetOffer(Request& request, const SlotSource& source)
@@ -353,8 +353,7 @@
     if (!m_dropped.erase(vm))
         return;
     for (const auto& entry : m_cells)
-        send(vm, Purpose::Scheduling,
-            wire::ResyncRequestMessage { wire::cellKey(CellId { m_pool, entry.first }) });
+        send(vm, Purpose::Scheduling, wire::ResyncRequestMessage { wire::cellKey(CellId { m_pool, entry.first }) });
 }
 
 void PoolRouter::tick(TimePoint now)
--- a/src/routing/PoolRouter.cpp
+++ b/src/routing/PoolRouter.cpp
@@ -82,7 +82,8 @@
         const std::uint32_t index = scheduling::cellOf(it, m_targets, count);
         m_targetCells[it] = index;
         m_cellSlots[index] += m_serving.contains(it) ? target->slots : 0;
-        targets[index].push_back({ it, target->slots, m_serving.contains(it) && !m_guard.blocked(it) });
+        targets[index].push_back(
+            { it, target->slots + m_settings.windowSlack, m_serving.contains(it) && !m_guard.blocked(it) });
     }
     std::erase_if(
         m_cells, [&](const auto& cell) { return std::find(owned.begin(), owned.end(), cell.first) == owned.end(); });
@@ -115,8 +116,8 @@
     std::vector<scheduling::CellTarget> targets;
     m_localTargets.clear();
     for (const TargetId& it : m_targets) {
-        const std::uint32_t share
-            = staticShare(it, config.findTarget(it)->slots, std::max<std::size_t>(1, routers.size()), index);
+        const std::uint32_t share = staticShare(
+            it, config.findTarget(it)->slots + m_settings.windowSlack, std::max<std::size_t>(1, routers.size()), index);
         if (share)
             m_localTargets.insert(it);
         targets.push_back({ it, share, m_serving.contains(it) && !m_guard.blocked(it) });
@@ -226,10 +227,7 @@
     m_placeable.insert(request.arrival.customer);
 }
 
-void PoolRouter::abandon(TimePoint now, Request& request)
-{
-    takeBack(now, request);
-}
+void PoolRouter::abandon(TimePoint now, Request& request) { takeBack(now, request); }
 
 void PoolRouter::ended(TimePoint now, const Request& request, Cost cost, wire::TargetHealth health)
 {
--- a/src/routing/PoolRouter.h
+++ b/src/routing/PoolRouter.h
@@ -163,7 +163,10 @@
     void noteHealth(TimePoint now, const TargetId&, wire::TargetHealth);
 
     std::vector<scheduling::CellDigest> digests() const;
-    std::vector<VmId> summaryReceivers(TimePoint now) const;
+    std::vector<VmId> ledgerReceivers() const;
+    std::vector<VmId> digestReceivers(TimePoint now, const std::vector<VmId>& told) const;
+    std::vector<VmId> takeTurns(const std::set<VmId>& candidates) const;
+    void pullLedger();
     void sendSummaries(TimePoint now);
     void noticeIdle(TimePoint now);
     void send(const VmId&, Purpose, const wire::Message&);
--- a/src/scheduling/CellMap.cpp
+++ b/src/scheduling/CellMap.cpp
@@ -28,6 +28,7 @@
     std::vector<Router> sortedRouters(const std::vector<OwnerCandidate>& candidates)
     {
         std::vector<Router> routers;
+        routers.reserve(candidates.size());
         for (const auto& it : candidates)
             routers.push_back({ &it, stableHash(it.vm.value) });
         const auto isBefore = [](const Router& a, const Router& b) { return a.candidate->vm < b.candidate->vm; };
--- a/src/scheduling/CellSchedulerCore.cpp
+++ b/src/scheduling/CellSchedulerCore.cpp
@@ -229,23 +229,6 @@
     m_requests.remove(r);
 }
 
-bool CellSchedulerCore::takeUpLapsed(RequestIndex r)
-{
-    // The router used the grant in time, but the word of it came after the grant's expiry here, or after the router was
-    // dropped. The request runs, so its slot and its charge are due; else the target would get one request too many.
-    Request& request = m_requests[r];
-    if (request.state == RequestState::Waiting && request.lapsed)
-        stopWaiting(r);
-    else if (request.state == RequestState::Dropped)
-        m_grants.remove(m_requests, r);
-    else
-        return false;
-    const bool isStillThere = m_targets.hash(request.target) == request.targetHash;
-    run(request, isStillThere ? request.target : kNoTarget);
-    charge(request, request.estimate);
-    return true;
-}
-
 void CellSchedulerCore::started(TimePoint, const RequestId& id)
 {
     const RequestIndex r = m_requests.find(id);
@@ -266,24 +249,6 @@
     return true;
 }
 
-void CellSchedulerCore::adopt(TimePoint, const InFlight& inFlight)
-{
-    RequestIndex r = m_requests.find(inFlight.request);
-    if (r != kNoRequest) {
-        if (isRunning(r))
-            return;
-        forgetWaiting(r);
-    }
-    r = m_requests.create(inFlight.request);
-    Request& request = m_requests[r];
-    request.customer = m_ledger.intern(inFlight.customer);
-    customer(request.customer);
-    request.charged = isCost(inFlight.charged) ? boundedCost(inFlight.charged) : 0;
-    request.estimate = request.charged;
-    m_bound.noteGrant(normalised(request, request.estimate));
-    run(request, m_targets.find(inFlight.target));
-}
-
 void CellSchedulerCore::progress(TimePoint, const RequestId& id, Cost soFar)
 {
     const RequestIndex r = m_requests.find(id);
@@ -326,35 +291,6 @@
     m_requests.remove(r);
 }
 
-void CellSchedulerCore::dropRouter(TimePoint, const RouterLife& life)
-{
-    for (const RequestIndex r : m_requests.from(life))
-        dropFrom(r);
-}
-
-void CellSchedulerCore::dropFrom(RequestIndex r)
-{
-    Request& request = m_requests[r];
-    switch (request.state) {
-    case RequestState::Waiting:
-        forgetWaiting(r);
-        break;
-    case RequestState::Granted:
-        endGrant(r);
-        request.state = RequestState::Dropped;
-        m_grants.append(m_requests, r);
-        break;
-    case RequestState::Running:
-        // What it has cost so far stays charged; a router that resynchronises reports the charge with the request.
-        --m_stats.running;
-        m_targets.release(request.target);
-        m_requests.remove(r);
-        break;
-    case RequestState::Dropped:
-        break;
-    }
-}
-
 std::optional<TargetId> CellSchedulerCore::targetOf(const RequestId& id) const
 {
     const RequestIndex r = m_requests.find(id);
--- a/src/scheduling/CellSchedulerCore.h
+++ b/src/scheduling/CellSchedulerCore.h
@@ -66,6 +66,7 @@
 
     /// Any word of a granted request from its router shows that it runs.
     bool isRunning(RequestIndex);
+    void seedEstimates(const Request&);
     void finish(RequestIndex, Cost final);
     void dropFrom(RequestIndex);
 
--- a/src/scheduling/CostEstimator.h
+++ b/src/scheduling/CostEstimator.h
@@ -22,6 +22,8 @@
     /// @param actual cost at the end of the request.
     void learn(Cost hint, Cost actual);
 
+    bool hasLearned() const { return m_cost.samples() > 0; }
+
 private:
     bool hintsAreReliable() const;
 
--- a/src/scheduling/LedgerCore.cpp
+++ b/src/scheduling/LedgerCore.cpp
@@ -233,17 +233,26 @@
     PoolSummary summary { m_pool, m_self, ++m_sequence, full, m_virtualTime };
     for (const CustomerIndex c : told)
         summary.customers.push_back(report(c));
+    // A full summary may go to a single router that asked for it; the changes remain news for the others.
+    if (!full)
+        noteTold(told);
+    return summary;
+}
+
+void LedgerCore::noteTold(const std::vector<CustomerIndex>& told)
+{
     for (const CustomerIndex c : m_changed)
         m_customers[c].changed = false;
     m_changed.clear();
     for (const CustomerIndex c : told) {
         Customer& customer = m_customers[c];
+        m_largestOwnStep = std::max(m_largestOwnStep, std::abs(customer.own - customer.told));
+        customer.told = customer.own;
         if (!customer.wasBacklogged || customer.ownBacklogs)
             continue;
         customer.wasBacklogged = false;
         tell(c);
     }
-    return summary;
 }
 
 std::vector<CustomerIndex> LedgerCore::allWorthTelling() const
--- a/src/scheduling/LedgerCore.h
+++ b/src/scheduling/LedgerCore.h
@@ -61,7 +61,9 @@
     void keepLag(Cost most) { m_lagKept = std::max(m_lagKept, most); }
 
     /// @return normalised service that other lives may have charged to one customer without this router knowing it yet.
-    Cost unseen() const { return m_lives.unseen(); }
+    /// With other owners this one's own charges between two summaries count as well: for that time a customer that has
+    /// left another cell still counts as backlogged here.
+    Cost unseen() const { return m_lives.unseen() > 0 ? m_lives.unseen() + m_largestOwnStep : 0; }
 
     std::size_t lifeCount() const { return m_lives.lifeCount(); }
 
@@ -72,6 +74,7 @@
         Cost own = 0; ///< Normalised service charged by this life.
         Cost others = 0; ///< The same by all others.
         Cost lift = 0;
+        Cost told = 0; ///< Of `own`, in the last summary.
         Cost leftAt = 0; ///< Virtual time when it was last backlogged.
         std::uint32_t ownBacklogs = 0;
         std::uint32_t otherBacklogs = 0;
@@ -99,6 +102,7 @@
     void mergeLift(CustomerIndex, Cost lift);
     void boundCompensation(Cost usualStep);
     CustomerService report(CustomerIndex) const;
+    void noteTold(const std::vector<CustomerIndex>&);
     std::vector<CustomerIndex> allWorthTelling() const;
     std::vector<CustomerIndex> changedAndSomeInTurn();
 
@@ -114,6 +118,7 @@
     Cost m_virtualTime = 0;
     Cost m_compensation = 0; ///< 0 for no bound.
     Cost m_lagKept = 0;
+    Cost m_largestOwnStep = 0;
     std::uint64_t m_sequence = 0;
     CustomerIndex m_nextInTurn = 0;
 };
--- a/src/scheduling/LifeTable.cpp
+++ b/src/scheduling/LifeTable.cpp
@@ -36,10 +36,10 @@
         m_unseen += step - entry.largestStep;
         entry.largestStep = step;
     }
-    if (full) {
+    if (full)
         endOldBacklogs(entry, sequence, changes);
-        entry.complete = true;
-    }
+    // Nothing is missing of a life that is known from its first summary on.
+    entry.complete = entry.complete || full || sequence == 1;
     limitLives(changes);
     return changes;
 }
@@ -173,7 +173,7 @@
         m_retired.pop_front();
     }
     // Lives that nobody ever retires here (their death was before this router's start) would fill the memory as well.
-    while (m_lives.size() - m_retired.size() > kLivesKept) {
+    while (m_lives.size() > kLivesKept) {
         auto oldest = m_lives.end();
         for (auto it = m_lives.begin(); it != m_lives.end(); ++it) {
             if (!it->second.retired && (oldest == m_lives.end() || it->second.heard < oldest->second.heard))
@@ -235,8 +235,14 @@
     // The reader hears of a returned life's whole register from that life itself, so the base must leave that part out
     // for it.
     std::vector<Cost> base = m_base;
-    for (const auto& [life, entry] : m_lives) {
-        Known one { life, entry.sequence, {} };
+    std::vector<const Lives::value_type*> lives;
+    for (const auto& it : m_lives)
+        lives.push_back(&it);
+    std::sort(
+        lives.begin(), lives.end(), [](const auto* a, const auto* b) { return a->second.heard < b->second.heard; });
+    for (const auto* it : lives) {
+        const Life& entry = it->second;
+        Known one { it->first, entry.sequence, {} };
         for (CustomerIndex c = 0; c < entry.registers.size(); ++c) {
             const Register& reg = entry.registers[c];
             if (!reg.known)
--- a/src/scheduling/LifeTable.h
+++ b/src/scheduling/LifeTable.h
@@ -38,7 +38,7 @@
 class LifeTable {
 public:
     static constexpr std::size_t kRetiredLivesKept = 64;
-    static constexpr std::size_t kLivesKept = 512;
+    static constexpr std::size_t kLivesKept = 512; ///< Retired ones included, so that known() fits into another table.
     static constexpr std::size_t kNamesKept = 4096;
 
     explicit LifeTable(RouterLife self);
--- a/src/scheduling/OfferPlacer.cpp
+++ b/src/scheduling/OfferPlacer.cpp
@@ -43,12 +43,12 @@
         std::optional<std::uint32_t> ownFree(TimePoint now) const;
         std::optional<std::uint32_t> otherFree(TimePoint now, std::uint64_t hash) const;
         std::optional<std::uint32_t> furthestAhead(TimePoint now) const;
-        std::optional<std::uint32_t> servedNext(
+        std::optional<std::uint32_t> fewestOffers(
             TimePoint now, std::uint64_t hash, Cost virtualService, const Offers&) const;
         std::uint32_t home(TimePoint now, std::uint64_t hash) const;
         std::uint32_t choose(TimePoint now, std::uint64_t hash, Cost virtualService, const Offers&) const;
         Offers& offersOf(const CustomerId&);
-        void takeSlot(std::uint32_t index);
+        void expect(std::uint32_t index, Cost virtualService);
 
         PoolId m_pool;
         std::vector<Cell> m_cells;
@@ -139,20 +139,28 @@
         return hash % m_cells.size();
     }
 
-    std::optional<std::uint32_t> DigestPlacer::servedNext(
+    std::optional<std::uint32_t> DigestPlacer::fewestOffers(
         TimePoint now, std::uint64_t hash, Cost virtualService, const Offers& offers) const
     {
-        // A customer that is behind must wait in every cell that would serve it: with all its offers in one cell it
-        // gets that cell's share at most, and its gap to a customer alone in another cell would grow without end.
+        // While work waits everywhere, each customer must wait in every cell. With all its offers in one cell it gets
+        // that cell's share at most, and its gap to a customer alone in another cell grows without end.
+        struct Rank {
+            std::uint32_t offers = 0;
+            bool behind = false; ///< Another customer would be served first there.
+            bool foreign = false;
+            auto operator<=>(const Rank&) const = default;
+        };
         std::optional<std::uint32_t> best;
+        Rank bestRank;
         for (std::uint32_t n = 0; n < m_cells.size(); ++n) {
             const std::uint32_t index = (hash + n) % m_cells.size();
-            if (!isKnown(now, index) || virtualService > headService(index))
+            if (!isKnown(now, index))
                 continue;
-            const bool isBetter = !best || offers[index] < offers[*best]
-                || (offers[index] == offers[*best] && m_cells[index].owned && !m_cells[*best].owned);
-            if (isBetter)
-                best = index;
+            const Rank rank { offers[index], virtualService > headService(index), !m_cells[index].owned };
+            if (best && bestRank <= rank)
+                continue;
+            best = index;
+            bestRank = rank;
         }
         return best;
     }
@@ -164,17 +172,21 @@
             return *index;
         if (const auto index = otherFree(now, hash))
             return *index;
-        if (const auto index = servedNext(now, hash, virtualService, offers))
+        if (const auto index = fewestOffers(now, hash, virtualService, offers))
             return *index;
         return home(now, hash);
     }
 
-    void DigestPlacer::takeSlot(std::uint32_t index)
+    void DigestPlacer::expect(std::uint32_t index, Cost virtualService)
     {
         // Until the next digest this router reckons with its own offers; else a burst would all follow one free slot.
-        auto& freeSlots = m_cells[index].digest.freeSlots;
-        if (freeSlots)
-            --freeSlots;
+        CellDigest& digest = m_cells[index].digest;
+        if (digest.freeSlots) {
+            --digest.freeSlots;
+            return;
+        }
+        digest.headService = std::min(headService(index), virtualService);
+        ++digest.waiting;
     }
 
     DigestPlacer::Offers& DigestPlacer::offersOf(const CustomerId& customer)
@@ -190,7 +202,7 @@
             return { m_pool, 0 };
         Offers& offers = offersOf(customer);
         const std::uint32_t index = choose(now, stableHash(customer.value), virtualService, offers);
-        takeSlot(index);
+        expect(index, virtualService);
         ++offers[index];
         return { m_pool, index };
     }
@@ -221,7 +233,7 @@
         if (hasFreeSlot(now, offered.index))
             return std::nullopt;
         if (const auto free = otherFree(now, offered.index + 1)) {
-            takeSlot(*free);
+            expect(*free, virtualService);
             return CellId { m_pool, *free };
         }
         if (!isKnown(now, offered.index) || virtualService <= headService(offered.index))
@@ -229,6 +241,7 @@
         const auto ahead = furthestAhead(now);
         if (!ahead || *ahead == offered.index || virtualService >= headService(*ahead))
             return std::nullopt;
+        expect(*ahead, virtualService);
         return CellId { m_pool, *ahead };
     }
 
--- a/src/wire/Wire.cpp
+++ b/src/wire/Wire.cpp
@@ -355,6 +355,14 @@
     return static_cast<CellKey>(stableHash(cell.pool.value, cell.index + 1));
 }
 
+std::string_view kindName(const Message& message)
+{
+    static constexpr std::array<std::string_view, std::variant_size_v<Message>> names { "offer", "withdraw", "grant", "decline", "not-owner",
+        "settle", "progress", "resync", "summary", "ledger-pull", "config-pull", "config-records", "config-snapshot", "outcome-part",
+        "outcomes-taken", "inherited" };
+    return names[message.index()];
+}
+
 std::string encode(const Message& message)
 {
     json out = json::array({ message.index() });
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -58,6 +58,7 @@
     std::atomic<int> admitted { 0 };
     std::atomic<bool> exceeded { false };
     std::vector<std::thread> threads;
+    threads.reserve(kThreads);
     for (int thread = 0; thread < kThreads; ++thread) {
         threads.emplace_back([&, thread] {
             for (int round = 0; round < kRounds; ++round) {
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -188,6 +188,7 @@
         self._list_vms()
         for plan in self.routers:
             self.router_processes[plan["vm"]] = self._launch(plan["vm"], self._router_command(plan), FLEET_SECRET)
+        self.wait_ready([(plan["vm"], plan["address"], "/healthz") for plan in self.routers])
         routers = ",".join("http://" + plan["address"] for plan in self.routers)
         self.api_process = self._launch(
             "api",
@@ -253,7 +254,11 @@
             json.dump({"resources": resources}, file, indent=1)
         command = [self.binary("sagechutectl"), "--api", "http://" + self.api, "apply", "-f", path] + (["--wait"] if wait else [])
         environment = {**clean_environment(), "SAGECHUTE_OPERATOR_KEY": OPERATOR_KEY}
-        result = subprocess.run(command, env=environment, capture_output=True, text=True, timeout=READY_SECONDS, check=False)
+        try:
+            result = subprocess.run(
+                command, env=environment, capture_output=True, text=True, timeout=READY_SECONDS, check=False)
+        except subprocess.TimeoutExpired as error:
+            raise TrialError(f"sagechutectl apply did not end within {READY_SECONDS} s; see {self.log_directory}") from error
         with open(os.path.join(self.log_directory, "sagechutectl.log"), "a") as log:
             log.write(result.stdout + result.stderr)
         if result.returncode != 0:
