--- a/apps/sagechute-load/Callers.cpp
+++ b/apps/sagechute-load/Callers.cpp
@@ -31,7 +31,7 @@
         flow->sharedPrefix = fillerText(stableHash(it.service, flow->index), it.sharedPrefixBytes);
         for (unsigned n = 0; n < it.clients; ++n) {
             flow->clients.push_back(std::make_unique<Client>(
-                loop, http, flow->customer.key, it.zone, plan.entries, it.pinnedTo, m_random.next()));
+                loop, http, flow->customer.key, it.zone, it.service, plan.entries, it.pinnedTo, m_random.next()));
         }
         m_demand[{ flow->service.pool, it.customer }];
         m_flows.push_back(std::move(flow));
--- a/apps/sagechute-load/Client.cpp
+++ b/apps/sagechute-load/Client.cpp
@@ -46,12 +46,13 @@
     m_loop.post([done = std::move(m_done), response = std::move(m_response)] { done(response); });
 }
 
-Client::Client(EventLoop& loop, net::HttpClient& http, std::string key, std::string zone,
+Client::Client(EventLoop& loop, net::HttpClient& http, std::string key, std::string zone, std::string service,
     std::vector<std::string> entries, std::vector<std::string> pinnedTo, std::uint64_t seed)
     : m_loop(loop)
     , m_http(http)
     , m_key(std::move(key))
     , m_zone(std::move(zone))
+    , m_service(std::move(service))
     , m_entries(pinnedTo.empty() ? std::move(entries) : pinnedTo)
     , m_pinnedTo(std::move(pinnedTo))
     , m_nextEntry(seed % m_entries.size())
@@ -71,7 +72,8 @@
 {
     m_asking = true;
     net::ClientRequest request;
-    request.url = "http://" + m_entries[m_nextEntry] + "/v1/locate" + (m_zone.empty() ? "" : "?zone=" + m_zone);
+    request.url = "http://" + m_entries[m_nextEntry] + "/v1/locate?service=" + m_service
+        + (m_zone.empty() ? "" : "&zone=" + m_zone);
     request.headers = { { "Authorization", "Bearer " + m_key } };
     request.totalTimeout = askTimeout;
     m_nextEntry = (m_nextEntry + 1) % m_entries.size();
--- a/apps/sagechute-load/Client.h
+++ b/apps/sagechute-load/Client.h
@@ -49,8 +49,8 @@
 public:
     /// @param entries addresses that may be asked; @param pinnedTo when not empty, the addresses used whatever the
     /// answer says.
-    Client(EventLoop&, net::HttpClient&, std::string key, std::string zone, std::vector<std::string> entries,
-        std::vector<std::string> pinnedTo, std::uint64_t seed);
+    Client(EventLoop&, net::HttpClient&, std::string key, std::string zone, std::string service,
+        std::vector<std::string> entries, std::vector<std::string> pinnedTo, std::uint64_t seed);
 
     /// Runs @p use with a location that is still to be kept; asks for one first if need be. Waits while no entry
     /// answers.
@@ -70,6 +70,7 @@
     net::HttpClient& m_http;
     std::string m_key;
     std::string m_zone;
+    std::string m_service; ///< What it calls most; the answer then prefers routers that schedule it.
     std::vector<std::string> m_entries;
     std::vector<std::string> m_pinnedTo;
     std::deque<std::function<void(const Location&)>> m_waiting;
--- a/apps/sagechute-load/Report.cpp
+++ b/apps/sagechute-load/Report.cpp
@@ -29,7 +29,7 @@
             { "falseNotRun", tally.falseNotRun }, { "malformed", tally.malformed }, { "cutOff", tally.cutOff },
             { "resends", tally.resends }, { "unreachable", tally.unreachable },
             { "completedUncounted", tally.completedUncounted }, { "tokens", tally.tokens }, { "cost", tally.cost },
-            { "refusalsByKind", tally.refusalsByKind }, { "faults", tally.faults } };
+            { "refusalsByKind", tally.refusalsByKind }, { "faults", tally.faults }, { "doubts", tally.doubts } };
     }
 
     json customerRows(const ReportInput& input)
--- a/apps/sagechute-load/Runs.cpp
+++ b/apps/sagechute-load/Runs.cpp
@@ -25,16 +25,16 @@
     addEnd(request);
     if (!request.repeatable && runs > 1) {
         ++doubled;
-        note(request, "ran " + std::to_string(runs) + " times");
+        note(faults, request, "ran " + std::to_string(runs) + " times");
     }
     const bool toldNotRun = request.last.end == SendEnd::NotRun || request.last.end == SendEnd::Unreachable;
     if (toldNotRun && runs > 0) {
         ++falseNotRun;
-        note(request, "was said not to have run, but did");
+        note(faults, request, "was said not to have run, but did");
     }
     if (request.last.end == SendEnd::Completed && runs == 0) {
         ++completedUncounted;
-        note(request, "was answered, but no target counted a run");
+        note(faults, request, "was answered, but no target counted a run");
     }
 }
 
@@ -63,9 +63,11 @@
     case SendEnd::Unknown:
         ++unknown;
         ++refusalsByKind["unknown:" + verdict.kind];
+        note(doubts, request, verdict.kind + ": " + verdict.detail);
         return;
     case SendEnd::Incomplete:
         ++incomplete;
+        note(doubts, request, verdict.kind + ": " + verdict.detail);
         return;
     case SendEnd::Crossed:
         ++crossed;
@@ -77,14 +79,14 @@
         ++lost;
         break;
     }
-    note(request, std::string(toString(verdict.end)) + ": " + verdict.detail);
+    note(faults, request, std::string(toString(verdict.end)) + ": " + verdict.detail);
 }
 
-void Tally::note(const RequestRecord& request, const std::string& what)
+void Tally::note(std::vector<std::string>& notes, const RequestRecord& request, const std::string& what)
 {
     constexpr std::size_t mostNotes = 20;
-    if (faults.size() < mostNotes)
-        faults.push_back(request.tag + " (" + request.last.requestId + ") " + what);
+    if (notes.size() < mostNotes)
+        notes.push_back(request.tag + " (" + request.last.requestId + ") " + what);
 }
 
 } // namespace sagechute::load
--- a/apps/sagechute-load/Runs.h
+++ b/apps/sagechute-load/Runs.h
@@ -67,6 +67,7 @@
     std::uint64_t tokens = 0;
     std::map<std::string, std::uint64_t> refusalsByKind;
     std::vector<std::string> faults; ///< The first few wrong answers, for people.
+    std::vector<std::string> doubts; ///< The first few of unknown or incomplete outcome, for people.
 
     /// Adds one request.
     void add(const RequestRecord&, unsigned runs);
@@ -76,7 +77,7 @@
 
 private:
     void addEnd(const RequestRecord&);
-    void note(const RequestRecord&, const std::string& what);
+    static void note(std::vector<std::string>& notes, const RequestRecord&, const std::string& what);
 };
 
 } // namespace sagechute::load
--- a/apps/sagechute-router/CallerGate.cpp
+++ b/apps/sagechute-router/CallerGate.cpp
@@ -35,6 +35,21 @@
         exchange.respond(std::move(response));
     }
 
+    /// @return the VMs that own cells of a service's pool, sorted; empty when the service is unknown. Also when its
+    /// requests may not be
+    /// repeated: those go to the router that holds their session, wherever they arrive.
+    std::vector<VmId> ownersOf(const routing::RoutingSnapshot& snapshot, std::string_view name)
+    {
+        const config::Service* service = snapshot.config->findService(ServiceId { std::string(name) });
+        if (!service || !service->repeatable)
+            return {};
+        for (const routing::PoolOwners& it : snapshot.poolOwners) {
+            if (it.pool == service->pool)
+                return it.owners;
+        }
+        return {};
+    }
+
     /// @return the service's name in ".../services/NAME/requests", or an empty text.
     std::string_view serviceIn(std::string_view path)
     {
@@ -133,13 +148,19 @@
     }
     std::vector<routing::LocateEntry> routers = snapshot->routers;
     const std::uint64_t serial = ++m_sessionSerial;
-    if (!routers.empty())
-        std::rotate(
-            routers.begin(), routers.begin() + static_cast<std::ptrdiff_t>(serial % routers.size()), routers.end());
-    // This router first, since it holds the session; but a caller's own availability zone goes before that.
-    std::stable_partition(routers.begin(), routers.end(), [&](const auto& it) { return it.life == m_life; });
+    const auto service = net::findField(exchange->request().query, "service");
+    const std::vector<VmId> owners = service ? ownersOf(*snapshot, *service) : std::vector<VmId> {};
+    if (!routers.empty()) {
+        const std::size_t turn = serial % routers.size();
+        std::rotate(routers.begin(), routers.begin() + static_cast<std::ptrdiff_t>(turn), routers.end());
+    }
+    const auto prefer = [&routers](const auto& rule) { std::stable_partition(routers.begin(), routers.end(), rule); };
+    prefer([&](const auto& it) { return it.life == m_life; }); // It holds the session.
     if (zone)
-        std::stable_partition(routers.begin(), routers.end(), [&](const auto& it) { return it.zone.value == *zone; });
+        prefer([&](const auto& it) { return it.zone.value == *zone; });
+    // What arrives at an owner of the service's pool is scheduled there without a message between routers. That
+    // outweighs a millisecond between availability zones.
+    prefer([&](const auto& it) { return std::binary_search(owners.begin(), owners.end(), it.life.vm); });
     json addresses = json::array();
     for (const routing::LocateEntry& it : routers)
         addresses.push_back({ { "vm", it.life.vm.value }, { "address", it.address }, { "zone", it.zone.value } });
--- a/apps/sagechute-router/main.cpp
+++ b/apps/sagechute-router/main.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// The router process: wires the core to HTTP, peer streams, gossip and the log.
 
+#include "CacheWatcher.h"
 #include "CallerGate.h"
 #include "Executor.h"
 #include "LogReader.h"
@@ -19,6 +20,7 @@
     constexpr Duration progressInterval = std::chrono::milliseconds(250);
     constexpr Duration statusInterval = std::chrono::milliseconds(250);
     constexpr std::chrono::milliseconds logTimeout { 3000 };
+constexpr Duration answerGrace = std::chrono::seconds(2);
 
     Incarnation newIncarnation()
     {
@@ -75,6 +77,7 @@
             });
             decide();
             waiter.join();
+        flushAnswers();
             m_logReader->stop();
             process::log(process::LogLevel::Info, "stopped");
             return 0;
@@ -126,7 +129,7 @@
             server.maxBodyBytes = m_options.maxBodyBytes;
             server.maxConnections = static_cast<unsigned>(m_options.maxConnections);
             auto httpServer = net::HttpServer::make(
-                server, [this](std::shared_ptr<net::ServerExchange> exchange) { m_gate->handle(exchange); });
+                server, [this](const std::shared_ptr<net::ServerExchange>& exchange) { m_gate->handle(exchange); });
             if (!httpServer.ok())
                 return httpServer.status();
             m_server = std::move(*httpServer);
@@ -135,6 +138,7 @@
             m_core = routing::RouterCore::make(
                 m_options.routerSettings(m_incarnation, callers, m_streams->listenAddress(), m_socket->listenAddress()),
                 std::make_unique<SeededRandom>(std::random_device {}() ^ m_incarnation));
+            m_cacheWatcher = std::make_unique<CacheWatcher>(*m_client, m_inbox);
             m_attempts = std::make_unique<Attempts>(*m_client, m_inbox, RelaySettings {});
             m_executor = std::make_unique<Executor>(outlets(), life.vm);
             m_logReader = std::make_unique<LogReader>(*m_log, m_inbox);
@@ -147,13 +151,23 @@
         Outlets outlets()
         {
             return { *m_attempts, m_snapshot, m_board,
-                [this](const routing::SendMessage& it) { m_streams->send(it.to, it.address, it.bytes, it.lazy ? peer::Urgency::Lazy : peer::Urgency::Prompt); },
+                [this](const routing::SendMessage& it) {
+                    m_streams->send(it.to, it.address, it.bytes, it.lazy ? peer::Urgency::Lazy : peer::Urgency::Prompt);
+                },
                 [this](const VmId& vm) { m_streams->forget(vm); },
                 [this](const routing::SendDatagram& it) { m_socket->send(it.address, it.bytes); },
                 [this] { m_server->stopListening(); }, [this] { m_exited.store(true); } };
         }
 
-        // The one thread on which the core runs.
+        // The core is done when it has handed out the last answers; their bytes may still be on the way to slow callers.
+    void flushAnswers()
+    {
+        const TimePoint end = steadyNow() + answerGrace;
+        while (m_server->openConnections() > 0 && steadyNow() < end)
+            std::this_thread::sleep_for(tickInterval);
+    }
+
+    // The one thread on which the core runs.
         void decide()
         {
             std::vector<Letter> letters;
@@ -213,6 +227,8 @@
             if (now < m_nextStatus)
                 return;
             m_nextStatus = now + statusInterval;
+            m_cacheWatcher->follow(m_core->ownedTargets());
+            m_cacheWatcher->poll(now);
             m_board.update(
                 m_core->status(), { m_streams->bytes(), m_socket->bytes(), m_logReader->bytes() }, threadTime());
         }
@@ -228,6 +244,7 @@
         std::unique_ptr<config::LogPort> m_log;
         std::unique_ptr<LogReader> m_logReader;
         std::unique_ptr<net::HttpClient> m_client;
+        std::unique_ptr<CacheWatcher> m_cacheWatcher;
         std::unique_ptr<Attempts> m_attempts;
         std::unique_ptr<Executor> m_executor;
         std::unique_ptr<CallerGate> m_gate;
--- /dev/null
+++ b/bench/RoutingFleet.h
@@ -0,0 +1,194 @@
+#pragma once
+
+/// @file
+/// Many router cores under one virtual clock with a fake network, fake targets and fake callers, for measuring what
+/// each event and message costs by size of the fleet. Nothing fails here unless a benchmark says so; failures are the
+/// matter of tests/FleetFake.h.
+
+#include "peer/Traffic.h"
+
+#include <sagechute/Peer.h>
+#include <sagechute/Routing.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace sagechute::bench {
+
+/// What a fleet consists of and what it is asked to do.
+struct FleetSize {
+    std::size_t routers = 8;
+    std::size_t zones = 6;
+    std::size_t pools = 11;
+    std::size_t targets = 14;
+    std::size_t customers = 24;
+    std::size_t poolsPerCustomer = 1;
+    double requestsPerSecond = 63; ///< As many as the targets' slots can run.
+    double tokensPerRequest = 483; ///< Mean; a token takes tokenTime.
+    Duration tokenTime = std::chrono::milliseconds(50);
+    Duration summaryInterval = std::chrono::seconds(2);
+
+    /// @return the size to design for, scaled to a number of routers.
+    static FleetSize scaled(std::size_t routers);
+};
+
+/// Processor time, number and payload of one kind of event or message, over all routers.
+struct KindCost {
+    std::uint64_t count = 0;
+    std::uint64_t bytes = 0; ///< Payload, of messages only.
+    Duration time {};
+};
+
+/// What was counted since the last reset().
+struct FleetCosts {
+    Duration span {};
+    std::map<std::string, KindCost, std::less<>> kinds;
+    std::vector<double> controlBytes; ///< Peer streams and gossip, both directions, headers included; by router.
+    std::vector<double> gossipBytes; ///< The part of gossip in it.
+    std::vector<Duration> processorTime; ///< Of all events, by router.
+    std::uint64_t connectionsOpened = 0;
+    std::uint64_t segments = 0; ///< Writes of the message streams.
+    std::uint64_t requestsEnded = 0;
+    double tokens = 0;
+    std::uint64_t refused = 0;
+};
+
+class RoutingFleet {
+public:
+    /// @param connectionBytes what opening and closing one connection between routers costs each end.
+    RoutingFleet(const FleetSize&, double connectionBytes);
+
+    /// Lets the cores find each other, and then gives them the configuration.
+    /// @return virtual time until every router knew every other.
+    Duration boot();
+
+    /// A tenth of the customers keep more requests in the fleet than their share of the slots, the others send now and
+    /// then.
+    void startLoad();
+
+    void run(Duration);
+    void reset();
+    FleetCosts costs() const;
+
+    /// A change of one customer's weight, as the log brings it to all routers.
+    void changeConfiguration();
+
+    /// The VMs of these routers vanish without a word.
+    void kill(const std::vector<std::size_t>& routers);
+
+    /// No traffic passes between the zones below @p zone and the others.
+    void cutBetweenZones(std::size_t zone);
+    void healZones();
+
+    std::vector<std::size_t> routersOfZone(std::size_t zone) const;
+    bool everyoneSees(std::size_t alive) const;
+    std::size_t aliveSeenBy(std::size_t router) const { return m_nodes[router].core->status().members.size(); }
+    bool runs(std::size_t router) const { return m_nodes[router].core != nullptr; }
+    Duration statusTime() const; ///< Processor time of one call of status().
+    std::size_t cellsOwnedMost() const;
+    std::size_t runningPerRouter() const;
+    std::size_t linksUp() const;
+
+private:
+    struct Node {
+        routing::RouterSettings settings;
+        std::unique_ptr<routing::RouterCore> core;
+        std::size_t zone = 0;
+        std::uint64_t serial = 0;
+        peer::Traffic traffic;
+        double connectionBytes = 0;
+        double gossipBytes = 0;
+        Duration processorTime {};
+    };
+    struct Message {
+        std::string_view kind;
+        std::string bytes;
+    };
+    /// What waits in one direction of a link, and when it leaves.
+    struct Direction {
+        std::vector<Message> waiting;
+        std::optional<TimePoint> flushAt;
+        TimePoint lastReceived {}; ///< By the end that sends in this direction.
+        std::optional<peer::TrafficEstimate> estimate;
+    };
+    struct Link {
+        bool isUp = false;
+        TimePoint lastMessage {};
+        Direction directions[2]; ///< From the lower node, from the higher node.
+    };
+    struct Pending {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> what;
+        bool operator>(const Pending& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+    struct Running {
+        std::size_t node = 0;
+        std::uint32_t attempt = 0;
+        double tokens = 0;
+        TimePoint since {};
+    };
+    struct Caller {
+        std::size_t customer = 0;
+        bool closed = false; ///< Sends its next request when one has ended.
+    };
+
+    void declare();
+    void append(config::Kind, const std::string& name, const nlohmann::json& spec);
+    void at(TimePoint, std::function<void()>);
+    void deliver(std::size_t node, routing::Event, std::string_view kind);
+    void tick(std::size_t node);
+    void readLog(std::size_t node);
+    void sendRequest(const Caller&, std::size_t node);
+    void arrivals(std::size_t customer, double perSecond);
+    void progress(const RequestId&);
+    void finish(const RequestId&);
+    void ended(const RequestId&);
+    bool connected(std::size_t one, std::size_t other) const;
+    Link& link(std::size_t one, std::size_t other);
+    void flush(std::size_t from, std::size_t to);
+    void open(std::size_t from, std::size_t to, Link&);
+    void breakLinks(const std::function<bool(std::size_t, std::size_t)>& which);
+    double draw(double least, double most);
+
+    void act(std::size_t, routing::SendMessage&);
+    void act(std::size_t, routing::SendDatagram&);
+    void act(std::size_t, routing::ForgetPeer&);
+    void act(std::size_t, routing::StartAttempt&);
+    void act(std::size_t, routing::StartForward&) { }
+    void act(std::size_t, routing::CancelAttempt&) { }
+    void act(std::size_t, routing::Answer& it) { ended(it.id); }
+    void act(std::size_t, routing::Refuse&);
+    void act(std::size_t, routing::EndStream& it) { ended(it.id); }
+    void act(std::size_t, routing::Publish&) { }
+    void act(std::size_t, routing::StopListening&) { }
+    void act(std::size_t, routing::Exit&) { }
+
+    FleetSize m_size;
+    double m_connectionBytes;
+    SeededRandom m_random { 1 };
+    TimePoint m_now { std::chrono::hours(1) };
+    std::uint64_t m_order = 0;
+    std::priority_queue<Pending, std::vector<Pending>, std::greater<>> m_queue;
+    std::deque<Node> m_nodes;
+    std::unordered_map<std::string, std::size_t> m_byGossip;
+    std::unordered_map<std::string, std::size_t> m_byVm;
+    std::unordered_map<std::uint64_t, Link> m_links;
+    std::vector<config::LogRecord> m_log;
+    std::map<std::string, LogOffset> m_versions;
+    std::unordered_map<RequestId, Caller> m_callers;
+    std::unordered_map<RequestId, Running> m_running;
+    std::optional<std::size_t> m_cutZone;
+    TimePoint m_resetAt {};
+    FleetCosts m_costs;
+    Duration m_clockCost {};
+};
+
+} // namespace sagechute::bench
--- a/bench/SchedulingBench.cpp
+++ b/bench/SchedulingBench.cpp
@@ -218,7 +218,10 @@
 BENCHMARK(decision)->ArgsProduct(kSizes)->ArgNames({ "customers", "targets" });
 BENCHMARK(offerTexts);
 BENCHMARK(bytes)->ArgsProduct(kSizes)->ArgNames({ "customers", "targets" })->Iterations(1);
-BENCHMARK(ledgerBytes)->ArgsProduct({ { 16, 128, 1100 }, { 1, 8, 66 } })->ArgNames({ "customers", "lives" })->Iterations(1);
+BENCHMARK(ledgerBytes)
+    ->ArgsProduct({ { 16, 128, 1100 }, { 1, 8, 66 } })
+    ->ArgNames({ "customers", "lives" })
+    ->Iterations(1);
 BENCHMARK(absorbDelta)->Arg(16)->Arg(128)->Arg(1100)->ArgName("customers");
 BENCHMARK(measuredGap)->Arg(16)->Arg(128)->Arg(1100)->ArgName("customers");
 BENCHMARK(buildCellMap)->Args({ 8, 2 })->Args({ 370, 66 })->Args({ 370, 660 })->ArgNames({ "routers", "cells" });
--- a/include/sagechute/Routing.h
+++ b/include/sagechute/Routing.h
@@ -225,10 +225,17 @@
     std::string address;
 };
 
+/// Who owns cells of a pool: requests that arrive there need no message between routers to be scheduled.
+struct PoolOwners {
+    PoolId pool;
+    std::vector<VmId> owners; ///< Sorted, each once.
+};
+
 /// What the HTTP threads read, by RCU, on each request.
 struct RoutingSnapshot {
     std::shared_ptr<const config::ConfigView> config;
     std::vector<LocateEntry> routers; ///< Usable ones, by VM.
+    std::vector<PoolOwners> poolOwners;
     RouterLife self;
     bool draining = false;
     std::string notReady; ///< Why requests can't be taken now; empty when they can.
--- a/src/delivery/OutcomeHandover.cpp
+++ b/src/delivery/OutcomeHandover.cpp
@@ -5,15 +5,6 @@
 #include <algorithm>
 
 namespace sagechute::delivery {
-namespace {
-
-    std::optional<std::uint64_t> higher(std::optional<std::uint64_t> mark, std::uint64_t to)
-    {
-        return std::max(mark.value_or(0), to);
-    }
-
-} // namespace
-
 std::vector<std::string> OutcomeTable::exportParts(std::size_t mostBytes) const
 {
     std::vector<ExportedLife> lives { { m_self, m_closed } };
@@ -98,26 +89,24 @@
 {
     const bool fits = makeRoom(entryCharge({}) + kSessionCharge);
     Owner& owner = takeOwner({ life, item.customer });
-    const auto known = item.serial ? owner.sessions.find(*item.serial) : owner.sessions.end();
-    const bool isMark = !item.number;
     if (!item.serial) {
         onSessionForgotten(owner, *item.forgotten);
         return;
     }
-    // Without room, and with no session to put the mark on, the whole session counts as forgotten: were the item just
-    // left out, its request would be answered Closed, a false "not run".
-    if (!fits && known == owner.sessions.end()) {
+    // Without room all sessions of former lives have been dropped already. Were the item just left out, its request
+    // would be answered Closed, a false "not run"; so its session counts as forgotten too.
+    if (!fits) {
         onSessionForgotten(owner, *item.serial);
         return;
     }
-    if (isMark || !fits) {
-        KeptSession& session = takeSession(owner, *item.serial);
-        session.lastUsed = now;
-        session.forgottenUpTo = higher(session.forgottenUpTo, isMark ? *item.forgotten : *item.number);
-        settle(session);
+    if (item.number) {
+        importEntry(item, life, now);
         return;
     }
-    importEntry(item, life, now);
+    KeptSession& session = takeSession(owner, *item.serial);
+    session.lastUsed = now;
+    session.forgottenUpTo = std::max(session.forgottenUpTo.value_or(0), *item.forgotten);
+    settle(session);
 }
 
 void OutcomeTable::importEntry(const OutcomeItem& item, const RouterLife& life, TimePoint now)
--- a/src/delivery/OutcomeTable.cpp
+++ b/src/delivery/OutcomeTable.cpp
@@ -34,7 +34,7 @@
     if (!name.ok())
         return { .verdict = ResendVerdict::Forgotten };
     const Slot slot { { std::move(name->holder), key.customer }, name->serial, key.sequence };
-    const ResendLookup found = find(slot, bodyHash);
+    ResendLookup found = find(slot, bodyHash);
     if (found.verdict != ResendVerdict::New)
         return found;
     if (!makeRoom(entryCharge({}) + kSessionCharge))
@@ -45,8 +45,8 @@
 
 ResendLookup OutcomeTable::find(const Slot& slot, std::uint64_t bodyHash) const
 {
-    const ResendLookup forgotten { .verdict = ResendVerdict::Forgotten };
-    const ResendLookup unseen { .verdict = verdictOfUnseen(slot.owner.life) };
+    ResendLookup forgotten { .verdict = ResendVerdict::Forgotten };
+    ResendLookup unseen { .verdict = verdictOfUnseen(slot.owner.life) };
     const auto owner = m_owners.find(slot.owner);
     if (owner == m_owners.end())
         return unseen;
--- a/src/operators/CtlClient.cpp
+++ b/src/operators/CtlClient.cpp
@@ -71,9 +71,11 @@
     {
         const bool isCertain = result.document.is_object() && result.document.contains("mayHaveBeenTaken")
             && result.document["mayHaveBeenTaken"] == false;
-        const std::string end
-            = isCertain ? " (nothing was changed)" : " (it may have been taken; see: sagechutectl change " + id + ")";
-        return result.message + end;
+        if (isCertain)
+            return result.message + " (nothing was changed)";
+        const bool isSaid = result.message.find("may have been taken") != std::string::npos;
+        const std::string doubt = isSaid ? " (" : " (it may have been taken; ";
+        return result.message + doubt + "see: sagechutectl change " + id + ")";
     }
 
 } // namespace
--- a/src/routing/Core.cpp
+++ b/src/routing/Core.cpp
@@ -26,6 +26,17 @@
             std::move(self), settings.seeds, gossip, std::make_unique<SeededRandom>(random.next()));
     }
 
+    std::vector<VmId> ownersOf(const scheduling::CellMap& map, const PoolId& pool)
+    {
+        std::set<VmId> owners;
+        for (std::uint32_t index = 0; index < map.cellCount(pool); ++index) {
+            const std::vector<VmId> ranked = map.owners({ pool, index });
+            if (!ranked.empty())
+                owners.insert(ranked.front());
+        }
+        return { owners.begin(), owners.end() };
+    }
+
 } // namespace
 
 std::unique_ptr<RouterCore> RouterCore::make(const RouterSettings& settings, std::unique_ptr<Random> random)
@@ -90,8 +101,11 @@
             pool = std::make_unique<PoolRouter>(it, m_settings, m_gossip->view(), m_requests, m_outbox, *this);
     }
     // A pool without resources stays until its last request has ended; it then costs nothing.
-    for (auto& entry : m_pools)
+    m_poolOwners.clear();
+    for (auto& entry : m_pools) {
         entry.second->reconfigure(now, *m_config, map);
+        m_poolOwners.push_back({ entry.first, ownersOf(map, entry.first) });
+    }
 }
 
 void Core::watchMembers(TimePoint now)
@@ -121,6 +135,7 @@
         if (forGood) {
             m_links.erase(vm);
             m_outbox.add(ForgetPeer { vm });
+            m_outbox.streamDown(vm);
         }
     }
 }
@@ -167,6 +182,8 @@
     snapshot->self = m_settings.life;
     snapshot->draining = draining;
     snapshot->notReady = notReady;
+    if (m_settings.policy != scheduling::Policy::Static)
+        snapshot->poolOwners = m_poolOwners;
     for (const membership::Member& it : m_gossip->view().members) {
         const VmId& vm = it.summary.life.vm;
         const bool leaving = it.summary.draining || drains(vm) || (vm == m_settings.life.vm && draining);
--- a/src/routing/Core.h
+++ b/src/routing/Core.h
@@ -125,6 +125,7 @@
     std::map<VmId, RouterLife> m_memberLives;
     std::map<RouterLife, Handover> m_handovers;
     std::map<RequestId, std::vector<RequestId>> m_attached; ///< By the request whose end they wait for.
+    std::vector<PoolOwners> m_poolOwners;
     std::shared_ptr<const RoutingSnapshot> m_published;
     std::uint64_t m_viewVersion = 0;
     std::uint64_t m_publishedView = 0;
--- a/src/routing/CorePeers.cpp
+++ b/src/routing/CorePeers.cpp
@@ -19,8 +19,9 @@
     sendDatagrams(m_gossip->receive(now, event.from, event.bytes));
 }
 
-void Core::on(TimePoint now, PeerUp& event)
+void Core::on(TimePoint, PeerUp& event)
 {
+    m_outbox.streamUp(event.peer.vm);
     PeerLink& link = m_links[event.peer.vm];
     const bool wasDown = std::exchange(link, PeerLink {}).down;
     // A stream that comes up for the first time, or after an orderly end, has lost nothing. Resynchronising it would
@@ -36,6 +37,7 @@
     PeerLink& link = m_links[event.peer.vm];
     if (!link.down)
         link = { true, now, now };
+    m_outbox.streamDown(event.peer.vm);
     m_gossip->probeSoon(event.peer.vm);
     for (auto& entry : m_pools)
         entry.second->peerDown(event.peer.vm);
--- a/src/routing/Outbox.cpp
+++ b/src/routing/Outbox.cpp
@@ -17,14 +17,15 @@
 
 } // namespace
 
-void Outbox::message(
+bool Outbox::message(
     const membership::MembershipView& view, const VmId& to, Purpose purpose, const wire::Message& message)
 {
     const membership::Member* member = view.find(to);
-    if (!member)
-        return;
-    add(SendMessage {
-        to, member->summary.peerAddress, purpose, wire::kindName(message), isLazy(message), wire::encode(message) });
+    if (!member && !m_streams.contains(to))
+        return false;
+    const std::string address = member ? member->summary.peerAddress : std::string {};
+    add(SendMessage { to, address, purpose, wire::kindName(message), isLazy(message), wire::encode(message) });
+    return true;
 }
 
 std::string_view toString(Purpose purpose)
--- a/src/routing/PoolOffers.cpp
+++ b/src/routing/PoolOffers.cpp
@@ -159,19 +159,20 @@
             loseOffer(*request, source, true);
         return false;
     }
-    // While the stream is down the grant would be lost, and its slot with it until the stream is up again. Its router
-    // offers anew then.
-    if (!m_host.reachable(grant.request.origin.vm)) {
+    // While the stream is down the grant would be lost, and its slot with it until the stream is up again. The same
+    // holds for a router whose address is not known yet. It offers anew when it is back.
+    const VmId& holder = grant.request.origin.vm;
+    const auto expiresIn = duration_cast<milliseconds>(grant.expires - now);
+    const wire::GrantMessage message { wire::cellKey(source.cell), grant.request.serial, grant.target, grant.charged,
+        expiresIn };
+    if (!m_host.reachable(holder) || !send(holder, Purpose::Scheduling, message)) {
         scheduler.decline(now, grant.request);
+        m_dropped.insert(holder);
         return false;
     }
     // The stream either delivers the grant or breaks, and a break ends in a resynchronisation: no confirmation is
     // needed.
     scheduler.started(now, grant.request);
-    const auto expiresIn = duration_cast<milliseconds>(grant.expires - now);
-    send(grant.request.origin.vm, Purpose::Scheduling,
-        wire::GrantMessage {
-            wire::cellKey(source.cell), grant.request.serial, grant.target, grant.charged, expiresIn });
     return true;
 }
 
@@ -254,6 +255,8 @@
     const auto cell = cellByKey(message.cell);
     if (cell && ownerOf(*cell) == from)
         m_unsynced.insert(cell->index);
+    if (cell && message.serial == 0)
+        loseOffers(true, [&](const Request&, const SlotSource& it) { return it == SlotSource { *cell, from, false }; });
     Request* request = m_requests.findSerial(message.serial);
     if (cell && request && request->pool == m_pool)
         loseOffer(*request, SlotSource { *cell, from, false }, true);
--- a/src/routing/PoolPlacement.cpp
+++ b/src/routing/PoolPlacement.cpp
@@ -73,7 +73,7 @@
     const bool free = takeFreeSlot(now, wish.index);
     if ((free || queue.offered.empty()) && usable(wish) && offersTargetsFor(wish, request))
         return sourceAt(wish);
-    if (const auto cell = leastOffered(queue, request))
+    if (const auto cell = leastOffered(now, queue, request))
         return sourceAt(*cell);
     return std::nullopt;
 }
@@ -81,7 +81,8 @@
 // Where no slot is known to be free, a customer's requests wait in all cells alike. If they all waited in one, the
 // slots of the others would idle until their owners had told of it; 45 to 80 per cent of all slot time was lost that
 // way with all load on one router.
-std::optional<CellId> PoolRouter::leastOffered(const CustomerQueue& queue, const Request& request) const
+std::optional<CellId> PoolRouter::leastOffered(
+    TimePoint now, const CustomerQueue& queue, const Request& request) const
 {
     std::optional<CellId> best;
     double least = 0;
@@ -95,6 +96,8 @@
             filled += 2; // Only if there is no other cell.
         else if (m_cells.contains(it.index))
             filled -= 1e-6; // The own cell costs no messages.
+        else if (knownBusy(now, it.index) && !m_cells.empty())
+            filled += 1; // It has work for a while; a message there buys nothing until the own cell's window is full.
         if (best && filled >= least)
             continue;
         best = it;
--- a/src/routing/PoolRouter.cpp
+++ b/src/routing/PoolRouter.cpp
@@ -328,9 +328,9 @@
     return status;
 }
 
-void PoolRouter::send(const VmId& to, Purpose purpose, const wire::Message& message)
+bool PoolRouter::send(const VmId& to, Purpose purpose, const wire::Message& message)
 {
-    m_outbox.message(m_view, to, purpose, message);
+    return m_outbox.message(m_view, to, purpose, message);
 }
 
 } // namespace sagechute::routing
--- a/src/routing/PoolRouter.h
+++ b/src/routing/PoolRouter.h
@@ -139,7 +139,7 @@
     static void countDown(std::map<std::uint32_t, std::uint32_t>& counts, std::uint32_t cell);
     SlotSource sourceAt(const scheduling::CellId& cell) const { return { cell, ownerOf(cell), false }; }
     std::optional<SlotSource> choose(TimePoint now, const Request&);
-    std::optional<scheduling::CellId> leastOffered(const CustomerQueue&, const Request&) const;
+    std::optional<scheduling::CellId> leastOffered(TimePoint now, const CustomerQueue&, const Request&) const;
     std::optional<scheduling::CellId> idlest(TimePoint now, const CustomerQueue&, const Request&) const;
     bool knownBusy(TimePoint now, std::uint32_t cell) const;
     std::uint32_t windowAt(std::uint32_t cell) const;
@@ -169,7 +169,7 @@
     void pullLedger();
     void sendSummaries(TimePoint now);
     void noticeIdle(TimePoint now);
-    void send(const VmId&, Purpose, const wire::Message&);
+    bool send(const VmId&, Purpose, const wire::Message&);
 
     PoolId m_pool;
     const RouterSettings& m_settings;
--- a/src/routing/StopSequence.cpp
+++ b/src/routing/StopSequence.cpp
@@ -43,15 +43,19 @@
         handOver(now, memory);
         return;
     }
-    if (m_phase == StopPhase::HandingOver && now >= m_successorUntil)
+    if (m_phase == StopPhase::HandingOver && !m_handedOver && now >= m_successorUntil)
         handOver(now, memory);
+    // A connection that was open before still brings a request now and then. Most are refused at once; one that was
+    // handed to the holder of its session has to come back first.
+    if (m_phase == StopPhase::HandingOver && m_handedOver && (requests == 0 || now >= m_giveUpAt))
+        m_phase = StopPhase::Done;
 }
 
 void StopSequence::handOver(TimePoint now, delivery::OutcomeMemory& memory)
 {
     const auto successor = nextSuccessor();
     if (!memory.entries() || !successor || m_asked.size() >= mostSuccessors) {
-        m_phase = StopPhase::Done;
+        m_handedOver = true;
         return;
     }
     // Nothing may begin here once the export is made: the successor would call it never begun.
@@ -71,7 +75,7 @@
 void StopSequence::taken(const VmId& from)
 {
     if (m_phase == StopPhase::HandingOver && !m_asked.empty() && m_asked.back() == from)
-        m_phase = StopPhase::Done;
+        m_handedOver = true;
 }
 
 std::optional<VmId> StopSequence::nextSuccessor() const
--- a/src/routing/StopSequence.h
+++ b/src/routing/StopSequence.h
@@ -42,6 +42,7 @@
     TimePoint m_closeAt {};
     TimePoint m_giveUpAt {};
     TimePoint m_successorUntil {};
+    bool m_handedOver = false; ///< Or there is nothing to hand over, or nobody to take it.
     std::vector<VmId> m_asked;
 };
 
--- a/tests/FleetNetwork.cpp
+++ b/tests/FleetNetwork.cpp
@@ -66,6 +66,8 @@
     if (m_options.sabotage == Sabotage::LosesMessages && ++m_sabotaged % lostEvery == 0)
         return;
     Link& it = link(n, *to);
+    if (action.address.empty() && !it.isUp)
+        return; // Nobody can connect to an address that is not known.
     if (it.isUp) {
         transmit(n, *to, std::move(action.bytes));
         return;
--- a/tests/RoutingStopTest.cpp
+++ b/tests/RoutingStopTest.cpp
@@ -177,3 +177,26 @@
     REQUIRE(fleet->exited(0));
     requireQuiet(*fleet);
 }
+
+TEST_CASE("a request comes on an open connection just before the exit")
+{
+    // Symptom: a caller is cut off by a planned stop.
+    // Sequence: the router has stopped listening and hands its memory over; a request for another holder's session
+    // comes on a connection that was open before, and is handed to that holder.
+    // Cause: the exit waited for the memory only.
+    auto fleet = smallFleet();
+    const std::string own = fleet->session(0);
+    const std::string other = fleet->session(1);
+    fleet->send(0, posting(own, 1));
+    fleet->run(1s);
+    fleet->stop(0);
+    fleet->run(7s);
+    for (std::uint64_t n = 1; n <= 20; ++n) {
+        if (fleet->up(0))
+            fleet->send(0, posting(other, n));
+        fleet->run(1ms);
+    }
+    fleet->run(stopTime);
+    REQUIRE(fleet->exited(0));
+    requireQuiet(*fleet);
+}
