Hand requests of a stopping router's sessions over without an "unknown"

Symptom: a planned stop under load ended 26 to 34 requests as unknown (outcome-lost). Sequence: a router is asked to stop and stops listening; another router gets a request of a session held there, finds the port closed and says "the router that holds this session did not answer", although the holder was about to hand its memory to a successor. Cause: the port closed before the memory had moved, one try was all, and a holder that remembered nothing handed over nothing, so that its unused sessions counted as lost. Change: the port stays open until the handover begins (new direct requests are refused as not-run meanwhile); a request of which no byte reached the holder is offered again for 5 s, to the successor once it is known; an empty memory is handed over too. A request that waits for its holder is never called not-run, since an earlier send may have run. Also: after a stop signal the waiting thread spun (19 % of a core); it ends after the first.

--- a/apps/sagechute-router/main.cpp
+++ b/apps/sagechute-router/main.cpp
@@ -20,7 +20,7 @@
     constexpr Duration progressInterval = std::chrono::milliseconds(250);
     constexpr Duration statusInterval = std::chrono::milliseconds(250);
     constexpr std::chrono::milliseconds logTimeout { 3000 };
-constexpr Duration answerGrace = std::chrono::seconds(2);
+    constexpr Duration answerGrace = std::chrono::seconds(2);
 
     Incarnation newIncarnation()
     {
@@ -71,13 +71,15 @@
         {
             std::thread waiter([this, &stop] {
                 while (!m_exited.load()) {
-                    if (stop.wait(std::chrono::milliseconds(100)))
-                        m_inbox.push(routing::StopRequested {});
+                    if (!stop.wait(std::chrono::milliseconds(100)))
+                        continue;
+                    m_inbox.push(routing::StopRequested {});
+                    return; // From now on wait() would return at once, and this loop would spin.
                 }
             });
             decide();
             waiter.join();
-        flushAnswers();
+            flushAnswers();
             m_logReader->stop();
             process::log(process::LogLevel::Info, "stopped");
             return 0;
@@ -159,15 +161,16 @@
                 [this] { m_server->stopListening(); }, [this] { m_exited.store(true); } };
         }
 
-        // The core is done when it has handed out the last answers; their bytes may still be on the way to slow callers.
-    void flushAnswers()
-    {
-        const TimePoint end = steadyNow() + answerGrace;
-        while (m_server->openConnections() > 0 && steadyNow() < end)
-            std::this_thread::sleep_for(tickInterval);
-    }
+        // The core is done when it has handed out the last answers; their bytes may still be on the way to slow
+        // callers.
+        void flushAnswers()
+        {
+            const TimePoint end = steadyNow() + answerGrace;
+            while (m_server->openConnections() > 0 && steadyNow() < end)
+                std::this_thread::sleep_for(tickInterval);
+        }
 
-    // The one thread on which the core runs.
+        // The one thread on which the core runs.
         void decide()
         {
             std::vector<Letter> letters;
--- a/bench/RoutingFleet.h
+++ b/bench/RoutingFleet.h
@@ -34,6 +34,7 @@
     double tokensPerRequest = 483; ///< Mean; a token takes tokenTime.
     Duration tokenTime = std::chrono::milliseconds(50);
     Duration summaryInterval = std::chrono::seconds(2);
+    double anywhere = 0.1; ///< Part of the requests that do not arrive at an owner of their pool, as those of sessions.
 
     /// @return the size to design for, scaled to a number of routers.
     static FleetSize scaled(std::size_t routers);
@@ -137,6 +138,7 @@
     };
     struct Caller {
         std::size_t customer = 0;
+        std::size_t pool = 0;
         bool closed = false; ///< Sends its next request when one has ended.
     };
 
@@ -146,6 +148,8 @@
     void deliver(std::size_t node, routing::Event, std::string_view kind);
     void tick(std::size_t node);
     void readLog(std::size_t node);
+    std::size_t poolOf(std::size_t customer);
+    std::size_t entryFor(std::size_t pool);
     void sendRequest(const Caller&, std::size_t node);
     void arrivals(std::size_t customer, double perSecond);
     void progress(const RequestId&);
@@ -167,7 +171,7 @@
     void act(std::size_t, routing::Answer& it) { ended(it.id); }
     void act(std::size_t, routing::Refuse&);
     void act(std::size_t, routing::EndStream& it) { ended(it.id); }
-    void act(std::size_t, routing::Publish&) { }
+    void act(std::size_t, routing::Publish& it) { m_snapshot = it.snapshot; }
     void act(std::size_t, routing::StopListening&) { }
     void act(std::size_t, routing::Exit&) { }
 
@@ -183,6 +187,7 @@
     std::unordered_map<std::uint64_t, Link> m_links;
     std::vector<config::LogRecord> m_log;
     std::map<std::string, LogOffset> m_versions;
+    std::shared_ptr<const routing::RoutingSnapshot> m_snapshot; ///< The latest of any router: what callers are told.
     std::unordered_map<RequestId, Caller> m_callers;
     std::unordered_map<RequestId, Running> m_running;
     std::optional<std::size_t> m_cutZone;
--- a/src/routing/Core.cpp
+++ b/src/routing/Core.cpp
@@ -267,9 +267,8 @@
                 "send it again with a later deadline");
     }
     for (std::uint64_t serial : m_requests.backoffEnded(now)) {
-        Request* request = m_requests.findSerial(serial);
-        if (PoolRouter* owner = request ? pool(request->pool) : nullptr)
-            owner->enqueue(*request, true);
+        if (Request* request = m_requests.findSerial(serial))
+            backoffEnded(now, *request);
     }
     if (m_freshness.cutOff(now, *m_gossip))
         refuseAllWaiting(now);
--- a/src/routing/Core.h
+++ b/src/routing/Core.h
@@ -67,6 +67,8 @@
     bool routeBySession(TimePoint now, Request&);
     bool lookUpOutcome(TimePoint now, Request&);
     void forward(Request&, const SessionRoute&);
+    void backoffEnded(TimePoint now, Request&);
+    void admit(TimePoint now, Request&);
     void beginAttempt(Request&, std::optional<std::uint64_t> resumeFrom);
     void completed(TimePoint now, Request&, AttemptEnded&);
     void forwardEnded(TimePoint now, Request&, AttemptEnded&);
--- a/src/routing/CoreRequests.cpp
+++ b/src/routing/CoreRequests.cpp
@@ -16,6 +16,11 @@
 
     constexpr seconds retrySoon { 1 };
 
+    /// How long and how often a request is offered to the holder of its session while no byte gets through: longer than
+    /// a planned stop needs to hand over its memory, and for the others to hear of it.
+    constexpr Duration forwardPatience = seconds(5);
+    constexpr Duration forwardPause = std::chrono::milliseconds(100);
+
     wire::TargetHealth healthOf(AttemptEnd end)
     {
         switch (end) {
@@ -100,14 +105,18 @@
         request.repeatable = request.arrival.repeatable.value_or(!request.arrival.resend);
     }
     Request& held = m_requests.add(std::move(request));
-    if (remembers(held) && routeBySession(now, held))
-        return;
-    if (absl::Status status = checkArrival(now, held.arrival); !status.ok()) {
-        refuse(now, held, Outcome::NotRun, status, retrySoon);
+    if (!remembers(held) || !routeBySession(now, held))
+        admit(now, held);
+}
+
+void Core::admit(TimePoint now, Request& request)
+{
+    if (absl::Status status = checkArrival(now, request.arrival); !status.ok()) {
+        refuse(now, request, Outcome::NotRun, status, retrySoon);
         return;
     }
-    m_retries->firstAttempt(held.arrival.customer);
-    pool(held.pool)->enqueue(held, false);
+    m_retries->firstAttempt(request.arrival.customer);
+    pool(request.pool)->enqueue(request, false);
 }
 
 bool Core::remembers(const Request& request) const { return request.arrival.resend && !request.repeatable; }
@@ -185,10 +194,25 @@
 {
     request.phase = RequestPhase::Forwarded;
     m_requests.countDeadline(request, false);
+    if (request.forwardUntil == TimePoint {})
+        request.forwardUntil = m_now + forwardPatience;
     ++request.attempt;
     m_outbox.add(StartForward { request.id, request.attempt, route.forwardTo, route.address });
 }
 
+void Core::backoffEnded(TimePoint now, Request& request)
+{
+    if (!request.forwarding) {
+        if (PoolRouter* owner = pool(request.pool))
+            owner->enqueue(request, true);
+        return;
+    }
+    request.forwarding = false;
+    // The session may be held here by now, and the request may never have begun.
+    if (!routeBySession(now, request))
+        admit(now, request);
+}
+
 void Core::onGranted(TimePoint, Request& request)
 {
     m_requests.countDeadline(request, false);
@@ -303,7 +327,7 @@
 }
 
 // The other router's word stands: its answer carries the outcome. Without an answer nobody here knows what became of
-// the request.
+// the request. But where no byte left, the holder may just be handing its memory to a successor, who will answer.
 void Core::forwardEnded(TimePoint now, Request& request, AttemptEnded& event)
 {
     if (event.end == AttemptEnd::Completed) {
@@ -311,6 +335,12 @@
         forget(request.id);
         return;
     }
+    if (event.end == AttemptEnd::NothingSent && now < request.forwardUntil) {
+        request.phase = RequestPhase::Backoff;
+        request.forwarding = true;
+        request.retryAt = now + forwardPause;
+        return;
+    }
     refuse(now, request, Outcome::Unknown,
         makeError(ErrorKind::OutcomeLost, "the router that holds this session did not answer",
             "send the same request and number again to learn its outcome"),
@@ -369,7 +399,7 @@
     Outcome outcome = Outcome::NotRun;
     if (request.relayed > 0)
         outcome = Outcome::Incomplete;
-    else if (request.everSent)
+    else if (request.everSent || request.forwarding) // An earlier send may have run where the session is held.
         outcome = Outcome::Unknown;
     refuse(now, request, outcome, makeError(kind, message, remedy), retrySoon);
 }
--- a/src/routing/RequestTable.h
+++ b/src/routing/RequestTable.h
@@ -52,6 +52,8 @@
     std::uint64_t relayed = 0; ///< Positions given to the caller.
     bool everSent = false; ///< A byte may have left for some target.
     bool callerGone = false;
+    bool forwarding = false; ///< In a backoff: to be handed to the holder of its session again.
+    TimePoint forwardUntil {}; ///< Tries to hand it over end then.
     std::vector<TargetId> avoid;
 };
 
--- a/src/routing/StopSequence.cpp
+++ b/src/routing/StopSequence.cpp
@@ -36,10 +36,11 @@
 {
     if (m_phase == StopPhase::Announced && now >= m_closeAt) {
         m_phase = StopPhase::Closing;
-        m_outbox.add(StopListening {});
     }
+    // Until here other routers hand over requests of the sessions held here, and only this router can answer them.
     if (m_phase == StopPhase::Closing && (requests == 0 || now >= m_giveUpAt)) {
         m_phase = StopPhase::HandingOver;
+        m_outbox.add(StopListening {});
         handOver(now, memory);
         return;
     }
@@ -54,7 +55,7 @@
 void StopSequence::handOver(TimePoint now, delivery::OutcomeMemory& memory)
 {
     const auto successor = nextSuccessor();
-    if (!memory.entries() || !successor || m_asked.size() >= mostSuccessors) {
+    if (!successor || m_asked.size() >= mostSuccessors) {
         m_handedOver = true;
         return;
     }
