--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -193,7 +193,7 @@
     parser.add_argument("--deployment", choices=["bureau", "himalbid"], default="bureau")
     parser.add_argument("--routers", type=int, default=8)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--cells-per-pool", type=int, default=1)
+    parser.add_argument("--cells-per-pool", type=int, default=0, help="0: what the fleet resource says, a cell for every two targets")
     parser.add_argument("--out", help="the JSON report (for all: a directory)")
     parser.add_argument("--build", default=os.path.join(ROOT, "build"), help="where the binaries are")
     parser.add_argument("--port-base", type=int, default=20000)
