--- a/bench/RoutingBench.cpp
+++ b/bench/RoutingBench.cpp
@@ -65,6 +65,7 @@
     std::vector<double> inSeconds(const std::vector<Duration>& times)
     {
         std::vector<double> result;
+        result.reserve(times.size());
         for (const Duration& it : times)
             result.push_back(asSeconds(it));
         return result;
--- a/bench/RoutingFleet.cpp
+++ b/bench/RoutingFleet.cpp
@@ -17,6 +17,7 @@
     constexpr Duration networkDelay = 1ms;
     constexpr Duration tickInterval = 10ms;
     constexpr Duration logInterval = 1500ms;
+    constexpr Duration processFreshness = 4s; ///< As the router process sets it; the log is read each 1.5 s.
     constexpr Duration progressInterval = 1s;
     constexpr Duration pingInterval = 2s;
     constexpr Duration idleClose = 30s;
@@ -83,6 +84,7 @@
         settings.callerAddress = hostOf(n) + ":9000";
         settings.seeds = { hostOf(0) + ":9101", hostOf(1) + ":9101", hostOf(2) + ":9101" };
         settings.summaryInterval = size.summaryInterval;
+        settings.freshness = processFreshness;
         m_byGossip[settings.gossipAddress] = n;
         m_byVm[settings.life.vm.value] = n;
         node.core = routing::RouterCore::make(settings, std::make_unique<SeededRandom>(n + 1));
--- a/include/sagechute/Core.h
+++ b/include/sagechute/Core.h
@@ -36,7 +36,7 @@
 TimePoint steadyNow();
 
 /// A string identifier that cannot be mixed up with one of another kind.
-template<typename Tag> struct Id {
+template <typename Tag> struct Id {
     std::string value;
 
     bool empty() const { return value.empty(); }
@@ -185,13 +185,14 @@
 
 } // namespace sagechute
 
-template<typename Tag> struct std::hash<sagechute::Id<Tag>> {
+template <typename Tag> struct std::hash<sagechute::Id<Tag>> {
     std::size_t operator()(const sagechute::Id<Tag>& id) const noexcept { return std::hash<std::string> {}(id.value); }
 };
 
-template<> struct std::hash<sagechute::RequestId> {
+template <> struct std::hash<sagechute::RequestId> {
     std::size_t operator()(const sagechute::RequestId& id) const noexcept
     {
-        return std::hash<std::string> {}(id.origin.vm.value) ^ (id.serial * 0x9E3779B97F4A7C15ULL) ^ id.origin.incarnation;
+        return std::hash<std::string> {}(id.origin.vm.value) ^ (id.serial * 0x9E3779B97F4A7C15ULL)
+            ^ id.origin.incarnation;
     }
 };
--- a/include/sagechute/Membership.h
+++ b/include/sagechute/Membership.h
@@ -78,7 +78,7 @@
     /// @param self the local member's first summary.
     /// @param seeds gossip addresses to join by; asked again while the local member knows no other.
     static std::unique_ptr<Gossip> make(
-        MemberSummary self, std::vector<std::string> seeds, const GossipSettings&, std::unique_ptr<Random>);
+        MemberSummary self, const std::vector<std::string>& seeds, const GossipSettings&, std::unique_ptr<Random>);
     virtual ~Gossip() = default;
 
     /// Does what has come due. Call it at least each 50 ms. A longer gap counts as a pause of the local process, whose
--- a/include/sagechute/Wire.h
+++ b/include/sagechute/Wire.h
@@ -135,10 +135,10 @@
     RouterLife life;
 };
 
-using Message = std::variant<OfferMessage, WithdrawMessage, GrantMessage, DeclineMessage, NotOwnerMessage,
-    SettleMessage, ProgressMessage, ResyncMessage, SummaryMessage, LedgerPullMessage, ConfigPullMessage,
-    ConfigRecordsMessage, ConfigSnapshotMessage, OutcomePartMessage, OutcomesTakenMessage, InheritedMessage,
-    ResyncRequestMessage>;
+using Message
+    = std::variant<OfferMessage, WithdrawMessage, GrantMessage, DeclineMessage, NotOwnerMessage, SettleMessage,
+        ProgressMessage, ResyncMessage, SummaryMessage, LedgerPullMessage, ConfigPullMessage, ConfigRecordsMessage,
+        ConfigSnapshotMessage, OutcomePartMessage, OutcomesTakenMessage, InheritedMessage, ResyncRequestMessage>;
 
 /// @return the name of a message's kind, such as "offer", for metrics and transcripts.
 std::string_view kindName(const Message&);
--- a/src/membership/GossipMember.cpp
+++ b/src/membership/GossipMember.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-std::unique_ptr<Gossip> Gossip::make(
-    MemberSummary self, std::vector<std::string> seeds, const GossipSettings& settings, std::unique_ptr<Random> random)
+std::unique_ptr<Gossip> Gossip::make(MemberSummary self, const std::vector<std::string>& seeds,
+    const GossipSettings& settings, std::unique_ptr<Random> random)
 {
     return std::make_unique<GossipMember>(std::move(self), seeds, settings, std::move(random));
 }
--- a/src/routing/PoolOffers.cpp
+++ b/src/routing/PoolOffers.cpp
@@ -189,6 +189,7 @@
     request.charged = charged;
     request.soFar = 0;
     request.progressTold = now;
+    request.soFarTold = 0;
     m_running.insert(request.id.serial);
     if (!source.local)
         ++m_cellLoad[source.cell.index];
--- a/src/routing/PoolPlacement.cpp
+++ b/src/routing/PoolPlacement.cpp
@@ -81,8 +81,7 @@
 // Where no slot is known to be free, a customer's requests wait in all cells alike. If they all waited in one, the
 // slots of the others would idle until their owners had told of it; 45 to 80 per cent of all slot time was lost that
 // way with all load on one router.
-std::optional<CellId> PoolRouter::leastOffered(
-    TimePoint now, const CustomerQueue& queue, const Request& request) const
+std::optional<CellId> PoolRouter::leastOffered(TimePoint now, const CustomerQueue& queue, const Request& request) const
 {
     std::optional<CellId> best;
     double least = 0;
--- a/src/routing/PoolRouter.cpp
+++ b/src/routing/PoolRouter.cpp
@@ -12,6 +12,10 @@
     /// Index of the scheduler that is no cell: static policy and fallback.
     constexpr std::uint32_t localCellIndex = 0xFFFFFFFF;
 
+    /// Service is told to a cell's owner when it exceeds what the owner knows by this: a few messages for a long
+    /// request.
+    constexpr double progressFactor = 1.5;
+
 } // namespace
 
 std::uint32_t staticShare(const TargetId& target, std::uint32_t slots, std::size_t routers, std::size_t self)
@@ -252,11 +256,14 @@
         scheduler->progress(now, request.id, request.soFar);
         return;
     }
-    // The owner has charged an estimate; only service beyond it is news.
+    // The owner has charged an estimate; only service well beyond it is news. Told each second, this was two thirds of
+    // all messages between 111 routers.
     const bool due = now - request.progressTold >= m_settings.progressInterval;
-    if (!due || request.soFar <= request.charged || request.source.owner == m_settings.life.vm)
+    const bool news = request.soFar > std::max(request.charged, request.soFarTold) * progressFactor;
+    if (!due || !news || request.source.owner == m_settings.life.vm)
         return;
     request.progressTold = now;
+    request.soFarTold = request.soFar;
     send(request.source.owner, Purpose::Scheduling,
         wire::ProgressMessage { wire::cellKey(request.source.cell), { { request.id.serial, request.soFar } } });
 }
--- a/src/routing/RequestTable.h
+++ b/src/routing/RequestTable.h
@@ -47,6 +47,7 @@
     Cost charged = 0;
     Cost soFar = 0;
     TimePoint progressTold {};
+    Cost soFarTold = 0;
     std::uint32_t attempt = 0; ///< Attempts begun.
     std::uint32_t resumes = 0;
     std::uint64_t relayed = 0; ///< Positions given to the caller.
--- a/src/wire/Wire.cpp
+++ b/src/wire/Wire.cpp
@@ -357,9 +357,9 @@
 
 std::string_view kindName(const Message& message)
 {
-    static constexpr std::array<std::string_view, std::variant_size_v<Message>> names { "offer", "withdraw", "grant", "decline", "not-owner",
-        "settle", "progress", "resync", "summary", "ledger-pull", "config-pull", "config-records", "config-snapshot", "outcome-part",
-        "outcomes-taken", "inherited" };
+    static constexpr std::array<std::string_view, std::variant_size_v<Message>> names { "offer", "withdraw", "grant",
+        "decline", "not-owner", "settle", "progress", "resync", "summary", "ledger-pull", "config-pull",
+        "config-records", "config-snapshot", "outcome-part", "outcomes-taken", "inherited" };
     return names[message.index()];
 }
 
--- a/tests/FleetFake.h
+++ b/tests/FleetFake.h
@@ -150,6 +150,7 @@
     void isolate(std::size_t router, bool cut = true);
     void setLogReachable(std::size_t router, bool reachable) { m_nodes[router].log = reachable; }
     void setLogDelay(std::size_t router, Duration delay) { m_nodes[router].logDelay = delay; }
+    void calmDatagrams() { m_options.loss = 0; }
     void stop(std::size_t router);
     void killTarget(const std::string&);
     void reviveTarget(const std::string& name) { m_targets.at(name).alive = true; }
