--- a/tests/FleetFake.cpp
+++ b/tests/FleetFake.cpp
@@ -312,7 +312,7 @@
 RequestId FleetFake::send(std::size_t n, const Send& send)
 {
     Node& node = m_nodes[n];
-    const RequestId id { node.settings.life, ++node.serial };
+    RequestId id { node.settings.life, ++node.serial };
     m_sends[id] = send;
     CallerRecord& record = m_records[id];
     record.id = id;
--- a/tests/RoutingConfigTest.cpp
+++ b/tests/RoutingConfigTest.cpp
@@ -178,3 +178,61 @@
     requireQuiet(*fleet);
     REQUIRE(countEnds(*fleet, Outcome::Completed) == fleet->records().size());
 }
+
+TEST_CASE("the number of cells changes under load")
+{
+    // Symptom: after a change of the number of cells some slots are never granted again, or requests wait for ever.
+    // Sequence: the fleet resource says 1 cell, then 2, 1, 2 while requests wait and run everywhere.
+    // Cause: targets move between cells with requests running on them; a cell that keeps such a request counts its slot
+    // as used when the target comes back.
+    auto fleet = smallFleet();
+    for (int round = 0; round < 6; ++round) {
+        for (std::size_t n = 0; n < 3; ++n) {
+            for (int count = 0; count < 10; ++count)
+                fleet->send(n, { .customer = "tellers", .cost = 250ms });
+        }
+        fleet->declareFleet({ { "cellsPerPool", 1 + round % 2 } });
+        fleet->run(700ms);
+    }
+    requireQuiet(*fleet);
+    REQUIRE(countEnds(*fleet, Outcome::Completed) == fleet->records().size());
+}
+
+TEST_CASE("the affinity slack of the fleet resource is in force")
+{
+    // Symptom: an operator changes it, the change is accepted, and nothing happens.
+    // Sequence: it is changed while requests wait and run; the bound on the gap, which grows with it, has to follow.
+    // Cause: a scheduler keeps the settings that it was made with.
+    auto fleet = oneCellFleet();
+    const std::size_t owner = fleet->ownerOf("model");
+    const auto boundWith = [&](double slack) {
+        fleet->declareFleet({ { "affinitySlack", slack } });
+        for (int n = 0; n < 40; ++n)
+            fleet->send(static_cast<std::size_t>(n) % 3, { "tellers" });
+        fleet->run(5s);
+        return fleet->status(owner).pools.front().gapBound;
+    };
+    const Cost none = boundWith(0);
+    const Cost whole = boundWith(1);
+    REQUIRE(none > 0);
+    REQUIRE(whole > 1.5 * none);
+    requireQuiet(*fleet);
+    REQUIRE(countEnds(*fleet, Outcome::Completed) == fleet->records().size());
+}
+
+TEST_CASE("the retry budget of the fleet resource is in force")
+{
+    const auto triesWith = [](double budget) {
+        auto fleet = oneCellFleet();
+        fleet->declareFleet({ { "retryBudget", budget } });
+        fleet->run(1s);
+        for (int n = 0; n < 300; ++n) {
+            fleet->target(n % 2 ? "worker-1" : "worker-2").faults = { Fault::Reject };
+            fleet->send(0, { "tellers" });
+            fleet->run(300ms);
+        }
+        requireKept(*fleet);
+        return fleet->sendsInAll();
+    };
+    REQUIRE(triesWith(1) > triesWith(0) + 50);
+}
--- a/tests/RoutingSchedulingTest.cpp
+++ b/tests/RoutingSchedulingTest.cpp
@@ -69,6 +69,7 @@
         fleet.run(100ms);
         sendSome(20);
         std::vector<double> got;
+        got.reserve(parties.size());
         for (const Party& it : parties)
             got.push_back(fleet.serviceOf(it.customer) / it.weight);
         if (step < 5) {
@@ -179,6 +180,7 @@
         REQUIRE(mostWaiting < 200);
         fleet->run(30s);
         std::vector<Duration> result;
+        result.reserve(others.size());
         for (const RequestId& it : others)
             result.push_back(onlyEnd(*fleet, it).at - fleet->record(it).sent);
         std::sort(result.begin(), result.end());
--- a/tests/RoutingTest.cpp
+++ b/tests/RoutingTest.cpp
@@ -12,6 +12,7 @@
 std::vector<RequestId> load(FleetFake& fleet, std::size_t router, int requests, const std::string& customer = "tellers")
 {
     std::vector<RequestId> ids;
+    ids.reserve(static_cast<std::size_t>(requests));
     for (int n = 0; n < requests; ++n)
         ids.push_back(fleet.send(router, { customer }));
     return ids;
