--- a/bench/GossipBench.cpp
+++ b/bench/GossipBench.cpp
@@ -179,21 +179,29 @@
             fleet.run(60s);
             for (std::size_t i = 0; i < minority; ++i)
                 fleet.setIsland(i, 1);
-            const double cutOff = fleet.secondsUntil(
-                0, minority, [&](std::size_t i) { return !fleet.member(i).hearsMajority(fleet.now()); });
-            state.counters["cutOffSeconds"] = cutOff;
-            state.counters["knownSeconds"] = cutOff + fleet.secondsUntil(0, fleet.size(), [&](std::size_t i) {
+            std::size_t stillSure = 0;
+            for (int n = 0; n < 50; ++n) {
+                fleet.run(100ms);
+                stillSure = 0;
+                for (std::size_t i = 0; i < minority; ++i)
+                    stillSure += fleet.member(i).hearsMajority(fleet.now()) ? 1 : 0;
+            }
+            state.counters["minoritySureAfter5s"] = static_cast<double>(stillSure) / static_cast<double>(minority);
+            state.counters["cutOffSeconds"] = 5 + fleet.secondsUntil(0, minority, [&](std::size_t i) {
+                return !fleet.member(i).hearsMajority(fleet.now());
+            });
+            state.counters["knownSeconds"] = 5 + fleet.secondsUntil(0, fleet.size(), [&](std::size_t i) {
                 return fleet.aliveSeenBy(i) == (i < minority ? minority : fleet.size() - minority);
             });
-            std::size_t wrong = 0;
+            std::size_t unsure = 0;
             for (int n = 0; n < 60; ++n) {
                 fleet.run(1s);
                 for (std::size_t i = minority; i < fleet.size(); ++i)
-                    wrong += fleet.member(i).hearsMajority(fleet.now()) ? 0 : 1;
+                    unsure += fleet.member(i).hearsMajority(fleet.now()) ? 0 : 1;
                 for (std::size_t i = 0; i < minority; ++i)
-                    wrong += fleet.member(i).hearsMajority(fleet.now()) ? 1 : 0;
+                    unsure += fleet.member(i).hearsMajority(fleet.now()) ? 1 : 0;
             }
-            state.counters["wrongVerdicts"] = static_cast<double>(wrong) / 60 / static_cast<double>(fleet.size());
+            state.counters["wrongVerdicts"] = static_cast<double>(unsure) / 60 / static_cast<double>(fleet.size());
             for (std::size_t i = 0; i < minority; ++i)
                 fleet.setIsland(i, 0);
             const std::uint64_t before = fleet.bytes();
--- a/bench/RoutingBench.cpp
+++ b/bench/RoutingBench.cpp
@@ -120,12 +120,12 @@
             state.counters["bytesPerIdleRouter"]
                 = static_cast<double>(heapBytes() - before) / static_cast<double>(size.routers);
             fleet.reset();
-            fleet.run(5s);
+            fleet.run(10s);
             report(state, "idle", fleet.costs());
             fleet.startLoad();
-            fleet.run(50s);
+            fleet.run(70s);
             fleet.reset();
-            fleet.run(20s);
+            fleet.run(30s);
             const FleetCosts costs = fleet.costs();
             report(state, "steady", costs);
             reportKinds(state, size, costs);
@@ -202,7 +202,7 @@
             RoutingFleet fleet(size, perConnection);
             fleet.boot();
             fleet.startLoad();
-            fleet.run(50s);
+            fleet.run(60s);
             const std::vector<std::size_t> lost = fleet.routersOfZone(0);
             fleet.kill(lost);
             reportPeak(state, "loss", fleet, 40s, size.routers - lost.size());
@@ -218,7 +218,7 @@
             RoutingFleet fleet(size, perConnection);
             fleet.boot();
             fleet.startLoad();
-            fleet.run(50s);
+            fleet.run(60s);
             fleet.cutBetweenZones(size.zones / 2);
             reportPeak(state, "begin", fleet, 30s, size.routers / 2);
             fleet.run(30s);
--- a/include/sagechute/Routing.h
+++ b/include/sagechute/Routing.h
@@ -28,7 +28,6 @@
     std::vector<std::string> seeds; ///< Gossip addresses to join by.
     scheduling::Policy policy = scheduling::Policy::Cells;
     std::uint32_t cellsPerPool = 0; ///< 0: what the fleet resource says.
-    std::optional<double> affinitySlack; ///< The same when absent; replaces cells.affinitySlack.
     std::uint32_t windowSlack = 1; ///< Requests sent to a target beyond its slots, to hide the turnaround of a slot.
     membership::GossipSettings gossip;
     scheduling::CellSettings cells;
--- a/src/routing/Core.cpp
+++ b/src/routing/Core.cpp
@@ -94,7 +94,6 @@
 void Core::rebuild(TimePoint now)
 {
     watchMembers(now);
-    followRetryBudget();
     const scheduling::CellMap map = buildCellMap();
     for (const PoolId& it : m_config->pools()) {
         auto& pool = m_pools[it];
@@ -109,15 +108,6 @@
     }
 }
 
-void Core::followRetryBudget()
-{
-    const double fraction = m_config->fleet.retryBudget;
-    if (!m_config->offset || fraction == m_settings.retries.budgetFraction)
-        return;
-    m_settings.retries.budgetFraction = fraction;
-    m_retries = delivery::RetryBudget::make(m_settings.retries);
-}
-
 void Core::watchMembers(TimePoint now)
 {
     for (const membership::Member& it : m_gossip->view().members) {
--- a/src/routing/Core.h
+++ b/src/routing/Core.h
@@ -86,7 +86,6 @@
     void noticePause(TimePoint now);
     void followChanges(TimePoint now);
     void rebuild(TimePoint now);
-    void followRetryBudget();
     void watchMembers(TimePoint now);
     void probeLinks(TimePoint now);
     void publishIfChanged(TimePoint now);
--- a/src/routing/PoolRouter.cpp
+++ b/src/routing/PoolRouter.cpp
@@ -1,7 +1,6 @@
 #include "routing/PoolRouter.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace sagechute::routing {
 
@@ -37,7 +36,6 @@
     , m_outbox(outbox)
     , m_host(host)
     , m_ledger(scheduling::ServiceLedger::make(m_pool, settings.life))
-    , m_cellSettings(settings.cells)
     , m_local(CellScheduler::make(CellId { m_pool, localCellIndex }, settings.cells, *m_ledger))
     , m_placer(scheduling::OfferPlacer::make(m_pool))
 {
@@ -58,30 +56,14 @@
     m_targetCount = m_serving.size();
 
     const std::map<std::uint32_t, std::vector<VmId>> before = m_owners;
-    const bool anew = followCellSettings(config);
     updateOwnedCells(config, map);
     updateLocalShare(config);
-    moveRunningToOwners(now, anew);
+    moveRunningToOwners(now);
     noteChangedOwners(before);
     sendUnsynced();
     returnLostOffers();
 }
 
-// A scheduler keeps the settings that it was made with. So a change makes new ones, which learn what waits and runs as
-// after a change of owner.
-bool PoolRouter::followCellSettings(const config::ConfigView& config)
-{
-    const double slack = m_settings.affinitySlack.value_or(config.fleet.affinitySlack);
-    if (slack == m_cellSettings.affinitySlack)
-        return false;
-    m_cellSettings.affinitySlack = slack;
-    loseOffers(
-        false, [&](const Request&, const SlotSource& it) { return it.local || it.owner == m_settings.life.vm; });
-    m_cells.clear();
-    m_local = CellScheduler::make(CellId { m_pool, localCellIndex }, m_cellSettings, *m_ledger);
-    return true;
-}
-
 void PoolRouter::updateOwnedCells(const config::ConfigView& config, const scheduling::CellMap& map)
 {
     const std::uint32_t count = usesCells() ? map.cellCount(m_pool) : 0;
@@ -112,7 +94,7 @@
     for (std::uint32_t index : owned) {
         auto& cell = m_cells[index];
         if (!cell) {
-            cell = CellScheduler::make(CellId { m_pool, index }, m_cellSettings, *m_ledger);
+            cell = CellScheduler::make(CellId { m_pool, index }, m_settings.cells, *m_ledger);
             // A holder whose own view never changed does not know that this router gave the cell up for a moment: its
             // offers would wait here for ever without being known.
             for (const auto& entry : m_offerers)
@@ -149,7 +131,7 @@
 
 // A new owner starts with nothing. Unless it learns what runs on its targets it takes all slots for free and overfills
 // them.
-void PoolRouter::moveRunningToOwners(TimePoint now, bool anew)
+void PoolRouter::moveRunningToOwners(TimePoint now)
 {
     for (std::uint64_t serial : m_running) {
         Request* request = m_requests.findSerial(serial);
@@ -159,11 +141,8 @@
         const SlotSource source { CellId { m_pool, cell->second }, ownerOf(CellId { m_pool, cell->second }), false };
         if (request->source.local || source.owner.empty())
             continue;
-        if (!anew && request->source.cell == source.cell && request->source.owner == source.owner)
+        if (request->source.cell == source.cell && request->source.owner == source.owner)
             continue;
-        // The cell that it leaves may stay, and its target may come back to it later.
-        if (request->source.cell != source.cell)
-            leaveCell(now, *request);
         countDown(m_cellLoad, request->source.cell.index);
         ++m_cellLoad[source.cell.index];
         request->source = source;
@@ -175,15 +154,6 @@
     }
 }
 
-void PoolRouter::leaveCell(TimePoint now, const Request& request)
-{
-    constexpr Cost unknownYet = std::numeric_limits<Cost>::quiet_NaN();
-    if (CellScheduler* scheduler = schedulerOf(request.source))
-        scheduler->settle(now, request.id, unknownYet);
-    else if (request.source.owner != m_settings.life.vm)
-        m_unsynced.insert(request.source.cell.index);
-}
-
 // An owner may come back that still counts requests which ended while another one was told of their end.
 void PoolRouter::noteChangedOwners(const std::map<std::uint32_t, std::vector<VmId>>& before)
 {
--- a/src/routing/PoolRouter.h
+++ b/src/routing/PoolRouter.h
@@ -122,9 +122,7 @@
 
     void updateOwnedCells(const config::ConfigView&, const scheduling::CellMap&);
     void updateLocalShare(const config::ConfigView&);
-    bool followCellSettings(const config::ConfigView&);
-    void moveRunningToOwners(TimePoint now, bool anew);
-    void leaveCell(TimePoint now, const Request&);
+    void moveRunningToOwners(TimePoint now);
     void noteChangedOwners(const std::map<std::uint32_t, std::vector<VmId>>& before);
     void returnLostOffers();
     void returnFallbackOffers(TimePoint now);
@@ -182,7 +180,6 @@
 
     std::unique_ptr<scheduling::ServiceLedger> m_ledger;
     std::map<std::uint32_t, std::unique_ptr<scheduling::CellScheduler>> m_cells;
-    scheduling::CellSettings m_cellSettings;
     std::unique_ptr<scheduling::CellScheduler> m_local; ///< Static policy, and the fallback while no owner answers.
     std::unique_ptr<scheduling::OfferPlacer> m_placer;
     TargetGuard m_guard;
--- a/tests/FleetFake.h
+++ b/tests/FleetFake.h
@@ -130,9 +130,6 @@
     void declareService(const std::string& name, const std::string& pool, bool repeatable);
     void declareTarget(const std::string& name, const std::string& pool, std::uint32_t slots, bool leaving = false);
 
-    /// @param fields of the fleet resource.
-    void declareFleet(const nlohmann::json& fields) { append("fleet", "fleet", fields); }
-
     /// Starts the cores, and lets them find each other.
     void start();
     void run(Duration);
@@ -236,7 +233,6 @@
         };
         bool isUp = false;
         bool isTrying = false;
-        bool wasRefused = false;
         bool isDoomed = false; ///< Something was lost on it: it will be found broken.
         std::uint64_t epoch = 0;
         std::optional<TimePoint> tryingSince;
--- a/tests/FleetNetwork.cpp
+++ b/tests/FleetNetwork.cpp
@@ -108,7 +108,6 @@
         it.isUp = true;
         it.isTrying = false;
         it.isDoomed = false;
-        it.wasRefused = false;
         ++it.epoch;
         for (Link::Waiting& message : std::exchange(it.waiting, {}))
             transmit(message.from, message.from == one ? other : one, std::move(message.bytes));
@@ -117,8 +116,7 @@
         return;
     }
     const bool refused = !m_nodes[one].core || !m_nodes[other].core;
-    const bool first = !std::exchange(it.wasRefused, true);
-    if ((refused && first) || m_now - *it.tryingSince >= connectTimeout) {
+    if (m_now - *it.tryingSince >= (refused ? Duration {} : connectTimeout)) {
         it.tryingSince = m_now;
         for (const std::size_t from : { one, other }) {
             const std::size_t to = from == one ? other : one;
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -12,12 +12,10 @@
 from fleet import TrialError
 from measurements import DIRECTORY, ROOT, Measurement
 
-BENCH_SECONDS = 5400
+BENCH_SECONDS = 3600
 MIN_TIME = "0.2"
 BENCHES = {"wire": "WireBench", "config": "ConfigBench", "gossip": "GossipBench", "scheduling": "SchedulingBench",
-           "delivery": "DeliveryBench", "net": "NetBench", "routing": "RoutingBench", "routing-370": "RoutingBench"}
-# The size to design for takes most of an hour: it is a part, and a file, of its own.
-FILTERS = {"routing": "-routers:370", "routing-370": "(steady|changes)/routers:370"}
+           "delivery": "DeliveryBench", "net": "NetBench", "routing": "RoutingBench"}
 KEPT = ("real_time", "cpu_time", "time_unit", "items_per_second")
 DROPPED = ("name", "run_name", "run_type", "repetitions", "repetition_index", "threads", "iterations", "family_index",
            "per_family_instance_index")
@@ -38,9 +36,8 @@
     if not os.access(binary, os.X_OK):
         raise TrialError(f"{binary} is missing; build it with: cmake --build {args.build} --target {BENCHES[name]}")
     flags = ["--benchmark_min_time=" + MIN_TIME]
-    chosen = args.filter or FILTERS.get(name)
-    if chosen:
-        flags.append("--benchmark_filter=" + chosen)
+    if args.filter:
+        flags.append("--benchmark_filter=" + args.filter)
     measurement = Measurement("bench-" + name, f"build/bench/{BENCHES[name]} " + " ".join(flags), args.out)
     handle, path = tempfile.mkstemp(suffix=".json")
     os.close(handle)
@@ -66,7 +63,7 @@
 def parse_arguments():
     parser = argparse.ArgumentParser(prog="tools/measure.sh", description=__doc__)
     parser.add_argument("build", help="where the binaries and the benches are")
-    parser.add_argument("parts", nargs="*", help="any of: " + ", ".join(PARTS) + "; without any: all but bench-routing-370")
+    parser.add_argument("parts", nargs="*", help="any of: " + ", ".join(PARTS))
     parser.add_argument("--out", default=DIRECTORY, help="where the files go")
     parser.add_argument("--filter", help="only the benchmarks whose names match")
     parser.add_argument("--port-base", type=int, default=20000)
@@ -82,7 +79,7 @@
     args = parse_arguments()
     args.build = os.path.abspath(args.build)
     failed = []
-    for part in args.parts or [part for part in PARTS if part != "bench-routing-370"]:
+    for part in args.parts or PARTS:
         print(f"== {part}", flush=True)
         try:
             PARTS[part](args)
