--- a/apps/sagechute-api/main.cpp
+++ b/apps/sagechute-api/main.cpp
@@ -1,5 +1,5 @@
 #include <sagechute/Operators.h>
-#include <sagechute/Platform.h>
+#include <sagechute/LogService.h>
 #include <sagechute/Process.h>
 
 #include <iostream>
@@ -94,7 +94,7 @@
     auto client = net::HttpClient::make({ .threads = 2 });
     if (!client.ok())
         return fail(client.status());
-    const auto log = platform::makeHttpLog(**client, settings.platform, inMs(settings.logTimeout));
+    const auto log = logservice::makeHttpLog(**client, settings.platform, inMs(settings.logTimeout));
     const auto api = operators::Api::make(makeOptions(settings), *log, **client);
     auto server = net::HttpServer::make(makeServerOptions(settings),
         [&api](std::shared_ptr<net::ServerExchange> exchange) { api->handle(std::move(exchange)); });
--- /dev/null
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -0,0 +1,71 @@
+#include "EdgeMetrics.h"
+
+#include <cmath>
+
+namespace sagechute::edge {
+
+namespace {
+
+    using prometheus::Histogram;
+
+    /// Seconds; from a plain application's answer to the longest stream.
+    const Histogram::BucketBoundaries latencyBounds { 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5, 10, 20 };
+
+    Histogram& histogram(prometheus::Registry& registry, const char* name, const char* help)
+    {
+        return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, latencyBounds);
+    }
+
+    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+EdgeMetrics::EdgeMetrics(process::Metrics& metrics)
+    : m_requests(prometheus::BuildCounter()
+                     .Name("sagechute_edge_requests_total")
+                     .Help("Requests that ended, by route and status")
+                     .Register(metrics.registry()))
+    , m_attempts(prometheus::BuildCounter()
+                     .Name("sagechute_edge_attempts_total")
+                     .Help("Attempts on targets, by how they ended")
+                     .Register(metrics.registry()))
+    , m_refusals(prometheus::BuildCounter()
+                     .Name("sagechute_edge_refusals_total")
+                     .Help("Requests turned away without having run, by reason")
+                     .Register(metrics.registry()))
+    , m_duration(histogram(metrics.registry(), "sagechute_edge_request_seconds", "From arrival to the answer's end"))
+    , m_firstEvent(
+          histogram(metrics.registry(), "sagechute_edge_first_event_seconds", "From arrival to a stream's first event"))
+    , m_predictionError(histogram(metrics.registry(), "sagechute_edge_prediction_error_seconds",
+          "Absolute difference of the predicted and the seen time to a first event"))
+    , m_storeCalls(prometheus::BuildCounter()
+                       .Name("sagechute_edge_store_calls_total")
+                       .Help("Calls to the platform's store, refused ones included")
+                       .Register(metrics.registry())
+                       .Add({}))
+{
+}
+
+void EdgeMetrics::request(std::string_view route, int status, Duration lasted)
+{
+    m_requests.Add({ { "route", std::string(route) }, { "status", std::to_string(status) } }).Increment();
+    m_duration.Observe(seconds(lasted));
+}
+
+void EdgeMetrics::firstEvent(Duration sinceArrival, Duration predictionError)
+{
+    m_firstEvent.Observe(seconds(sinceArrival));
+    m_predictionError.Observe(std::abs(seconds(predictionError)));
+}
+
+void EdgeMetrics::attempt(dispatch::AttemptEnd end)
+{
+    m_attempts.Add({ { "end", std::string(toString(end)) } }).Increment();
+}
+
+void EdgeMetrics::refusal(dispatch::RefusalReason reason)
+{
+    m_refusals.Add({ { "reason", std::string(toString(reason)) } }).Increment();
+}
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <sagechute/Dispatch.h>
+#include <sagechute/Process.h>
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+
+namespace sagechute::edge {
+
+/// Counters and latencies of an edge router.
+class EdgeMetrics {
+public:
+    explicit EdgeMetrics(process::Metrics&);
+
+    void request(std::string_view route, int status, Duration lasted);
+    void firstEvent(Duration sinceArrival, Duration predictionError);
+    void attempt(dispatch::AttemptEnd);
+    void refusal(dispatch::RefusalReason);
+
+    prometheus::Counter& storeCalls() { return m_storeCalls; }
+
+private:
+    prometheus::Family<prometheus::Counter>& m_requests;
+    prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Histogram& m_duration;
+    prometheus::Histogram& m_firstEvent;
+    prometheus::Histogram& m_predictionError;
+    prometheus::Counter& m_storeCalls;
+};
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -0,0 +1,201 @@
+#include "Fleet.h"
+
+#include <chrono>
+#include <random>
+
+namespace sagechute::edge {
+
+namespace {
+
+    constexpr char gossipTag = 'G';
+    constexpr char heartbeatTag = 'H';
+
+    /// While requests are in flight others decide by this router's reports. In 60 ms the whole fleet of today places
+    /// some eight requests on 12 engines.
+    constexpr Duration busyInterval = std::chrono::milliseconds(60);
+
+    /// Four heartbeats within heartbeatKept, so that three lost datagrams don't take a router out of the answers.
+    constexpr Duration idleInterval = heartbeatKept / 4;
+
+    /// The lower bits of an incarnation are drawn, so that two lives that start in the same millisecond by a clock that
+    /// was set back differ.
+    constexpr unsigned drawnBits = 16;
+    constexpr Incarnation drawnMask = (1U << drawnBits) - 1;
+
+    /// First step by which a life passes a former one with a larger number; doubled each time. A minute.
+    constexpr Incarnation firstStep = Incarnation { 60'000 } << drawnBits;
+
+    Incarnation drawIncarnation()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        const auto ms = static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+        std::random_device device;
+        return ms << drawnBits | (device() & drawnMask);
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<Fleet>> Fleet::make(EdgeState& state, const Options& options)
+{
+    std::unique_ptr<Fleet> fleet(new Fleet(state, options));
+    fleet->startGossip(drawIncarnation());
+    auto socket = peer::DatagramSocket::make(fleet->m_gossipAddress,
+        [raw = fleet.get()](const std::string& from, std::string_view bytes) { raw->receive(from, bytes); });
+    if (!socket.ok())
+        return socket.status();
+    std::lock_guard lock(fleet->m_mutex);
+    fleet->m_socket = std::move(*socket);
+    return fleet;
+}
+
+Fleet::Fleet(EdgeState& state, const Options& options)
+    : m_state(state)
+    , m_options(options)
+    , m_gossipAddress(options.at(options.gossipPort()))
+    , m_step(firstStep)
+{
+}
+
+void Fleet::startGossip(Incarnation incarnation)
+{
+    m_incarnation = incarnation;
+    membership::MemberSummary self;
+    self.life = { { m_options.vm }, incarnation };
+    self.zone = { m_options.zone };
+    self.gossipAddress = m_gossipAddress;
+    self.peerAddress = m_options.controlListen;
+    self.callerAddress = m_options.callersListen;
+    m_gossip = membership::Gossip::make(self, m_options.gossipSeeds(), membership::GossipSettings {},
+        std::make_unique<SeededRandom>(std::random_device {}()));
+}
+
+void Fleet::tick(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_gossip->isSuperseded()) {
+        // The clock may have been set back since this VM's former life. Only one process can hold the socket, so that
+        // this one is the newer whatever the numbers say: it passes the former with a larger one.
+        startGossip(m_incarnation + m_step);
+        m_step *= 2;
+        process::log(process::LogLevel::Warning, "incarnation-passed",
+            { { "incarnation", std::to_string(m_incarnation) }, { "reason", "a former life had a larger number" } });
+    }
+    m_gossip->updateSelf(m_state.isStopping, m_state.configVersion(), true,
+        static_cast<std::uint32_t>(std::max(0, m_state.activeRequests.load())));
+    sendGossip(m_gossip->tick(now));
+    sendHeartbeats(now);
+    logChanges();
+}
+
+void Fleet::sendGossip(const std::vector<membership::Datagram>& datagrams)
+{
+    for (const membership::Datagram& it : datagrams)
+        m_socket->send(it.address, gossipTag + it.bytes);
+}
+
+void Fleet::sendHeartbeats(TimePoint now)
+{
+    if (now < m_nextHeartbeat)
+        return;
+    const bool isBusy = m_state.activeRequests > 0;
+    // The first report after the last request says that nothing is in flight any more.
+    if (!isBusy && !m_hadLoad && now - m_lastHeartbeat < idleInterval)
+        return;
+    m_hadLoad = isBusy;
+    m_lastHeartbeat = now;
+    m_nextHeartbeat = now + busyInterval;
+    Heartbeat heartbeat { { m_options.vm }, m_incarnation, m_options.callersListen, m_options.controlListen,
+        { m_options.zone }, m_state.canServe(), m_state.configVersion(), {} };
+    heartbeat.load = encode(m_state.withDispatcher([&](dispatch::Dispatcher& it) { return it.report(now); }));
+    const std::string bytes = heartbeatTag + encode(heartbeat);
+    for (const membership::Member& it : m_gossip->view().members) {
+        const bool isGone = it.state == membership::MemberState::Dead || it.state == membership::MemberState::Left;
+        if (!isGone && it.summary.life.vm.value != m_options.vm)
+            m_socket->send(it.summary.gossipAddress, bytes);
+    }
+}
+
+void Fleet::receive(const std::string& from, std::string_view bytes)
+{
+    if (bytes.empty())
+        return;
+    const char tag = bytes.front();
+    bytes.remove_prefix(1);
+    if (tag == heartbeatTag) {
+        receiveHeartbeat(bytes);
+        return;
+    }
+    std::lock_guard lock(m_mutex);
+    if (m_socket && tag == gossipTag)
+        sendGossip(m_gossip->receive(steadyNow(), from, bytes));
+}
+
+void Fleet::receiveHeartbeat(std::string_view bytes)
+{
+    const absl::StatusOr<Heartbeat> heartbeat = decodeHeartbeat(bytes);
+    if (!heartbeat.ok() || heartbeat->vm.value == m_options.vm)
+        return;
+    const TimePoint now = steadyNow();
+    if (const auto load = dispatch::decodeLoadReport(heartbeat->load); load.ok())
+        m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.peerReported(now, heartbeat->vm, *load); });
+    std::lock_guard lock(m_mutex);
+    m_board.heard(now, *heartbeat);
+}
+
+void Fleet::logChanges()
+{
+    const membership::MembershipView& view = m_gossip->view();
+    if (view.version == m_loggedView)
+        return;
+    m_loggedView = view.version;
+    std::string alive;
+    unsigned known = 0;
+    for (const membership::Member& it : view.members) {
+        const bool isAlive = it.state == membership::MemberState::Alive;
+        if (isAlive)
+            alive += (alive.empty() ? "" : ",") + it.summary.life.vm.value;
+        known += it.state == membership::MemberState::Left ? 0 : 1;
+    }
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.setRouterCount(known); });
+    process::log(process::LogLevel::Info, "members", { { "version", std::to_string(view.version) }, { "alive", alive } });
+}
+
+void Fleet::addSeed(const std::string& gossipAddress)
+{
+    if (gossipAddress == m_gossipAddress)
+        return;
+    std::lock_guard lock(m_mutex);
+    m_gossip->addSeed(gossipAddress);
+}
+
+std::vector<Peer> Fleet::peers(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_board.alive(now, heartbeatKept);
+}
+
+bool Fleet::knowsOthers() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_gossip->view().aliveCount() > 1;
+}
+
+std::vector<std::string> Fleet::entryPoints(TimePoint now, const ZoneId& callerZone) const
+{
+    std::vector<EntryPoint> ready;
+    if (m_state.canServe())
+        ready.push_back({ m_options.callersListen, { m_options.zone } });
+    for (const Peer& it : peers(now)) {
+        if (it.isReady)
+            ready.push_back({ it.callerAddress, it.zone });
+    }
+    return chooseEntryPoints(ready, callerZone);
+}
+
+void Fleet::leave()
+{
+    std::lock_guard lock(m_mutex);
+    sendGossip(m_gossip->leave(steadyNow()));
+}
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/Fleet.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// @file
+/// The other routers: gossip says who is there, heartbeats what they have in flight.
+
+#include "EdgeState.h"
+#include "Options.h"
+
+#include <sagechute/Peer.h>
+
+namespace sagechute::edge {
+
+/// One UDP socket for gossip and heartbeats. Its receiving thread and the housekeeping thread use it.
+class Fleet {
+public:
+    static absl::StatusOr<std::unique_ptr<Fleet>> make(EdgeState&, const Options&);
+
+    /// Sends what has come due. Call it about every 25 ms.
+    void tick(TimePoint now);
+
+    void addSeed(const std::string& gossipAddress);
+    std::string gossipAddress() const { return m_gossipAddress; }
+
+    /// @return routers that are heard of, without this one.
+    std::vector<Peer> peers(TimePoint now) const;
+
+    /// @return whether any other router is known to gossip.
+    bool knowsOthers() const;
+
+    /// @return addresses for a caller, this router's among them when it can serve.
+    std::vector<std::string> entryPoints(TimePoint now, const ZoneId& callerZone) const;
+
+    /// Says goodbye at the end of a planned stop.
+    void leave();
+
+private:
+    Fleet(EdgeState&, const Options&);
+
+    void startGossip(Incarnation);
+    void receive(const std::string& from, std::string_view bytes);
+    void receiveHeartbeat(std::string_view bytes);
+    void sendGossip(const std::vector<membership::Datagram>&);
+    void sendHeartbeats(TimePoint now);
+    void logChanges();
+
+    EdgeState& m_state;
+    const Options m_options;
+    const std::string m_gossipAddress;
+    mutable std::mutex m_mutex;
+    Incarnation m_incarnation = 0;
+    Incarnation m_step;
+    std::unique_ptr<membership::Gossip> m_gossip;
+    PeerBoard m_board;
+    std::uint64_t m_loggedView = 0;
+    TimePoint m_nextHeartbeat {};
+    TimePoint m_lastHeartbeat {};
+    bool m_hadLoad = false;
+    std::unique_ptr<peer::DatagramSocket> m_socket; ///< Last: its thread uses the rest.
+};
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/Front.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Relay.h"
+
+namespace sagechute::edge {
+
+/// Takes callers' requests: finds route, customer and service, and hands them to a relay.
+class Front {
+public:
+    explicit Front(const RelayTools& tools)
+        : m_tools(tools)
+    {
+    }
+
+    void handle(std::shared_ptr<net::ServerExchange>);
+
+private:
+    struct Verdict {
+        int status = 0;
+        std::string_view reason;
+        std::optional<Duration> comeBack;
+    };
+
+    std::optional<Verdict> accept(const net::ServerRequest&, RelayOrder&) const;
+    void reject(net::ServerExchange&, const RelayOrder&, const Verdict&) const;
+
+    const RelayTools m_tools;
+};
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -0,0 +1,125 @@
+#include "Listeners.h"
+
+#include "PeerState.h"
+
+#include <algorithm>
+
+namespace sagechute::edge {
+
+namespace {
+
+    using ExchangePointer = std::shared_ptr<net::ServerExchange>;
+
+    constexpr int okStatus = 200;
+    constexpr int notFound = 404;
+    constexpr int unavailable = 503;
+
+    /// Callers' idle connections stay open for longer than callers use them again: the deployments' limit is 15 s, and a
+    /// request that crosses a close is a failure.
+    constexpr std::chrono::seconds callerIdle { 75 };
+    constexpr std::chrono::seconds otherIdle { 30 };
+
+    /// Most answers of "which address" are kept for so long; a router that dies stays in them.
+    constexpr std::chrono::seconds locateKept { 2 };
+
+    constexpr std::size_t mostCallerBody = 8 << 20;
+    constexpr std::size_t mostOtherBody = 64 << 10;
+    constexpr unsigned mostCallerConnections = 2500;
+    constexpr unsigned mostOtherConnections = 200;
+
+    net::ServerResponse plain(int status, std::string body = {})
+    {
+        return { status, { { "Content-Type", "text/plain" } }, std::move(body) };
+    }
+
+    absl::StatusOr<std::unique_ptr<net::HttpServer>> listen(
+        const std::string& address, bool isForCallers, net::HttpServer::Handler handler)
+    {
+        const auto endpoint = net::parseEndpoint(address);
+        if (!endpoint.ok())
+            return endpoint.status();
+        net::ServerOptions options;
+        options.listen = *endpoint;
+        options.threads = 1;
+        options.maxBodyBytes = isForCallers ? mostCallerBody : mostOtherBody;
+        options.maxConnections = isForCallers ? mostCallerConnections : mostOtherConnections;
+        options.idleTimeout = isForCallers ? callerIdle : otherIdle;
+        return net::HttpServer::make(options, std::move(handler));
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<Listeners>> Listeners::make(const Options& options, const ListenerTools& tools)
+{
+    std::unique_ptr<Listeners> listeners(new Listeners(tools));
+    if (absl::Status status = listeners->open(options); !status.ok())
+        return status;
+    return listeners;
+}
+
+absl::Status Listeners::open(const Options& options)
+{
+    struct Listener {
+        std::unique_ptr<net::HttpServer>& server;
+        std::string address;
+        net::HttpServer::Handler handler;
+    };
+    const std::chrono::seconds kept
+        = std::min(locateKept, std::chrono::seconds(static_cast<int>(options.locateKeptSeconds)));
+    const std::vector<Listener> all {
+        { m_callers, options.callersListen, [this](const ExchangePointer& it) { m_tools.front.handle(it); } },
+        { m_readiness, options.readinessListen, [this](const ExchangePointer& it) { handleReadiness(*it); } },
+        { m_control, options.controlListen, [this](const ExchangePointer& it) { handleControl(*it); } },
+        { m_locate, options.locateListen, [this, kept](const ExchangePointer& it) { handleLocate(*it, kept); } },
+        { m_metrics, options.at(options.metricsPort()), [this](const ExchangePointer& it) { handleControl(*it); } },
+    };
+    for (const Listener& it : all) {
+        auto server = listen(it.address, &it.server == &m_callers, it.handler);
+        if (!server.ok())
+            return server.status();
+        it.server = std::move(*server);
+    }
+    return absl::OkStatus();
+}
+
+void Listeners::handleReadiness(net::ServerExchange& exchange)
+{
+    if (!m_tools.entry.isReadinessCheck(exchange.request()))
+        exchange.respond(plain(notFound));
+    else
+        exchange.respond(plain(m_tools.state.canServe() ? okStatus : unavailable));
+}
+
+void Listeners::handleLocate(net::ServerExchange& exchange, std::chrono::seconds kept)
+{
+    const std::optional<ZoneId> zone = m_tools.entry.decodeLocate(exchange.request());
+    if (!zone) {
+        exchange.respond(plain(notFound));
+        return;
+    }
+    const std::vector<std::string> addresses = m_tools.fleet.entryPoints(steadyNow(), *zone);
+    if (addresses.empty())
+        exchange.respond(plain(unavailable, "no router is ready\n"));
+    else
+        exchange.respond(m_tools.entry.locateAnswer(addresses, kept));
+}
+
+void Listeners::handleControl(net::ServerExchange& exchange)
+{
+    const std::string& path = exchange.request().path;
+    if (path == peerStatePath) {
+        const PeerState state { m_tools.state.configRecord(), m_tools.state.nextTargetOffset,
+            m_tools.state.targets() };
+        exchange.respond({ okStatus, { { "Content-Type", "application/cbor" } }, encode(state) });
+    } else if (path == "/metrics") {
+        exchange.respond(plain(okStatus, m_tools.metrics.exposition()));
+    } else if (path == "/healthz") {
+        exchange.respond(plain(okStatus));
+    } else if (path == "/readyz") {
+        exchange.respond(plain(m_tools.state.canServe() ? okStatus : unavailable));
+    } else {
+        exchange.respond(plain(notFound));
+    }
+}
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/Listeners.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Fleet.h"
+#include "Front.h"
+
+namespace sagechute::edge {
+
+struct ListenerTools {
+    EdgeState& state;
+    Fleet& fleet;
+    Front& front;
+    const EntryProtocol& entry;
+    process::Metrics& metrics;
+};
+
+/// The sockets of an edge router: callers, readiness, control and "which address".
+class Listeners {
+public:
+    static absl::StatusOr<std::unique_ptr<Listeners>> make(const Options&, const ListenerTools&);
+
+    /// Refuses new connections of callers; those open go on.
+    void stopTakingCallers() { m_callers->stopListening(); }
+
+private:
+    explicit Listeners(const ListenerTools& tools)
+        : m_tools(tools)
+    {
+    }
+
+    absl::Status open(const Options&);
+    void handleReadiness(net::ServerExchange&);
+    void handleLocate(net::ServerExchange&, std::chrono::seconds kept);
+    void handleControl(net::ServerExchange&);
+
+    const ListenerTools m_tools;
+    std::unique_ptr<net::HttpServer> m_callers;
+    std::unique_ptr<net::HttpServer> m_readiness;
+    std::unique_ptr<net::HttpServer> m_control;
+    std::unique_ptr<net::HttpServer> m_locate;
+    std::unique_ptr<net::HttpServer> m_metrics;
+};
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/Options.cpp
@@ -0,0 +1,87 @@
+#include "Options.h"
+
+#include <charconv>
+
+namespace sagechute::edge {
+
+namespace {
+
+    constexpr double longestSeconds = 3600;
+
+    Duration fromSeconds(double seconds) { return Duration(static_cast<Duration::rep>(seconds * 1e6)); }
+
+    std::optional<std::uint16_t> parsePort(const std::string& text)
+    {
+        std::uint16_t port = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), port);
+        if (ec != std::errc {} || end != text.data() + text.size() || port == 0)
+            return std::nullopt;
+        return port;
+    }
+
+    absl::Status checkPorts(const std::vector<std::string>& range)
+    {
+        if (range.size() == 2 && parsePort(range[0]) && parsePort(range[1]) && *parsePort(range[0]) <= *parsePort(range[1]))
+            return absl::OkStatus();
+        return makeError(ErrorKind::BadRequest, "--port-range is not a first and a last port",
+            "write it as --port-range 7400,7415");
+    }
+
+} // namespace
+
+void Options::declare(process::Settings& settings)
+{
+    settings.requiredText("vm-id", vm, "name of this VM, unique in the fleet")
+        .requiredText("zone", zone, "availability zone of this VM")
+        .requiredText("callers-listen", callersListen, "ADDRESS:PORT for callers' requests")
+        .requiredText("readiness-listen", readinessListen, "ADDRESS:PORT for readiness checks")
+        .requiredText("control-listen", controlListen, "ADDRESS:PORT for other routers and for metrics")
+        .requiredText("locate-listen", locateListen, "ADDRESS:PORT where callers ask which address to use")
+        .requiredText("address", address, "address of this VM for traffic between routers")
+        .list("port-range", portRange, "first and last port for traffic between routers")
+        .list("seeds", seeds, "ADDRESS:PORT of the control listeners of some routers")
+        .requiredText("store", store, "ADDRESS:PORT of the platform's store")
+        .real("stop-grace-seconds", stopGraceSeconds, 0.1, longestSeconds, "from SIGTERM until the process is killed")
+        .real("locate-kept-seconds", locateKeptSeconds, 1, longestSeconds,
+            "the longest that callers keep an answer to which address to use")
+        .real("share-window-seconds", shareWindowSeconds, 0.1, longestSeconds,
+            "window over which customers' shares are compared")
+        .real("retry-ratio", retryRatio, 0, 1, "retries per request that all routers together may send to a service")
+        .real("retry-slack", retrySlack, 0, 1e6, "retries that come on top, all routers together")
+        .real("retry-window-seconds", retryWindowSeconds, 0.1, longestSeconds, "window of the retry budget")
+        .count("least-routers", leastRouters, 1, 100000, "routers among which the retry budget is divided at least")
+        .text("log-level", logLevel, "debug, info, warning or error")
+        .count("log-lines-per-second", logLinesPerSecond, 1, 1000000,
+            "lines above it are dropped and counted, so that a fault can't fill the log")
+        .check([this] { return checkPorts(portRange); });
+}
+
+std::uint16_t Options::gossipPort() const { return *parsePort(portRange.front()); }
+
+std::uint16_t Options::metricsPort() const { return *parsePort(portRange.back()); }
+
+std::string Options::at(std::uint16_t port) const { return address + ":" + std::to_string(port); }
+
+std::vector<std::string> Options::gossipSeeds() const
+{
+    std::vector<std::string> result;
+    for (const std::string& it : seeds) {
+        const auto endpoint = net::parseEndpoint(it);
+        if (endpoint.ok() && endpoint->address != address)
+            result.push_back(net::toString({ endpoint->address, gossipPort() }));
+    }
+    return result;
+}
+
+dispatch::DispatchSettings Options::dispatchSettings() const
+{
+    dispatch::DispatchSettings settings;
+    settings.shareWindow = fromSeconds(shareWindowSeconds);
+    settings.retryRatio = retryRatio;
+    settings.retrySlack = retrySlack;
+    settings.retryWindow = fromSeconds(retryWindowSeconds);
+    settings.leastRouters = static_cast<unsigned>(leastRouters);
+    return settings;
+}
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -0,0 +1,240 @@
+#include "StoreFollower.h"
+
+#include "PeerState.h"
+
+#include <algorithm>
+
+namespace sagechute::edge {
+
+namespace {
+
+    /// A change of the configuration is answered to the waiting call at once. The shorter the wait, the sooner a
+    /// connection that went silent is noticed; a call a second and router costs a thousandth of the served value.
+    constexpr std::chrono::milliseconds configWait { 1000 };
+
+    /// A leaving target must get nothing new two seconds after the store knows; a call then may still fail once.
+    constexpr Duration targetInterval = std::chrono::milliseconds(450);
+
+    constexpr Duration leastRetryDelay = std::chrono::milliseconds(60);
+    constexpr Duration mostRetryDelay = std::chrono::milliseconds(500);
+    constexpr unsigned mostDoublings = 3;
+
+    /// Entries lapse after three heartbeats of their targets; a shorter absence of the store costs none.
+    constexpr Duration lapseTime = std::chrono::seconds(3);
+
+    /// How often a router that knows no other looks into the store for one.
+    constexpr Duration searchInterval = std::chrono::seconds(3);
+
+    constexpr std::chrono::milliseconds peerTimeout { 400 };
+    constexpr int okStatus = 200;
+
+} // namespace
+
+StoreFollower::StoreFollower(
+    EdgeState& state, Fleet& fleet, FleetStore& store, net::HttpClient& peerClient, EdgeMetrics& metrics)
+    : m_state(state)
+    , m_fleet(fleet)
+    , m_store(store)
+    , m_peerClient(peerClient)
+    , m_metrics(metrics)
+{
+}
+
+void StoreFollower::start()
+{
+    m_configThread = std::thread([this] { followConfig(); });
+    m_targetThread = std::thread([this] { followTargets(); });
+}
+
+StoreFollower::~StoreFollower()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_stopped.notify_all();
+    for (std::thread* it : { &m_configThread, &m_targetThread }) {
+        if (it->joinable())
+            it->join();
+    }
+}
+
+bool StoreFollower::pause(Duration duration)
+{
+    std::unique_lock lock(m_mutex);
+    return !m_stopped.wait_for(lock, duration, [this] { return m_isStopping; });
+}
+
+void StoreFollower::followConfig()
+{
+    Progress progress;
+    do {
+        const bool isRead = readConfigOnce(progress);
+        if (isRead && !progress.failures) {
+            if (!pause(Duration(0)))
+                return;
+            continue;
+        }
+        takeFromPeer(false);
+    } while (pause(std::min(mostRetryDelay, leastRetryDelay * (1 << std::min(progress.failures, mostDoublings)))));
+}
+
+bool StoreFollower::readConfigOnce(Progress& progress)
+{
+    absl::StatusOr<ConfigNews> news
+        = progress.next ? m_store.followConfig(*progress.next, configWait) : m_store.readConfig();
+    m_metrics.storeCalls().Increment();
+    noteOutcome(progress, "configuration", news.status());
+    if (!news.ok())
+        return false;
+    progress.next = news->next;
+    if (news->newest)
+        adopt(*news->newest, "store");
+    return true;
+}
+
+void StoreFollower::adopt(const ConfigRecord& record, const char* source)
+{
+    absl::StatusOr<dispatch::FleetConfig> config = m_store.decodeConfig(record.document);
+    if (!config.ok()) {
+        process::log(process::LogLevel::Error, "configuration-unreadable",
+            { { "version", std::to_string(record.version) }, { "reason", std::string(config.status().message()) } });
+        return;
+    }
+    const std::size_t routes = config->routes.size();
+    const std::size_t customers = config->customers.size();
+    if (!m_state.adoptConfig(record, std::move(*config)))
+        return;
+    process::log(process::LogLevel::Info, "configuration-in-force",
+        { { "version", std::to_string(record.version) }, { "offset", std::to_string(record.offset) },
+            { "source", source }, { "routes", std::to_string(routes) },
+            { "customers", std::to_string(customers) } });
+}
+
+void StoreFollower::followTargets()
+{
+    Progress progress;
+    do {
+        const bool isRead = readTargetsOnce(progress);
+        if (!isRead)
+            takeFromPeer(true);
+        else
+            findOthers();
+        const TimePoint now = steadyNow();
+        m_state.changeTargets(now, [&](TargetRoster& roster) { roster.expire(now); });
+    } while (pause(targetInterval));
+}
+
+bool StoreFollower::readTargetsOnce(Progress& progress)
+{
+    const bool isWhole = !progress.next;
+    absl::StatusOr<TargetNews> news = isWhole ? m_store.readTargets() : m_store.followTargets(*progress.next);
+    m_metrics.storeCalls().Increment();
+    const TimePoint now = steadyNow();
+    const std::optional<TimePoint> failingSince = progress.failingSince;
+    noteOutcome(progress, "targets", news.status());
+    if (!news.ok()) {
+        m_state.changeTargets(now, [&](TargetRoster& roster) { roster.storeLost(now); });
+        return false;
+    }
+    progress.next = news->next;
+    m_state.nextTargetOffset.store(news->next);
+    const bool mayHaveLapsed = failingSince && now - *failingSince > lapseTime / 3;
+    m_state.changeTargets(now, [&](TargetRoster& roster) {
+        roster.storeRegained(now, mayHaveLapsed);
+        if (isWhole) {
+            roster.replace(now, news->changes);
+            return;
+        }
+        for (const TargetChange& it : news->changes)
+            roster.apply(now, it);
+    });
+    for (const TargetChange& it : news->changes) {
+        if (!it.target || it.target->draining)
+            process::log(process::LogLevel::Info, it.target ? "target-draining" : "target-gone",
+                { { "target", it.id.value }, { "offset", std::to_string(news->next) } });
+    }
+    return true;
+}
+
+void StoreFollower::noteOutcome(Progress& progress, const char* topic, const absl::Status& status)
+{
+    const TimePoint now = steadyNow();
+    if (status.ok()) {
+        if (progress.failingSince)
+            process::log(process::LogLevel::Info, "store-regained",
+                { { "topic", topic }, { "failures", std::to_string(progress.failures) },
+                    { "away-ms",
+                        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - *progress.failingSince).count()) } });
+        progress.failingSince.reset();
+        progress.failures = 0;
+        return;
+    }
+    if (errorKind(status) == ErrorKind::RetentionExceeded) {
+        progress.next.reset();
+        process::log(process::LogLevel::Warning, "store-history-lost", { { "topic", topic } });
+        return;
+    }
+    ++progress.failures;
+    if (!progress.failingSince) {
+        progress.failingSince = now;
+        process::log(process::LogLevel::Warning, "store-lost",
+            { { "topic", topic }, { "reason", std::string(status.message()) } });
+    }
+}
+
+void StoreFollower::takeFromPeer(bool wantsTargets)
+{
+    const std::vector<Peer> peers = m_fleet.peers(steadyNow());
+    if (peers.empty())
+        return;
+    const Peer& peer = peers[m_peerTurn++ % peers.size()];
+    if (!wantsTargets && peer.configVersion <= m_state.configVersion())
+        return;
+    net::ClientRequest request;
+    request.url = "http://" + peer.controlAddress + peerStatePath;
+    request.connectTimeout = peerTimeout;
+    request.totalTimeout = peerTimeout;
+    const net::ClientResponse response = m_peerClient.perform(std::move(request));
+    if (response.result.end != net::TransferEnd::Completed || response.result.httpStatus != okStatus)
+        return;
+    const absl::StatusOr<PeerState> state = decodePeerState(response.body);
+    if (!state.ok()) {
+        process::log(process::LogLevel::Warning, "peer-state-unreadable",
+            { { "peer", peer.vm.value }, { "reason", std::string(state.status().message()) } });
+        return;
+    }
+    if (state->config && state->config->version > m_state.configVersion())
+        adopt(*state->config, peer.vm.value.c_str());
+    if (!wantsTargets || state->nextTargetOffset <= m_state.nextTargetOffset)
+        return;
+    std::vector<TargetChange> all;
+    for (const dispatch::Target& it : state->targets)
+        all.push_back({ it.id, it });
+    const TimePoint now = steadyNow();
+    m_state.changeTargets(now, [&](TargetRoster& roster) { roster.replace(now, all); });
+    m_state.nextTargetOffset.store(state->nextTargetOffset);
+    process::log(process::LogLevel::Info, "targets-from-peer",
+        { { "peer", peer.vm.value }, { "offset", std::to_string(state->nextTargetOffset) },
+            { "targets", std::to_string(all.size()) } });
+}
+
+void StoreFollower::findOthers()
+{
+    const TimePoint now = steadyNow();
+    if (!m_isAnnounced) {
+        m_metrics.storeCalls().Increment();
+        m_isAnnounced = m_store.announce({ m_state.vm, m_fleet.gossipAddress() }).ok();
+    }
+    if (now < m_nextSearch || m_fleet.knowsOthers())
+        return;
+    m_nextSearch = now + searchInterval;
+    m_metrics.storeCalls().Increment();
+    const auto found = m_store.announcements();
+    if (!found.ok())
+        return;
+    for (const RouterAnnouncement& it : *found)
+        m_fleet.addSeed(it.gossipAddress);
+}
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/main.cpp
@@ -0,0 +1,105 @@
+/// @file
+/// The edge router: takes callers' requests on the users' platform and shares targets fairly.
+
+#include "Front.h"
+#include "Housekeeping.h"
+#include "Listeners.h"
+#include "Options.h"
+#include "StoreFollower.h"
+
+#include <Platform.h>
+
+#include <random>
+
+#include <unistd.h>
+
+namespace sagechute::edge {
+
+namespace {
+
+    /// Threads that each drive sockets by epoll. One keeps the order of events simple and is enough for a VM of one
+    /// core.
+    constexpr unsigned clientThreads = 1;
+
+    /// Connections to targets are used again within this time; targets close idle ones after some seconds more.
+    constexpr std::chrono::seconds pooledIdle { 4 };
+
+    absl::StatusOr<std::unique_ptr<net::HttpClient>> makeClient()
+    {
+        net::ClientOptions options;
+        options.threads = clientThreads;
+        options.pooledConnectionMaxIdle = pooledIdle;
+        return net::HttpClient::make(options);
+    }
+
+    int failStart(const absl::Status& status)
+    {
+        process::log(process::LogLevel::Error, "cannot-start",
+            { { "reason", std::string(status.message()) }, { "remedy", errorRemedy(status) } });
+        return 1;
+    }
+
+    int serve(const Options& options, SettingsWatch& watch, process::StopSignal& stop)
+    {
+        EdgeState state(options.dispatchSettings(), { options.vm }, { options.zone }, std::random_device {}());
+        process::Metrics metrics;
+        EdgeMetrics edgeMetrics(metrics);
+        DueTimers timers;
+
+        // Each its own: a slow store or peer must not hold up requests, nor requests the news of a leaving target.
+        auto targetClient = makeClient();
+        auto storeClient = makeClient();
+        auto peerClient = makeClient();
+        for (const auto* it : { &targetClient, &storeClient, &peerClient }) {
+            if (!it->ok())
+                return failStart(it->status());
+        }
+        const auto store = platform::makeStore(**storeClient, options.store);
+        const auto callerProtocol = platform::makeCallerProtocol();
+        const auto targetProtocol = platform::makeTargetProtocol();
+        const auto entryProtocol = platform::makeEntryProtocol();
+
+        auto fleet = Fleet::make(state, options);
+        if (!fleet.ok())
+            return failStart(fleet.status());
+        Front front({ state, **targetClient, *callerProtocol, *targetProtocol, timers, edgeMetrics });
+        auto listeners = Listeners::make(options, { state, **fleet, front, *entryProtocol, metrics });
+        if (!listeners.ok())
+            return failStart(listeners.status());
+        StoreFollower follower(state, **fleet, *store, **peerClient, edgeMetrics);
+        follower.start();
+        process::log(process::LogLevel::Info, "started",
+            { { "callers", options.callersListen }, { "gossip", (*fleet)->gossipAddress() },
+                { "store", options.store }, { "version", std::string(process::version()) } });
+
+        Housekeeping(state, **fleet, timers, watch).run(stop);
+        planStop(state, **fleet, **listeners, timers, options);
+        process::log(process::LogLevel::Info, "stopped",
+            { { "cut-off", std::to_string(state.activeRequests.load()) } });
+        // Threads may be waiting for a store or a peer that does not answer, for longer than the platform's patience.
+        // Nothing is kept that would need a destructor; the kernel closes the sockets.
+        _exit(0);
+    }
+
+    int run(int argc, char** argv)
+    {
+        Options options;
+        SettingsWatch watch(argc, argv);
+        if (const auto code = watch.read(options))
+            return *code;
+        process::StopSignal stop;
+        process::StreamLimits limits;
+        limits.linesPerSecond = static_cast<unsigned>(options.logLinesPerSecond);
+        if (absl::Status status = process::startLogging("sagechute-edge", options.logLevel, { options.vm }, 0, limits);
+            !status.ok()) {
+            fprintf(stderr, "%s\n", std::string(status.message()).c_str());
+            return process::exitUsage;
+        }
+        return serve(options, watch, stop);
+    }
+
+} // namespace
+
+} // namespace sagechute::edge
+
+int main(int argc, char** argv) { return sagechute::edge::run(argc, argv); }
--- a/apps/sagechute-router/main.cpp
+++ b/apps/sagechute-router/main.cpp
@@ -7,7 +7,7 @@
 #include "LogReader.h"
 #include "Options.h"
 
-#include <sagechute/Platform.h>
+#include <sagechute/LogService.h>
 
 #include <ctime>
 #include <random>
@@ -122,7 +122,7 @@
             if (!logClient.ok())
                 return logClient.status();
             m_logClient = std::move(*logClient);
-            m_log = platform::makeHttpLog(*m_logClient, m_options.platform, logTimeout);
+            m_log = logservice::makeHttpLog(*m_logClient, m_options.platform, logTimeout);
 
             m_gate = std::make_unique<CallerGate>(m_snapshot, m_inbox, m_board, life);
             net::ServerOptions server;
--- a/apps/sagechute-steward/Daemon.cpp
+++ b/apps/sagechute-steward/Daemon.cpp
@@ -1,6 +1,6 @@
 #include "Daemon.h"
 
-#include <sagechute/Platform.h>
+#include <sagechute/LogService.h>
 
 namespace sagechute::steward {
 namespace {
@@ -49,7 +49,7 @@
         return server.status();
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(options.logTimeout);
     daemon->m_logClient = *std::move(logClient);
-    daemon->m_log = platform::makeHttpLog(*daemon->m_logClient, options.platform, timeout);
+    daemon->m_log = logservice::makeHttpLog(*daemon->m_logClient, options.platform, timeout);
     daemon->m_lease = std::make_unique<LeaseRunner>(*daemon->m_log, LeaseKeeper::make(daemon->m_self, options.lease));
     daemon->m_config = std::make_unique<ConfigRunner>(*daemon->m_log, *daemon->m_lease, options.snapshots);
     daemon->m_targets
--- /dev/null
+++ b/include/sagechute/Dispatch.h
@@ -0,0 +1,324 @@
+#pragma once
+
+/// @file
+/// Deciding, in one router and without a word to another, where a request goes, whether it is turned away, and what
+/// follows a failed attempt. Decision logic without sockets, threads or clock: the adapters around it decode requests,
+/// send them and say how they ended.
+
+#include <sagechute/Core.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace sagechute::dispatch {
+
+/// What may be repeated, and how the answer comes.
+enum class RequestKind {
+    Idempotent, ///< May run more than once.
+    Once, ///< Must not run a second time.
+    Stream, ///< Answered event by event; runs once, but may be resumed after an event where its route says so.
+};
+
+/// @return "idempotent", "once" or "stream".
+std::string_view toString(RequestKind);
+
+/// One of the services among which a route's requests are split.
+struct ServiceShare {
+    ServiceId service;
+    double weight = 1; ///< Relative to the other shares of the route.
+};
+
+/// Which requests belong together, and how they are to be served.
+struct Route {
+    std::string name;
+    std::string host;
+    std::string pathPrefix; ///< Begins and ends with a slash.
+    RequestKind kind = RequestKind::Once;
+    Duration timeout {}; ///< Longest time that a caller is kept waiting for the end of its answer.
+    Duration goal {}; ///< Within it the answer, or a stream's first event, is on time.
+    unsigned attempts = 1; ///< Most targets that one request may run on.
+    int priority = 0; ///< 0 is the highest.
+    bool isPublic = false; ///< Callers need no key.
+    bool isResumable = false; ///< A broken stream may go on at another target after its last event.
+    std::vector<ServiceShare> services;
+};
+
+/// A model engine's measures; all targets of a service have the same.
+struct EngineProfile {
+    unsigned slots = 0; ///< Requests in one batch.
+    std::uint64_t cacheTokens = 0; ///< Memory for running requests and kept prompts, in tokens.
+    unsigned eventTokens = 1; ///< Tokens in an event of a stream.
+};
+
+struct Service {
+    ServiceId id;
+    unsigned maxConnections = 0; ///< That one target accepts of all routers together; 0: no bound.
+    std::optional<EngineProfile> engine; ///< Absent: a plain application.
+};
+
+/// A customer and the keys by which its callers are known.
+struct Customer {
+    CustomerId id;
+    std::vector<std::string> keys;
+};
+
+/// What callers may send.
+struct CallerLimits {
+    std::size_t bodyBytes = 4 << 20;
+    Duration idle = std::chrono::seconds(60); ///< A connection without a request stays open for so long.
+};
+
+/// One version of everything that the operators decide.
+struct FleetConfig {
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::vector<Service> services;
+    std::vector<Customer> customers; ///< Empty: no request needs a key.
+    CallerLimits limits;
+    double tokensPerSecond = 0; ///< What all engines together produce; 0: not told.
+};
+
+/// A process that answers requests of one service.
+struct Target {
+    TargetId id; ///< Of one life: a restarted target has another.
+    ServiceId service;
+    std::string address; ///< "ADDRESS:PORT"; may be taken again by another target after this one has gone.
+    ZoneId zone;
+    unsigned slots = 0;
+    bool draining = false;
+};
+
+/// A configuration with its lookups. Immutable.
+class RoutingTable {
+public:
+    static std::shared_ptr<const RoutingTable> make(FleetConfig);
+
+    const FleetConfig& config() const { return m_config; }
+
+    /// @param target path and query as sent.
+    /// @return the route of that host with the longest prefix of the path, or null.
+    const Route* findRoute(std::string_view host, std::string_view target) const;
+
+    /// @return the holder of the key, or null.
+    const Customer* findCustomer(std::string_view key) const;
+    const Service* findService(const ServiceId&) const;
+
+    /// @param point in [0, 1): the place in the sum of the weights.
+    /// @return the service that this request goes to, or null where the route has none.
+    static const ServiceId* chooseService(const Route&, double point);
+
+private:
+    explicit RoutingTable(FleetConfig);
+
+    FleetConfig m_config;
+    std::unordered_map<std::string, std::vector<const Route*>> m_byHost; ///< The longest prefix first.
+    std::unordered_map<std::string_view, const Customer*> m_byKey;
+    std::unordered_map<std::string_view, const Service*> m_services;
+};
+
+/// A part of a prompt. Requests share the leading parts.
+struct PromptPart {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/// What a request needs of an engine; all zero for one to a plain application.
+struct PromptSize {
+    std::uint32_t tokensIn = 0;
+    std::uint32_t tokensOut = 0; ///< At most.
+    std::vector<PromptPart> parts;
+};
+
+/// A leading run of parts, as an engine keeps it: a part is kept only for the same parts before it.
+struct PrefixKey {
+    std::uint64_t key = 0;
+    std::uint32_t tokens = 0; ///< Of the last part of the run alone.
+};
+
+/// @return the runs of all parts but the last, which belongs to the request alone.
+std::vector<PrefixKey> sharedPrefixes(const std::vector<PromptPart>&);
+
+/// Measures of the decisions. Each is a setting of the process or a constant of the engines in use.
+struct DispatchSettings {
+    /// Prompt tokens that an engine reads in a millisecond before anything was learned of it: the engines' sheet says
+    /// 51.1 without, and about 44 with, the steps of the streams that run beside.
+    double readTokensPerMs = 44;
+    /// Time to a first event with nothing ahead and all of the prompt kept: the engines' sheet.
+    Duration firstEventBase = std::chrono::milliseconds(55);
+    /// How much worse it is to read a token than to wait for one, as it also delays those that come after.
+    double readWeight = 1.5;
+    /// Bonus of the target to which a prompt's first part hashes, while none is known to keep it: routers that decide
+    /// at the same moment then choose the same one.
+    Duration homeBonus = std::chrono::milliseconds(40);
+    /// Charged to a target in another availability zone.
+    Duration zonePenalty = std::chrono::milliseconds(4);
+    /// A peer's report that is older says nothing any more; a few of the longest intervals between reports.
+    Duration reportKept = std::chrono::milliseconds(1500);
+    /// A target that could not be reached is left alone for so long before a single request tries it again.
+    Duration avoidAfterFailure = std::chrono::milliseconds(800);
+    /// Part of a stream's goal within which its first event must be predicted to come, or it is refused.
+    double admitShare = 1.0;
+    /// Window over which customers' shares are compared; the deployments' own.
+    Duration shareWindow = std::chrono::seconds(4);
+    /// Routers among which the retry budget is divided at least: a router that is cut off or has just started does not
+    /// see all that spend from it.
+    unsigned leastRouters = 8;
+    double retryRatio = 0.2; ///< Retries per request that all routers together may send to a service.
+    double retrySlack = 50; ///< Retries that come on top, all routers together.
+    Duration retryWindow = std::chrono::seconds(10);
+};
+
+/// A request that waits for a decision.
+struct Demand {
+    CustomerId customer;
+    ServiceId service;
+    const Route* route = nullptr; ///< Valid during the call.
+    PromptSize prompt;
+    TimePoint arrived;
+    TimePoint due; ///< No answer counts later.
+    std::set<TargetId> tried; ///< They are chosen only when there is no other.
+};
+
+/// Names a placed attempt until it ended.
+using AttemptId = std::uint64_t;
+
+/// Go to this target.
+struct Placement {
+    AttemptId attempt = 0;
+    Target target;
+    std::uint32_t tokensToRead = 0; ///< Of the prompt, not kept there as far as known.
+    Duration predictedFirst {}; ///< Until the first event.
+};
+
+/// Why a request is turned away without having run.
+enum class RefusalReason { NoTarget, Overloaded, OverShare, RetryBudget };
+
+std::string_view toString(RefusalReason);
+
+struct Refusal {
+    RefusalReason reason = RefusalReason::NoTarget;
+    Duration comeBack {}; ///< By then the same request is expected to be served.
+};
+
+using Decision = std::variant<Placement, Refusal>;
+
+/// Why a request is placed.
+enum class Round {
+    First,
+    AfterArrival, ///< A target has had it already; the retry budget counts that.
+    AfterNothing, ///< No target has had a byte of it yet.
+};
+
+/// How an attempt ended.
+enum class AttemptEnd {
+    Answered, ///< With a whole answer that the target calls its result.
+    Failed, ///< The target ran it and says that it failed.
+    NotRun, ///< The target says that it did not and will not run it.
+    WrongTarget, ///< Another target has the address; it did not run it.
+    Unreachable, ///< No byte of the request left.
+    Broken, ///< It may have run; the answer is lost or no answer to this request.
+    Silent, ///< As Broken, after a time limit.
+    CallerGone,
+};
+
+std::string_view toString(AttemptEnd);
+
+/// What a target said of its load with an answer.
+struct TargetLoad {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+/// A customer's tokens over the share window, as one router counts them.
+struct CustomerUse {
+    double asked = 0;
+    double granted = 0;
+};
+
+/// What one router has sent to one target.
+struct TargetUse {
+    std::uint32_t tokensToRead = 0; ///< Of requests whose first event has not come yet.
+    std::uint32_t active = 0; ///< Requests without an end yet.
+    std::uint32_t memoryTokens = 0; ///< That they will take.
+};
+
+/// What a router tells the others of its own part, often and by datagrams. It describes a state, so that a lost one is
+/// mended by the next.
+struct LoadReport {
+    std::uint64_t serial = 0;
+    std::map<TargetId, TargetUse> targets;
+    std::map<CustomerId, CustomerUse> customers;
+    std::map<TargetId, std::vector<PrefixKey>> placed; ///< Prefixes sent there lately.
+};
+
+/// @return the report as CBOR.
+std::string encode(const LoadReport&);
+
+/// @return the report, or BadRequest for bytes of another form.
+absl::StatusOr<LoadReport> decodeLoadReport(std::string_view);
+
+/// What to do after an attempt of a request.
+enum class NextStep {
+    Relay, ///< Pass on the target's answer.
+    TryElsewhere,
+    Refuse, ///< It certainly has not run: 503 and when to come back.
+    Fail, ///< It may have run: 502.
+};
+
+/// The facts on which the next step depends.
+struct AttemptFacts {
+    RequestKind kind = RequestKind::Once;
+    bool isResumable = false;
+    bool hasStarted = false; ///< Bytes of a stream's answer have gone to the caller.
+    unsigned runsSoFar = 0; ///< Targets on which it has, or may have, run.
+    unsigned attemptsMost = 1;
+    unsigned triesSoFar = 0; ///< Targets chosen, whether it ran there or not.
+    AttemptEnd end = AttemptEnd::Answered;
+    bool mayHaveRunBefore = false; ///< On an earlier target.
+};
+
+/// Most targets that a request is offered, whatever came of it: an outage must not become a loop.
+inline constexpr unsigned mostTries = 4;
+
+/// @return what follows; never anything by which a request of kind Once could run twice.
+NextStep nextStep(const AttemptFacts&);
+
+/// Places the requests of one router. Not thread-safe.
+class Dispatcher {
+public:
+    static std::unique_ptr<Dispatcher> make(const DispatchSettings&, ZoneId ownZone, std::uint64_t seed);
+    virtual ~Dispatcher() = default;
+
+    virtual void setConfig(std::shared_ptr<const RoutingTable>) = 0;
+
+    /// Replaces the list of targets.
+    virtual void setTargets(TimePoint now, const std::vector<Target>&) = 0;
+
+    /// Decides on a request, or on the next attempt of one.
+    virtual Decision place(TimePoint now, const Demand&, Round) = 0;
+
+    /// The first event or the answer's head has come.
+    virtual void firstAnswer(TimePoint now, AttemptId) = 0;
+    virtual void loadSeen(TimePoint now, AttemptId, const TargetLoad&) = 0;
+    virtual void ended(TimePoint now, AttemptId, AttemptEnd) = 0;
+
+    /// @return this router's own part, for the others.
+    virtual LoadReport report(TimePoint now) = 0;
+    virtual void peerReported(TimePoint now, const VmId& peer, const LoadReport&) = 0;
+
+    /// @param n routers that are known, this one included.
+    virtual void setRouterCount(unsigned n) = 0;
+
+    /// @return whether any target is known that takes requests.
+    virtual bool hasTargets() const = 0;
+};
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/include/sagechute/Edge.h
@@ -0,0 +1,280 @@
+#pragma once
+
+/// @file
+/// What an edge router is made of besides its dispatcher: the ports to the users' platform, the list of targets as it
+/// is believed, and who else is in the fleet. The ports are implemented by platform/; nothing else knows its names.
+
+#include <sagechute/Dispatch.h>
+#include <sagechute/Membership.h>
+#include <sagechute/Net.h>
+
+namespace sagechute::edge {
+
+// ---- Ports
+
+/// The newest configuration in the store.
+struct ConfigRecord {
+    std::uint64_t version = 0;
+    LogOffset offset = 0;
+    std::string document; ///< As stored; routers hand it to each other unread.
+};
+
+/// What a read of the configuration's topic brought.
+struct ConfigNews {
+    std::optional<ConfigRecord> newest; ///< Absent: nothing new.
+    LogOffset next = 0; ///< Where to read on.
+};
+
+/// A change of one entry in the list of targets.
+struct TargetChange {
+    TargetId id;
+    std::optional<dispatch::Target> target; ///< Absent: the entry has gone.
+};
+
+struct TargetNews {
+    std::vector<TargetChange> changes; ///< In the order in which they happened.
+    LogOffset next = 0;
+};
+
+/// How a router that nobody else knows can be found.
+struct RouterAnnouncement {
+    VmId vm;
+    std::string gossipAddress;
+};
+
+/// The platform's store. All calls wait for the answer, for a bounded time, and may be made from any thread. Errors are
+/// LogUnavailable, or RetentionExceeded when the records asked for are no longer kept: then read all again.
+class FleetStore {
+public:
+    virtual ~FleetStore() = default;
+
+    virtual absl::StatusOr<ConfigNews> readConfig() = 0;
+
+    /// @param wait how long the store may keep the call when there is nothing new.
+    virtual absl::StatusOr<ConfigNews> followConfig(LogOffset from, std::chrono::milliseconds wait) = 0;
+
+    /// @return the configuration of a document, or BadRequest.
+    virtual absl::StatusOr<dispatch::FleetConfig> decodeConfig(const std::string& document) const = 0;
+
+    /// @return all entries, each as a change that sets it.
+    virtual absl::StatusOr<TargetNews> readTargets() = 0;
+    virtual absl::StatusOr<TargetNews> followTargets(LogOffset from) = 0;
+
+    virtual absl::Status announce(const RouterAnnouncement&) = 0;
+    virtual absl::StatusOr<std::vector<RouterAnnouncement>> announcements() = 0;
+
+    /// @return calls made so far, refused ones included.
+    virtual std::uint64_t calls() const = 0;
+};
+
+/// What a caller's request says, before a route is chosen.
+struct CallerFacts {
+    std::string id; ///< The caller's own identity of this attempt; empty when it sent none.
+    std::string host;
+    std::string key;
+    std::optional<Duration> deadline; ///< How long the caller will wait.
+    dispatch::PromptSize prompt;
+};
+
+/// How callers speak to a router.
+class CallerProtocol {
+public:
+    virtual ~CallerProtocol() = default;
+
+    virtual absl::StatusOr<CallerFacts> decode(const net::ServerRequest&) const = 0;
+
+    /// @return an answer of the router's own. @param comeBack when to send the request again; absent: no such promise.
+    virtual net::ServerResponse refusal(
+        int status, std::string_view reason, std::optional<Duration> comeBack) const = 0;
+};
+
+/// What the head of a target's answer says.
+struct TargetAnswerHead {
+    int status = 0;
+    std::optional<std::string> requestId; ///< Of the request that it answers, as the target echoes it.
+    bool hasNotRun = false; ///< The target did not and will not run the request.
+    bool isOtherTarget = false; ///< Another target has the address.
+    bool isSigned = false; ///< It bears the target's signature: a result, not an error on the way.
+    std::optional<dispatch::TargetLoad> load;
+    std::vector<net::Field> relayed; ///< What concerns the caller.
+};
+
+/// A request as it goes to a target.
+struct TargetSend {
+    const net::ServerRequest* request = nullptr;
+    const dispatch::Target* target = nullptr;
+    CustomerId customer; ///< Empty on a public route.
+    Duration left {}; ///< Until nobody waits for the answer any more.
+    std::string resumeAfter; ///< Identity of the last event that the caller has; empty: from the beginning.
+};
+
+/// How a router speaks to targets.
+class TargetProtocol {
+public:
+    virtual ~TargetProtocol() = default;
+    virtual net::ClientRequest encode(const TargetSend&) const = 0;
+    virtual TargetAnswerHead decodeHead(int status, const std::vector<net::Field>&) const = 0;
+};
+
+/// How callers and the platform ask a router about the fleet.
+class EntryProtocol {
+public:
+    virtual ~EntryProtocol() = default;
+
+    /// @return whether the request asks which addresses to use, and the caller's availability zone.
+    virtual std::optional<ZoneId> decodeLocate(const net::ServerRequest&) const = 0;
+    virtual net::ServerResponse locateAnswer(
+        const std::vector<std::string>& addresses, std::chrono::seconds kept) const = 0;
+    virtual bool isReadinessCheck(const net::ServerRequest&) const = 0;
+};
+
+// ---- Streams
+
+/// Splits the bytes of an event stream into whole events.
+///
+/// A target may break off in the middle of an event. What is passed on always ends at the end of one, so that an answer
+/// that goes on at another target never has half an event in it.
+class EventSplitter {
+public:
+    /// @param after identity of the last event that the caller has; empty: none.
+    explicit EventSplitter(std::string after)
+        : m_lastId(std::move(after))
+    {
+    }
+
+    /// @return all whole events that are now complete and were not returned before.
+    std::string feed(std::string_view bytes);
+
+    /// @return what is left at the stream's end and isn't a whole event.
+    const std::string& rest() const { return m_pending; }
+
+    /// @return identity of the last whole event, or what the constructor was given.
+    const std::string& lastId() const { return m_lastId; }
+
+    /// @return whether an event came again or before an earlier one; it and all after it are held back.
+    bool isDisordered() const { return m_isDisordered; }
+
+    std::uint64_t events() const { return m_events; }
+
+private:
+    void takeEvent(std::string_view event);
+    void takeId(std::string_view id);
+
+    std::string m_pending;
+    std::size_t m_searched = 0;
+    std::string m_lastId;
+    std::uint64_t m_events = 0;
+    bool m_isDisordered = false;
+};
+
+// ---- The list of targets
+
+/// The targets as this router believes in them.
+///
+/// Entries lapse while the store is away, though their targets live; these write themselves again within two seconds of
+/// its return. An entry that goes missing in that time is therefore kept until it has passed. A target that was ever
+/// seen draining stays so, whatever an older record or another router says.
+class TargetRoster {
+public:
+    /// The store was not reached. Until it is again, nothing that is known expires.
+    void storeLost(TimePoint now);
+
+    /// The store answers again. @param mayHaveLapsed whether it was away for so long that entries may have.
+    void storeRegained(TimePoint now, bool mayHaveLapsed);
+
+    void apply(TimePoint now, const TargetChange&);
+
+    /// Replaces everything by a whole list.
+    void replace(TimePoint now, const std::vector<TargetChange>& all);
+
+    /// @return whether something expired since the last call.
+    bool expire(TimePoint now);
+
+    std::vector<dispatch::Target> targets() const;
+    std::size_t size() const { return m_entries.size(); }
+
+    /// How long after the store's return a missing entry is kept: the platform promises about two seconds.
+    static constexpr Duration returnGrace = std::chrono::milliseconds(2200);
+
+private:
+    struct Entry {
+        dispatch::Target target;
+        std::optional<TimePoint> goneAt; ///< Its entry is missing; it is dropped at this moment unless it comes back.
+    };
+
+    void remove(TimePoint now, const TargetId&);
+
+    std::map<TargetId, Entry> m_entries;
+    std::optional<TimePoint> m_lostAt;
+    std::optional<TimePoint> m_graceUntil;
+};
+
+// ---- Who else is in the fleet
+
+/// What a router says about itself with each load report.
+struct Heartbeat {
+    VmId vm;
+    Incarnation incarnation = 0;
+    std::string callerAddress;
+    std::string controlAddress;
+    ZoneId zone;
+    bool isReady = false;
+    std::uint64_t configVersion = 0;
+    std::string load; ///< An encoded dispatch::LoadReport.
+};
+
+/// @return the heartbeat as CBOR.
+std::string encode(const Heartbeat&);
+absl::StatusOr<Heartbeat> decodeHeartbeat(std::string_view);
+
+/// A router that was heard of lately.
+struct Peer {
+    VmId vm;
+    Incarnation incarnation = 0;
+    std::string callerAddress;
+    std::string controlAddress;
+    ZoneId zone;
+    bool isReady = false;
+    std::uint64_t configVersion = 0;
+    TimePoint heardAt;
+};
+
+/// The other routers by their heartbeats, which come more often than gossip's probes.
+class PeerBoard {
+public:
+    void heard(TimePoint now, const Heartbeat&);
+
+    /// @return the peers heard of within @p kept.
+    std::vector<Peer> alive(TimePoint now, Duration kept) const;
+
+private:
+    std::map<VmId, Peer> m_peers;
+};
+
+/// A router whose heartbeats stay away for so long is left out of answers to callers. Heartbeats come at most every
+/// quarter of it, so that one lost datagram says nothing.
+inline constexpr Duration heartbeatKept = std::chrono::milliseconds(900);
+
+/// One address that a caller may use.
+struct EntryPoint {
+    std::string callerAddress;
+    ZoneId zone;
+};
+
+/// @return the addresses to give to a caller of that availability zone: those of ready routers.
+std::vector<std::string> chooseEntryPoints(const std::vector<EntryPoint>& ready, const ZoneId& callerZone);
+
+// ---- The planned stop
+
+/// When a stopping router does what.
+struct StopTimes {
+    Duration stopListening {}; ///< New connections are refused from then on.
+    Duration end {}; ///< Whatever still runs is cut off.
+};
+
+/// Callers keep an answer to "which address" for seconds, and connect by it after the router has said that it leaves:
+/// it takes new connections for most of the grace period, and keeps the rest for requests in flight.
+/// @param grace from SIGTERM until the platform kills the process.
+StopTimes stopTimes(Duration grace);
+
+} // namespace sagechute::edge
--- a/include/sagechute/Platform.h
+++ b/include/sagechute/LogService.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Adapters to the platform's services over HTTP: the log, the list of VMs and the weight store.
+/// Adapters over HTTP to the log service and the list of VMs of deployments that bring these: the product's own interface.
 
 #include <sagechute/Config.h>
 #include <sagechute/Net.h>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace sagechute::platform {
+namespace sagechute::logservice {
 
 /// The log over HTTP. Safe to use from several threads.
 /// @param client outlives the port. @param baseUrl "http://ADDRESS:PORT".
@@ -27,4 +27,4 @@
 absl::StatusOr<std::vector<ListedVm>> listVms(
     net::HttpClient&, const std::string& baseUrl, std::chrono::milliseconds timeout);
 
-} // namespace sagechute::platform
+} // namespace sagechute::logservice
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -20,6 +20,9 @@
     std::string value;
 };
 
+/// @return whether two header names are the same; ASCII case doesn't count.
+bool isSameName(std::string_view left, std::string_view right);
+
 /// @return the value of the first field with that name (ASCII case ignored), or nullopt.
 std::optional<std::string_view> findField(const std::vector<Field>&, std::string_view name);
 
@@ -40,6 +43,7 @@
 struct ServerRequest {
     std::string method;
     std::string path; ///< Percent-decoded, without the query.
+    std::string rawTarget; ///< Path and query as they were sent, for a proxy that must not change them.
     std::vector<Field> query;
     std::vector<Field> headers;
     std::string body;
@@ -149,11 +153,18 @@
 struct ClientRequest {
     std::string method = "GET";
     std::string url;
+    std::string rawTarget; ///< Sent as the request's target in place of the one in @c url; empty: that of the URL.
     std::vector<Field> headers;
     std::string body;
+    bool isRelayed = false; ///< No header of this product's own is added: the request is somebody else's.
     std::chrono::milliseconds connectTimeout { 1000 };
     std::chrono::milliseconds totalTimeout { 0 }; ///< 0: none.
     std::chrono::milliseconds silenceTimeout { 0 }; ///< Longest time without a byte of answer; 0: none.
+    std::chrono::milliseconds unackedTimeout { 0 }; ///< Longest time that sent bytes may stay unacknowledged by the
+                                                    ///< other VM before its connection is broken; 0: the system's.
+    /// A pooled connection may be taken, but the request is never sent a second time: libcurl does so by itself when a
+    /// pooled connection turns out to be closed, and a request that must not be repeated would then run twice.
+    bool sendOnce = false;
     bool freshConnection
         = false; ///< Neither take a pooled connection nor leave one: for requests that must not be sent twice.
 };
--- a/include/sagechute/Process.h
+++ b/include/sagechute/Process.h
@@ -49,6 +49,10 @@
         std::string_view name, std::vector<std::string>& out, std::string_view help); ///< Comma-separated or repeated.
     Settings& positional(std::string_view name, std::vector<std::string>& out, std::string_view help);
 
+    /// Names the variable that holds the path of a settings file, with lines "NAME=VALUE" of the same names as the
+    /// flags. Flags and other variables go before it. A secret may not stand in it.
+    Settings& fileVariable(std::string_view variable);
+
     /// Adds a check over several settings, run after all have been read.
     Settings& check(std::function<absl::Status()> rule);
 
@@ -84,12 +88,22 @@
 /// Weight of a log event.
 enum class LogLevel { Debug, Info, Warning, Error };
 
-/// Sets up log4cplus: one event a line on stderr, with time, level, program, VM and incarnation.
-/// Events logged before are lost.
+/// How much a process may log.
+struct StreamLimits {
+    unsigned linesPerSecond = 2000; ///< Above it lines are dropped and counted.
+};
+
+/// @return lines dropped since the start, because there were too many or because nobody read them.
+std::uint64_t droppedLogLines();
+
+/// Sets up log4cplus: one event a line on stdout, with time, level, program, VM and incarnation. A line that can't be
+/// written at once is dropped and counted, so that a reader that stands still can't hold up a request; the next one that
+/// is written tells how many were lost. Events logged before are lost.
 /// @param level "debug", "info", "warning" or "error".
 /// @param vm left out of the lines, with the incarnation, when empty.
 /// @return BadRequest for another level.
-absl::Status startLogging(std::string_view program, std::string_view level, const VmId& vm, Incarnation incarnation);
+absl::Status startLogging(std::string_view program, std::string_view level, const VmId& vm, Incarnation incarnation,
+    const StreamLimits& limits = {});
 
 /// Writes one event as "event name=value ...", values quoted where needed.
 void log(LogLevel, std::string_view event, std::initializer_list<LogField> fields = {});
@@ -118,7 +132,7 @@
 /// @return this process's usage now; zeros where /proc/self cannot be read.
 Usage usage();
 
-/// Turns SIGTERM and SIGINT into a planned stop, and ignores SIGPIPE. Make it before any thread starts, hence also
+/// Turns SIGTERM and SIGINT into a planned stop and SIGHUP into a request to reload, and ignores SIGPIPE. Make it before any thread starts, hence also
 /// before startLogging(): threads inherit the blocked signals.
 class StopSignal {
 public:
@@ -131,8 +145,12 @@
     /// @return true when the process has been asked to stop; once true it stays so.
     bool wait(Duration most);
 
+    /// @return whether SIGHUP came since the last call: the settings may have changed.
+    bool takeReload();
+
 private:
     int m_descriptor = -1;
+    int m_reloadDescriptor = -1;
 };
 
 } // namespace sagechute::process
--- /dev/null
+++ b/src/dispatch/CustomerShares.cpp
@@ -0,0 +1,108 @@
+#include "dispatch/CustomerShares.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sagechute::dispatch {
+
+namespace {
+
+    /// Entries of one moment are added up, so that their number is bounded by time and customers, not by requests.
+    constexpr Duration entrySpan = std::chrono::milliseconds(250);
+
+    /// A peer that has not reported for so long counts as gone; its share of the window has passed to others.
+    constexpr Duration peerKept = std::chrono::seconds(2);
+
+} // namespace
+
+double maxMinLevel(std::vector<double> asked, double capacity)
+{
+    std::sort(asked.begin(), asked.end());
+    double left = capacity;
+    for (std::size_t i = 0; i < asked.size(); ++i) {
+        const double even = left / static_cast<double>(asked.size() - i);
+        if (asked[i] > even)
+            return even;
+        left -= asked[i];
+    }
+    return std::numeric_limits<double>::infinity();
+}
+
+void CustomerShares::asked(TimePoint now, const CustomerId& customer, double tokens)
+{
+    add(now, customer, { tokens, 0 });
+}
+
+void CustomerShares::granted(TimePoint now, const CustomerId& customer, double tokens)
+{
+    add(now, customer, { 0, tokens });
+}
+
+void CustomerShares::add(TimePoint now, const CustomerId& customer, CustomerUse use)
+{
+    expire(now);
+    OwnUse& sum = m_own[customer];
+    sum.asked += use.asked;
+    sum.granted += use.granted;
+    for (auto it = m_entries.rbegin(); it != m_entries.rend() && now - it->at < entrySpan; ++it) {
+        if (it->customer == customer) {
+            it->asked += use.asked;
+            it->granted += use.granted;
+            return;
+        }
+    }
+    ++sum.entries;
+    m_entries.push_back({ now, customer, use.asked, use.granted });
+}
+
+void CustomerShares::expire(TimePoint now)
+{
+    while (!m_entries.empty() && now - m_entries.front().at > m_window) {
+        const Entry& oldest = m_entries.front();
+        OwnUse& sum = m_own.at(oldest.customer);
+        sum.asked = std::max(0.0, sum.asked - oldest.asked);
+        sum.granted = std::max(0.0, sum.granted - oldest.granted);
+        if (--sum.entries == 0)
+            m_own.erase(oldest.customer);
+        m_entries.pop_front();
+    }
+}
+
+void CustomerShares::peerUse(TimePoint now, const VmId& peer, const std::map<CustomerId, CustomerUse>& use)
+{
+    m_peers[peer] = { now, use };
+}
+
+std::map<CustomerId, CustomerUse> CustomerShares::own(TimePoint now)
+{
+    expire(now);
+    return { m_own.begin(), m_own.end() };
+}
+
+std::map<CustomerId, CustomerUse> CustomerShares::total(TimePoint now)
+{
+    std::map<CustomerId, CustomerUse> sum = own(now);
+    std::erase_if(m_peers, [&](const auto& it) { return now - it.second.at > peerKept; });
+    for (const auto& [peer, part] : m_peers) {
+        for (const auto& [customer, use] : part.use) {
+            sum[customer].asked += use.asked;
+            sum[customer].granted += use.granted;
+        }
+    }
+    return sum;
+}
+
+double CustomerShares::overShare(TimePoint now, const CustomerId& customer, double capacity)
+{
+    const std::map<CustomerId, CustomerUse> sum = total(now);
+    const auto self = sum.find(customer);
+    if (self == sum.end())
+        return 0;
+    std::vector<double> asked;
+    for (const auto& [id, use] : sum)
+        asked.push_back(use.asked);
+    const double level = std::min(maxMinLevel(std::move(asked), capacity), self->second.asked);
+    return level > 0 ? self->second.granted / level : 0;
+}
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/src/dispatch/CustomerShares.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// Who has had how much of the engines lately, over all routers.
+
+#include <sagechute/Dispatch.h>
+
+#include <deque>
+
+namespace sagechute::dispatch {
+
+/// Max-min shares over a sliding window.
+///
+/// Load pattern: one customer sends many times its usual. Without shares it fills every engine's queue, and the others'
+/// requests come late or are refused though they ask for little. A customer above the level up to which all can be
+/// served alike is the first to be turned away; one below it is the last.
+class CustomerShares {
+public:
+    explicit CustomerShares(Duration window)
+        : m_window(window)
+    {
+    }
+
+    void asked(TimePoint now, const CustomerId&, double tokens);
+    void granted(TimePoint now, const CustomerId&, double tokens);
+
+    /// Replaces what a peer said before.
+    void peerUse(TimePoint now, const VmId& peer, const std::map<CustomerId, CustomerUse>&);
+
+    /// @return what this router alone has counted in the window.
+    std::map<CustomerId, CustomerUse> own(TimePoint now);
+
+    /// @param capacity tokens that all engines produce in the window.
+    /// @return what the customer was granted against what it may have: above 1 it is over its share. A customer that
+    ///         asks for less than the common level may have all it asks for.
+    double overShare(TimePoint now, const CustomerId&, double capacity);
+
+private:
+    struct Entry {
+        TimePoint at;
+        CustomerId customer;
+        double asked = 0;
+        double granted = 0;
+    };
+
+    /// Sums over the entries of a customer; gone with the last of them.
+    struct OwnUse : CustomerUse {
+        unsigned entries = 0;
+    };
+
+    struct PeerPart {
+        TimePoint at;
+        std::map<CustomerId, CustomerUse> use;
+    };
+
+    void add(TimePoint now, const CustomerId&, CustomerUse);
+    void expire(TimePoint now);
+    std::map<CustomerId, CustomerUse> total(TimePoint now);
+
+    const Duration m_window;
+    std::deque<Entry> m_entries;
+    std::map<CustomerId, OwnUse> m_own;
+    std::map<VmId, PeerPart> m_peers;
+};
+
+/// @return the level L for which the sum of min(asked, L) over all is @p capacity; infinity when all fits.
+double maxMinLevel(std::vector<double> asked, double capacity);
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/src/dispatch/LoadReport.cpp
@@ -0,0 +1,73 @@
+#include <sagechute/Dispatch.h>
+
+#include <nlohmann/json.hpp>
+
+namespace sagechute::dispatch {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::size_t reportFields = 4;
+
+    absl::Status malformed()
+    {
+        return makeError(ErrorKind::BadRequest, "a load report has another form",
+            "run the same release on all routers, and let nothing else send to their ports");
+    }
+
+    json encodePrefixes(const std::vector<PrefixKey>& prefixes)
+    {
+        json list = json::array();
+        for (const PrefixKey& it : prefixes) {
+            list.push_back(it.key);
+            list.push_back(it.tokens);
+        }
+        return list;
+    }
+
+    std::vector<PrefixKey> decodePrefixes(const json& list)
+    {
+        std::vector<PrefixKey> prefixes;
+        for (std::size_t i = 0; i + 1 < list.size(); i += 2)
+            prefixes.push_back({ list.at(i).get<std::uint64_t>(), list.at(i + 1).get<std::uint32_t>() });
+        return prefixes;
+    }
+
+} // namespace
+
+std::string encode(const LoadReport& report)
+{
+    json targets = json::object();
+    for (const auto& [id, use] : report.targets)
+        targets[id.value] = { use.tokensToRead, use.active, use.memoryTokens };
+    json customers = json::object();
+    for (const auto& [id, use] : report.customers)
+        customers[id.value] = { static_cast<std::uint64_t>(use.asked), static_cast<std::uint64_t>(use.granted) };
+    json placed = json::object();
+    for (const auto& [id, prefixes] : report.placed)
+        placed[id.value] = encodePrefixes(prefixes);
+    return encodeCbor(json::array({ report.serial, std::move(targets), std::move(customers), std::move(placed) }));
+}
+
+absl::StatusOr<LoadReport> decodeLoadReport(std::string_view bytes)
+{
+    const absl::StatusOr<json> document = decodeCbor(bytes);
+    if (!document.ok() || !document->is_array() || document->size() != reportFields)
+        return malformed();
+    LoadReport report;
+    try {
+        report.serial = document->at(0).get<std::uint64_t>();
+        for (const auto& [id, use] : document->at(1).items())
+            report.targets[{ id }] = { use.at(0), use.at(1), use.at(2) };
+        for (const auto& [id, use] : document->at(2).items())
+            report.customers[{ id }] = { use.at(0).get<double>(), use.at(1).get<double>() };
+        for (const auto& [id, prefixes] : document->at(3).items())
+            report.placed[{ id }] = decodePrefixes(prefixes);
+    } catch (const json::exception&) {
+        return malformed();
+    }
+    return report;
+}
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -0,0 +1,273 @@
+#include "dispatch/LocalDispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sagechute::dispatch {
+
+namespace {
+
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+
+    /// A token that is generated keeps an engine busy for about as long as two that are read.
+    constexpr double writeWeight = 2;
+
+    /// Added to the cost of a target whose answers are all failures; one that fails half has half of it. Well above the
+    /// difference between a busy and an idle target, so that callers are spared a target that fails more than others.
+    constexpr double failureCostMs = 400;
+
+    /// Each request in flight makes an engine's steps about this much longer.
+    constexpr double activeCostMs = 0.5;
+
+    /// Added where no room is left: the request would wait for another's end, or push one out.
+    constexpr double noRoomCostMs = 1000;
+
+    /// From these parts of its goal on a request is refused, by its customer's use of its share. Those above their share
+    /// leave room for those below.
+    constexpr double overShareMark = 1.1;
+    constexpr double underShareMark = 0.7;
+    constexpr double overShareLimit = 0.6;
+    constexpr double atShareLimit = 0.85;
+
+    /// Part of its goal that a request may wait for others which would be late even if it did not wait.
+    constexpr double lateWaitShare = 0.35;
+
+    /// Callers that were refused together must not return together.
+    constexpr double comeBackSpread = 0.5;
+    constexpr Duration leastComeBack = std::chrono::milliseconds(100);
+    constexpr Duration mostComeBack = std::chrono::seconds(3);
+
+    /// After so long a list of targets that lost one is read again.
+    constexpr Duration noTargetComeBack = std::chrono::milliseconds(700);
+
+} // namespace
+
+std::unique_ptr<Dispatcher> Dispatcher::make(const DispatchSettings& settings, ZoneId ownZone, std::uint64_t seed)
+{
+    return std::make_unique<LocalDispatcher>(settings, std::move(ownZone), seed);
+}
+
+LocalDispatcher::LocalDispatcher(const DispatchSettings& settings, ZoneId ownZone, std::uint64_t seed)
+    : m_settings(settings)
+    , m_ownZone(std::move(ownZone))
+    , m_random(seed)
+    , m_shares(settings.shareWindow)
+{
+}
+
+void LocalDispatcher::setConfig(std::shared_ptr<const RoutingTable> table)
+{
+    m_table = std::move(table);
+    for (auto& [id, model] : m_targets)
+        model->update(model->target(), m_table->findService(model->target().service));
+}
+
+void LocalDispatcher::setTargets(TimePoint, const std::vector<Target>& targets)
+{
+    std::set<TargetId> present;
+    for (const Target& it : targets) {
+        present.insert(it.id);
+        const Service* service = m_table ? m_table->findService(it.service) : nullptr;
+        if (TargetModel* known = find(it.id))
+            known->update(it, service);
+        else
+            m_targets.emplace(it.id, std::make_unique<TargetModel>(it, service, m_settings));
+    }
+    std::erase_if(m_targets, [&](const auto& it) { return !present.contains(it.first); });
+}
+
+bool LocalDispatcher::hasTargets() const
+{
+    return std::any_of(
+        m_targets.begin(), m_targets.end(), [](const auto& it) { return !it.second->target().draining; });
+}
+
+TargetModel* LocalDispatcher::find(const TargetId& id)
+{
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? nullptr : it->second.get();
+}
+
+RetryWindow& LocalDispatcher::retries(const ServiceId& service)
+{
+    return m_retries.try_emplace(service, m_settings).first->second;
+}
+
+double LocalDispatcher::windowCapacity() const
+{
+    const double perSecond = m_table ? m_table->config().tokensPerSecond : 0;
+    return perSecond * std::chrono::duration<double>(m_settings.shareWindow).count();
+}
+
+Decision LocalDispatcher::place(TimePoint now, const Demand& demand, Round round)
+{
+    const std::vector<PrefixKey> prefixes = sharedPrefixes(demand.prompt.parts);
+    const double tokens = demand.prompt.tokensIn + writeWeight * demand.prompt.tokensOut;
+    if (round == Round::First) {
+        retries(demand.service).countRequest(now);
+        m_shares.asked(now, demand.customer, tokens);
+    }
+    const std::optional<Candidate> best = choose(now, demand, prefixes);
+    if (!best)
+        return refuse(RefusalReason::NoTarget, noTargetComeBack);
+    if (const std::optional<Refusal> refusal = admit(now, demand, *best))
+        return *refusal;
+    if (round == Round::AfterArrival && !retries(demand.service).take(now, m_routers))
+        return refuse(RefusalReason::RetryBudget, noTargetComeBack);
+    if (round == Round::First)
+        m_shares.granted(now, demand.customer, tokens);
+    return commit(now, demand, *best, prefixes);
+}
+
+std::optional<LocalDispatcher::Candidate> LocalDispatcher::choose(
+    TimePoint now, const Demand& demand, const std::vector<PrefixKey>& prefixes)
+{
+    std::optional<Candidate> best;
+    // A second look takes those that were tried or are avoided: better a doubtful target than none.
+    for (const bool isPicky : { true, false }) {
+        for (auto& [id, model] : m_targets) {
+            if (model->target().service != demand.service || model->target().draining)
+                continue;
+            if (isPicky && (model->isAvoided(now) || demand.tried.contains(id)))
+                continue;
+            const Candidate candidate = weigh(now, *model, demand, prefixes);
+            if (!best || candidate.cost < best->cost)
+                best = candidate;
+        }
+        if (best)
+            break;
+    }
+    return best;
+}
+
+LocalDispatcher::Candidate LocalDispatcher::weigh(
+    TimePoint now, TargetModel& model, const Demand& demand, const std::vector<PrefixKey>& prefixes) const
+{
+    Candidate candidate { &model };
+    candidate.tokensToRead = model.tokensToRead(demand.prompt, prefixes);
+    candidate.predictedFirst = model.predictFirst(now, candidate.tokensToRead);
+    double cost = Milliseconds(candidate.predictedFirst).count();
+    cost += (m_settings.readWeight - 1) * candidate.tokensToRead / m_settings.readTokensPerMs;
+    cost += failureCostMs * model.failureShare();
+    cost += activeCostMs * model.use(now).active;
+    if (model.target().zone != m_ownZone)
+        cost += Milliseconds(m_settings.zonePenalty).count();
+    if (!model.hasRoom(now, demand.prompt.tokensIn + demand.prompt.tokensOut))
+        cost += noRoomCostMs;
+    if (!prefixes.empty()) {
+        // Rendezvous hashing: the order of targets for a prefix is the same in every router, and stays so for the
+        // others when one goes.
+        const double place = static_cast<double>(stableHash(model.target().id.value, prefixes.back().key) >> 11) * 0x1.0p-53;
+        cost -= Milliseconds(m_settings.homeBonus).count() * place * place * place;
+    }
+    candidate.cost = cost;
+    return candidate;
+}
+
+std::optional<Refusal> LocalDispatcher::admit(TimePoint now, const Demand& demand, const Candidate& best)
+{
+    const Duration goal = demand.route->goal;
+    if (goal <= Duration::zero())
+        return std::nullopt;
+    const bool isEngine = !demand.prompt.parts.empty() || demand.prompt.tokensIn > 0;
+    double limit = m_settings.admitShare;
+    bool isOver = false;
+    if (isEngine && windowCapacity() > 0) {
+        const double share = m_shares.overShare(now, demand.customer, windowCapacity());
+        isOver = share > overShareMark;
+        if (isOver)
+            limit *= overShareLimit;
+        else if (share > underShareMark)
+            limit *= atShareLimit;
+    }
+    // A large prompt takes longer to read than its goal allows. Refusing it for that would refuse it for good, so it may
+    // wait for others like a small one, for a part of its goal.
+    const Duration ownRead = best.model->readTime(best.tokensToRead);
+    const Duration wait = best.predictedFirst - ownRead;
+    const auto onTime = std::chrono::duration_cast<Duration>(limit * goal) - ownRead;
+    const auto leastWait = std::chrono::duration_cast<Duration>(limit * lateWaitShare * goal);
+    const Duration allowed = std::max(onTime, leastWait);
+    if (wait <= allowed)
+        return std::nullopt;
+    return refuse(isOver ? RefusalReason::OverShare : RefusalReason::Overloaded, wait - allowed);
+}
+
+Refusal LocalDispatcher::refuse(RefusalReason reason, Duration comeBack)
+{
+    const double spread = 1 + comeBackSpread * m_random.fraction();
+    const Duration spreadOut = std::chrono::duration_cast<Duration>(comeBack * spread);
+    return { reason, std::clamp(spreadOut, leastComeBack, mostComeBack) };
+}
+
+Placement LocalDispatcher::commit(
+    TimePoint now, const Demand& demand, const Candidate& best, const std::vector<PrefixKey>& prefixes)
+{
+    const std::uint32_t memoryTokens = demand.prompt.tokensIn + demand.prompt.tokensOut;
+    best.model->placed(now, best.tokensToRead, memoryTokens, prefixes);
+    const TargetId& id = best.model->target().id;
+    auto& told = m_placed[id];
+    told.insert(told.end(), prefixes.begin(), prefixes.end());
+    m_attempts[++m_lastAttempt] = { id, best.tokensToRead, memoryTokens, now, best.predictedFirst };
+    return { m_lastAttempt, best.model->target(), best.tokensToRead, best.predictedFirst };
+}
+
+void LocalDispatcher::firstAnswer(TimePoint now, AttemptId id)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end() || it->second.hasFirst)
+        return;
+    Attempt& attempt = it->second;
+    attempt.hasFirst = true;
+    if (TargetModel* model = find(attempt.target))
+        model->firstAnswer(attempt.tokensToRead, attempt.predictedFirst, now - attempt.placedAt);
+}
+
+void LocalDispatcher::loadSeen(TimePoint, AttemptId, const TargetLoad&) { }
+
+void LocalDispatcher::ended(TimePoint now, AttemptId id, AttemptEnd end)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end())
+        return;
+    const Attempt attempt = it->second;
+    m_attempts.erase(it);
+    TargetModel* model = find(attempt.target);
+    if (!model)
+        return;
+    // No first event: what it would have read isn't ahead of others any more, and teaches nothing of its speed.
+    if (!attempt.hasFirst)
+        model->firstAnswer(attempt.tokensToRead, Duration::zero(), Duration::zero());
+    model->ended(now, end, attempt.memoryTokens, now - attempt.placedAt);
+}
+
+LoadReport LocalDispatcher::report(TimePoint now)
+{
+    LoadReport report;
+    report.serial = ++m_reportSerial;
+    for (const auto& [id, model] : m_targets) {
+        if (model->ownUse().active)
+            report.targets[id] = model->ownUse();
+    }
+    report.customers = m_shares.own(now);
+    report.placed = m_placedBefore;
+    for (const auto& [id, prefixes] : m_placed) {
+        auto& told = report.placed[id];
+        told.insert(told.end(), prefixes.begin(), prefixes.end());
+    }
+    m_placedBefore = std::move(m_placed);
+    m_placed.clear();
+    return report;
+}
+
+void LocalDispatcher::peerReported(TimePoint now, const VmId& peer, const LoadReport& report)
+{
+    for (auto& [id, model] : m_targets) {
+        const auto use = report.targets.find(id);
+        model->peerUse(now, peer, use == report.targets.end() ? TargetUse {} : use->second);
+        if (const auto placed = report.placed.find(id); placed != report.placed.end())
+            model->peerPlaced(placed->second);
+    }
+    m_shares.peerUse(now, peer, report.customers);
+}
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/src/dispatch/LocalDispatcher.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "dispatch/CustomerShares.h"
+#include "dispatch/RetryWindow.h"
+#include "dispatch/TargetModel.h"
+
+namespace sagechute::dispatch {
+
+/// Dispatcher over the models of all targets.
+class LocalDispatcher final : public Dispatcher {
+public:
+    LocalDispatcher(const DispatchSettings&, ZoneId ownZone, std::uint64_t seed);
+
+    void setConfig(std::shared_ptr<const RoutingTable>) override;
+    void setTargets(TimePoint now, const std::vector<Target>&) override;
+    Decision place(TimePoint now, const Demand&, Round) override;
+    void firstAnswer(TimePoint now, AttemptId) override;
+    void loadSeen(TimePoint now, AttemptId, const TargetLoad&) override;
+    void ended(TimePoint now, AttemptId, AttemptEnd) override;
+    LoadReport report(TimePoint now) override;
+    void peerReported(TimePoint now, const VmId& peer, const LoadReport&) override;
+    void setRouterCount(unsigned n) override { m_routers = n; }
+    bool hasTargets() const override;
+
+private:
+    struct Attempt {
+        TargetId target;
+        std::uint32_t tokensToRead = 0;
+        std::uint32_t memoryTokens = 0;
+        TimePoint placedAt;
+        Duration predictedFirst {};
+        bool hasFirst = false;
+    };
+
+    /// A target that may take the request, and what speaks for it.
+    struct Candidate {
+        TargetModel* model = nullptr;
+        std::uint32_t tokensToRead = 0;
+        Duration predictedFirst {};
+        double cost = 0;
+    };
+
+    std::optional<Candidate> choose(TimePoint now, const Demand&, const std::vector<PrefixKey>&);
+    Candidate weigh(TimePoint now, TargetModel&, const Demand&, const std::vector<PrefixKey>&) const;
+    std::optional<Refusal> admit(TimePoint now, const Demand&, const Candidate&);
+    Refusal refuse(RefusalReason, Duration comeBack);
+    Placement commit(TimePoint now, const Demand&, const Candidate&, const std::vector<PrefixKey>&);
+    double windowCapacity() const;
+    RetryWindow& retries(const ServiceId&);
+    TargetModel* find(const TargetId&);
+
+    const DispatchSettings m_settings;
+    const ZoneId m_ownZone;
+    SeededRandom m_random;
+    std::shared_ptr<const RoutingTable> m_table;
+    std::map<TargetId, std::unique_ptr<TargetModel>> m_targets;
+    std::unordered_map<AttemptId, Attempt> m_attempts;
+    std::map<ServiceId, RetryWindow> m_retries;
+    CustomerShares m_shares;
+    std::map<TargetId, std::vector<PrefixKey>> m_placed; ///< Since the last report.
+    std::map<TargetId, std::vector<PrefixKey>> m_placedBefore; ///< In the last one; told again, as it may be lost.
+    AttemptId m_lastAttempt = 0;
+    std::uint64_t m_reportSerial = 0;
+    unsigned m_routers = 1;
+};
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/src/dispatch/NextStep.cpp
@@ -0,0 +1,69 @@
+#include <sagechute/Dispatch.h>
+
+namespace sagechute::dispatch {
+
+std::string_view toString(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::Failed:
+        return "failed";
+    case AttemptEnd::NotRun:
+        return "not-run";
+    case AttemptEnd::WrongTarget:
+        return "wrong-target";
+    case AttemptEnd::Unreachable:
+        return "unreachable";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::Silent:
+        return "silent";
+    case AttemptEnd::CallerGone:
+        return "caller-gone";
+    }
+    return "";
+}
+
+std::string_view toString(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::NoTarget:
+        return "no-target";
+    case RefusalReason::Overloaded:
+        return "overloaded";
+    case RefusalReason::OverShare:
+        return "over-share";
+    case RefusalReason::RetryBudget:
+        return "retry-budget";
+    }
+    return "";
+}
+
+NextStep nextStep(const AttemptFacts& facts)
+{
+    const bool hasTriesLeft = facts.triesSoFar < mostTries;
+    switch (facts.end) {
+    case AttemptEnd::Answered:
+    case AttemptEnd::CallerGone:
+        return NextStep::Relay;
+    case AttemptEnd::NotRun:
+    case AttemptEnd::WrongTarget:
+    case AttemptEnd::Unreachable:
+        // Nothing ran on this target, so that trying another can't make it run twice.
+        if (hasTriesLeft)
+            return NextStep::TryElsewhere;
+        return facts.mayHaveRunBefore ? NextStep::Fail : NextStep::Refuse;
+    case AttemptEnd::Failed:
+    case AttemptEnd::Broken:
+    case AttemptEnd::Silent:
+        break;
+    }
+    const bool mayRunAgain = facts.kind == RequestKind::Idempotent
+        || (facts.kind == RequestKind::Stream && facts.isResumable && facts.end != AttemptEnd::Failed);
+    if (mayRunAgain && hasTriesLeft && facts.runsSoFar < facts.attemptsMost)
+        return NextStep::TryElsewhere;
+    return facts.end == AttemptEnd::Failed && !facts.hasStarted ? NextStep::Relay : NextStep::Fail;
+}
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/src/dispatch/TargetModel.cpp
@@ -0,0 +1,154 @@
+#include "dispatch/TargetModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sagechute::dispatch {
+
+namespace {
+
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+
+    /// Weight of the newest observation. Some ten observations, half a second of one router's requests to one target,
+    /// outweigh what was believed before.
+    constexpr double learnRate = 0.1;
+    constexpr double leastSlowness = 0.6;
+    constexpr double mostSlowness = 4;
+    /// One first event may be late for reasons that are not the target's.
+    constexpr double mostObserved = 3;
+
+    /// What an application's answer takes before any was seen; the deployments' sheets say 30 to 60 ms.
+    constexpr double firstAnswerMs = 50;
+
+    /// Share of an engine's memory that running requests may take. Beyond it the engine pushes out the newest, which
+    /// is then read again from its start; the rest is for prompts that are kept.
+    constexpr double memoryShare = 0.85;
+
+    /// A target that fails several times in a row is left alone for longer, up to eight times the setting.
+    constexpr unsigned mostDoublings = 3;
+
+    Duration fromMs(double ms) { return Duration(static_cast<Duration::rep>(ms * 1000)); }
+
+} // namespace
+
+TargetModel::TargetModel(Target target, const Service* service, const DispatchSettings& settings)
+    : m_settings(settings)
+    , m_target(std::move(target))
+    , m_answerMs(firstAnswerMs)
+{
+    setService(service);
+}
+
+void TargetModel::update(Target target, const Service* service)
+{
+    m_target = std::move(target);
+    setService(service);
+}
+
+void TargetModel::setService(const Service* service)
+{
+    m_engine = service ? service->engine : std::nullopt;
+    m_memory.setCapacity(m_engine ? m_engine->cacheTokens : 0);
+}
+
+TargetUse TargetModel::use(TimePoint now) const
+{
+    TargetUse sum = m_own;
+    for (const PeerPart& it : m_peers) {
+        if (now - it.at > m_settings.reportKept)
+            continue;
+        sum.tokensToRead += it.use.tokensToRead;
+        sum.active += it.use.active;
+        sum.memoryTokens += it.use.memoryTokens;
+    }
+    return sum;
+}
+
+std::uint32_t TargetModel::tokensToRead(const PromptSize& prompt, const std::vector<PrefixKey>& prefixes) const
+{
+    const std::uint32_t kept = m_memory.keptTokens(prefixes);
+    return prompt.tokensIn > kept ? prompt.tokensIn - kept : 0;
+}
+
+Duration TargetModel::readTime(std::uint32_t tokens) const
+{
+    return m_engine ? fromMs(tokens / m_settings.readTokensPerMs * m_slowness) : Duration::zero();
+}
+
+Duration TargetModel::predictFirst(TimePoint now, std::uint32_t tokensToRead) const
+{
+    const TargetUse sum = use(now);
+    if (m_engine) {
+        return m_settings.firstEventBase + readTime(sum.tokensToRead + tokensToRead);
+    }
+    const double slots = std::max(1U, m_target.slots);
+    const double queued = std::max(0.0, sum.active + 1 - slots);
+    return fromMs(m_answerMs * (1 + queued / slots));
+}
+
+bool TargetModel::hasRoom(TimePoint now, std::uint32_t memoryTokens) const
+{
+    if (!m_engine)
+        return true;
+    const TargetUse sum = use(now);
+    if (m_engine->slots && sum.active >= m_engine->slots)
+        return false;
+    const double most = memoryShare * static_cast<double>(m_engine->cacheTokens);
+    return sum.active == 0 || static_cast<double>(sum.memoryTokens) + memoryTokens <= most;
+}
+
+void TargetModel::placed(
+    TimePoint now, std::uint32_t tokensToRead, std::uint32_t memoryTokens, const std::vector<PrefixKey>& prefixes)
+{
+    m_own.tokensToRead += tokensToRead;
+    m_own.active += 1;
+    m_own.memoryTokens += memoryTokens;
+    m_memory.touch(prefixes);
+    // After a failure a single request tries it again; the others wait for what comes of that.
+    if (m_failuresInRow)
+        m_avoidUntil = now + m_settings.avoidAfterFailure;
+}
+
+void TargetModel::firstAnswer(std::uint32_t tokensToRead, Duration predicted, Duration seen)
+{
+    m_own.tokensToRead -= std::min(m_own.tokensToRead, tokensToRead);
+    if (!m_engine || predicted <= Duration::zero())
+        return;
+    const double ratio = std::min(mostObserved, Milliseconds(seen) / Milliseconds(predicted));
+    m_slowness = std::clamp(m_slowness * (1 + learnRate * (ratio - 1)), leastSlowness, mostSlowness);
+}
+
+void TargetModel::ended(TimePoint now, AttemptEnd end, std::uint32_t memoryTokens, Duration lasted)
+{
+    m_own.active -= std::min(m_own.active, 1U);
+    m_own.memoryTokens -= std::min(m_own.memoryTokens, memoryTokens);
+    if (end == AttemptEnd::CallerGone || end == AttemptEnd::WrongTarget)
+        return;
+    const bool isAnswer = end == AttemptEnd::Answered;
+    m_failureShare += learnRate * ((isAnswer ? 0 : 1) - m_failureShare);
+    const bool isReached = isAnswer || end == AttemptEnd::Failed || end == AttemptEnd::NotRun;
+    if (isReached) {
+        m_failuresInRow = 0;
+        m_avoidUntil = {};
+    } else {
+        // A single broken answer is the request's misfortune; a target that can't be reached, or breaks two in a row,
+        // is left alone.
+        m_failuresInRow += 1;
+        const bool isDown = end != AttemptEnd::Broken || m_failuresInRow > 1;
+        if (isDown)
+            m_avoidUntil = now + m_settings.avoidAfterFailure * (1 << std::min(m_failuresInRow - 1, mostDoublings));
+    }
+    if (isAnswer && !m_engine)
+        m_answerMs += learnRate * (Milliseconds(lasted).count() - m_answerMs);
+}
+
+void TargetModel::peerUse(TimePoint now, const VmId& peer, const TargetUse& use)
+{
+    const auto it = std::find_if(m_peers.begin(), m_peers.end(), [&](const PeerPart& part) { return part.peer == peer; });
+    if (it == m_peers.end())
+        m_peers.push_back({ peer, use, now });
+    else
+        *it = { peer, use, now };
+}
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/src/dispatch/TargetModel.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// What is believed of one target: what has been sent to it, how fast it is, what it keeps, whether it can be reached.
+
+#include "dispatch/PrefixMemory.h"
+
+namespace sagechute::dispatch {
+
+/// The model of one target. What this router sent itself is exact; what others sent is as old as their last report.
+class TargetModel {
+public:
+    TargetModel(Target, const Service*, const DispatchSettings&);
+
+    const Target& target() const { return m_target; }
+    void update(Target target, const Service*);
+
+    /// @return what is in flight there, of all routers.
+    TargetUse use(TimePoint now) const;
+
+    /// @return tokens of the prompt that it would have to read.
+    std::uint32_t tokensToRead(const PromptSize&, const std::vector<PrefixKey>&) const;
+
+    /// @return how long it reads that many tokens.
+    Duration readTime(std::uint32_t tokens) const;
+
+    /// @return when the first event, or the whole answer of an application, can be expected.
+    Duration predictFirst(TimePoint now, std::uint32_t tokensToRead) const;
+
+    /// @return whether one more request of that size fits beside those in flight without one being pushed out.
+    bool hasRoom(TimePoint now, std::uint32_t memoryTokens) const;
+
+    /// @return whether it should get no request now, because it could not be reached lately.
+    bool isAvoided(TimePoint now) const { return now < m_avoidUntil; }
+
+    /// @return share of its answers that were failures lately, 0 to 1.
+    double failureShare() const { return m_failureShare; }
+
+    void placed(TimePoint now, std::uint32_t tokensToRead, std::uint32_t memoryTokens, const std::vector<PrefixKey>&);
+    void firstAnswer(std::uint32_t tokensToRead, Duration predicted, Duration seen);
+    void ended(TimePoint now, AttemptEnd, std::uint32_t memoryTokens, Duration lasted);
+
+    void peerUse(TimePoint now, const VmId& peer, const TargetUse&);
+    void peerPlaced(const std::vector<PrefixKey>& prefixes) { m_memory.touch(prefixes); }
+    const TargetUse& ownUse() const { return m_own; }
+
+private:
+    struct PeerPart {
+        VmId peer;
+        TargetUse use;
+        TimePoint at;
+    };
+
+    void setService(const Service*);
+
+    const DispatchSettings& m_settings;
+    Target m_target;
+    std::optional<EngineProfile> m_engine;
+    TargetUse m_own;
+    std::vector<PeerPart> m_peers;
+    PrefixMemory m_memory;
+    double m_slowness = 1; ///< Seen against predicted time to the first event.
+    double m_answerMs; ///< An application's mean time to answer.
+    double m_failureShare = 0;
+    unsigned m_failuresInRow = 0;
+    TimePoint m_avoidUntil {};
+};
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/src/edge/Peers.cpp
@@ -0,0 +1,73 @@
+#include <sagechute/Edge.h>
+
+#include <nlohmann/json.hpp>
+
+namespace sagechute::edge {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::size_t heartbeatFields = 8;
+
+} // namespace
+
+std::string encode(const Heartbeat& heartbeat)
+{
+    return encodeCbor(json::array({ heartbeat.vm.value, heartbeat.incarnation, heartbeat.callerAddress,
+        heartbeat.controlAddress, heartbeat.zone.value, heartbeat.isReady, heartbeat.configVersion,
+        json::binary({ heartbeat.load.begin(), heartbeat.load.end() }) }));
+}
+
+absl::StatusOr<Heartbeat> decodeHeartbeat(std::string_view bytes)
+{
+    const absl::Status malformed = makeError(ErrorKind::BadRequest, "a heartbeat has another form",
+        "run the same release on all routers, and let nothing else send to their ports");
+    const absl::StatusOr<json> document = decodeCbor(bytes);
+    if (!document.ok() || !document->is_array() || document->size() != heartbeatFields)
+        return malformed;
+    try {
+        const auto& load = document->at(7).get_binary();
+        return Heartbeat { { document->at(0).get<std::string>() }, document->at(1).get<Incarnation>(),
+            document->at(2).get<std::string>(), document->at(3).get<std::string>(),
+            { document->at(4).get<std::string>() }, document->at(5).get<bool>(),
+            document->at(6).get<std::uint64_t>(), std::string(load.begin(), load.end()) };
+    } catch (const json::exception&) {
+        return malformed;
+    }
+}
+
+void PeerBoard::heard(TimePoint now, const Heartbeat& heartbeat)
+{
+    m_peers[heartbeat.vm] = { heartbeat.vm, heartbeat.incarnation, heartbeat.callerAddress, heartbeat.controlAddress,
+        heartbeat.zone, heartbeat.isReady, heartbeat.configVersion, now };
+}
+
+std::vector<Peer> PeerBoard::alive(TimePoint now, Duration kept) const
+{
+    std::vector<Peer> result;
+    for (const auto& [vm, peer] : m_peers) {
+        if (now - peer.heardAt <= kept)
+            result.push_back(peer);
+    }
+    return result;
+}
+
+std::vector<std::string> chooseEntryPoints(const std::vector<EntryPoint>& ready, const ZoneId&)
+{
+    std::vector<std::string> addresses;
+    for (const EntryPoint& it : ready)
+        addresses.push_back(it.callerAddress);
+    return addresses;
+}
+
+StopTimes stopTimes(Duration grace)
+{
+    // The kill comes on time, but the process's own timers may be late by some tens of ms on a busy VM.
+    constexpr Duration endMargin = std::chrono::milliseconds(500);
+    constexpr double listenShare = 0.7;
+    const Duration end = grace > 2 * endMargin ? grace - endMargin : grace / 2;
+    return { std::chrono::duration_cast<Duration>(listenShare * end), end };
+}
+
+} // namespace sagechute::edge
--- a/src/platform/HttpLog.cpp
+++ b/src/logservice/HttpLog.cpp
@@ -1,10 +1,10 @@
-#include <sagechute/Platform.h>
+#include <sagechute/LogService.h>
 
 #include "core/Concat.h"
 
 #include <nlohmann/json.hpp>
 
-namespace sagechute::platform {
+namespace sagechute::logservice {
 namespace {
 
     using nlohmann::json;
@@ -144,4 +144,4 @@
     return std::make_unique<HttpLog>(client, std::move(baseUrl), timeout);
 }
 
-} // namespace sagechute::platform
+} // namespace sagechute::logservice
--- a/src/platform/VmList.cpp
+++ b/src/logservice/VmList.cpp
@@ -1,10 +1,10 @@
-#include <sagechute/Platform.h>
+#include <sagechute/LogService.h>
 
 #include "core/Concat.h"
 
 #include <nlohmann/json.hpp>
 
-namespace sagechute::platform {
+namespace sagechute::logservice {
 namespace {
 
     using nlohmann::json;
@@ -64,4 +64,4 @@
     return vms;
 }
 
-} // namespace sagechute::platform
+} // namespace sagechute::logservice
--- a/src/net/CurlTransfer.cpp
+++ b/src/net/CurlTransfer.cpp
@@ -2,6 +2,12 @@
 
 #include "core/Concat.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
 namespace sagechute::net {
 
 namespace {
@@ -9,6 +15,25 @@
     constexpr std::size_t maxHeaderBytes = 256 << 10;
     constexpr std::string_view whitespace = " \t\r\n";
 
+    /// A connection may fall silent for good without a reset: something between the two ends has lost track of it. Only
+    /// probes show that on an idle one; after this long without an answer to any it counts as broken.
+    constexpr int probeAfterSeconds = 2;
+    constexpr int probeEverySeconds = 1;
+    constexpr int mostLostProbes = 2;
+
+    int setSocketOptions(void* timeout, curl_socket_t fd, curlsocktype)
+    {
+        constexpr int on = 1;
+        setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeAfterSeconds, sizeof(int));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeEverySeconds, sizeof(int));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &mostLostProbes, sizeof(int));
+        const auto unackedMs = static_cast<unsigned>(reinterpret_cast<std::uintptr_t>(timeout));
+        if (unackedMs)
+            setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unackedMs, sizeof(unackedMs));
+        return CURL_SOCKOPT_OK;
+    }
+
     std::string_view trim(std::string_view text)
     {
         auto first = text.find_first_not_of(whitespace);
@@ -90,6 +115,11 @@
     // Without a connection of its own, libcurl sends a request again when a pooled connection turns out to be closed.
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, m_request.freshConnection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, m_request.freshConnection ? 1L : 0L);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
+    curl_easy_setopt(
+        handle, CURLOPT_SOCKOPTDATA, reinterpret_cast<void*>(static_cast<std::uintptr_t>(m_request.unackedTimeout.count())));
+    curl_easy_setopt(
+        handle, CURLOPT_REQUEST_TARGET, m_request.rawTarget.empty() ? nullptr : m_request.rawTarget.c_str());
     setMethod();
     return setHeaders();
 }
@@ -110,10 +140,16 @@
 
 bool CurlTransfer::setHeaders()
 {
-    // "Expect" would hold the body back for a round trip; the content type would be one for forms.
-    bool complete = appendLine(m_headerList, "Expect:") && appendLine(m_headerList, "User-Agent: sagechute");
-    if (!findField(m_request.headers, "Content-Type"))
-        complete = complete && appendLine(m_headerList, "Content-Type:");
+    // What libcurl would add: "Expect" holds the body back for a round trip, the content type is one for forms, and a
+    // relayed request must arrive as it was sent.
+    bool complete = appendLine(m_headerList, "Expect:");
+    if (!m_request.isRelayed)
+        complete = complete && appendLine(m_headerList, "User-Agent: sagechute");
+    for (const char* name : { "Content-Type", "Accept", "User-Agent" }) {
+        const bool isOurs = !m_request.isRelayed && name != std::string_view("Content-Type");
+        if (!isOurs && !findField(m_request.headers, name))
+            complete = complete && appendLine(m_headerList, std::string(name) + ":");
+    }
     for (const auto& field : m_request.headers) {
         if (!isSendable(field)) {
             m_problem = concat("the header \"", field.name, "\" can't be sent: it contains a line break or zero byte");
@@ -131,7 +167,13 @@
 
 int CurlTransfer::onRequest(void* transfer, char*, char*, int, int)
 {
-    static_cast<CurlTransfer*>(transfer)->m_requestStarted = true;
+    auto& self = *static_cast<CurlTransfer*>(transfer);
+    // Called again when libcurl repeats the request by itself, as the pooled connection had been closed.
+    if (self.m_requestStarted && self.m_request.sendOnce) {
+        self.m_problem = "the pooled connection was closed; the request is not sent again";
+        return CURL_PREREQFUNC_ABORT;
+    }
+    self.m_requestStarted = true;
     return CURL_PREREQFUNC_OK;
 }
 
--- a/src/net/CurlWorker.cpp
+++ b/src/net/CurlWorker.cpp
@@ -262,6 +262,7 @@
         curl_easy_setopt(handle.get(), CURLOPT_ERRORBUFFER, nullptr);
         curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, nullptr);
         curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDS, nullptr);
+        curl_easy_setopt(handle.get(), CURLOPT_REQUEST_TARGET, nullptr);
         m_spareHandles.push_back(std::move(handle));
     }
     m_transfers.erase(transfer.id());
--- a/src/net/Endpoint.cpp
+++ b/src/net/Endpoint.cpp
@@ -12,12 +12,6 @@
 
     char toLowerAscii(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c; }
 
-    bool equalsIgnoringCase(std::string_view left, std::string_view right)
-    {
-        return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-            [](char a, char b) { return toLowerAscii(a) == toLowerAscii(b); });
-    }
-
     absl::Status endpointError(std::string_view text)
     {
         return makeError(ErrorKind::BadRequest, concat("\"", text, "\" is not a numeric address with a port"),
@@ -26,10 +20,16 @@
 
 } // namespace
 
+bool isSameName(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+        [](char a, char b) { return toLowerAscii(a) == toLowerAscii(b); });
+}
+
 std::optional<std::string_view> findField(const std::vector<Field>& fields, std::string_view name)
 {
     auto it = std::find_if(
-        fields.begin(), fields.end(), [&](const Field& field) { return equalsIgnoringCase(field.name, name); });
+        fields.begin(), fields.end(), [&](const Field& field) { return isSameName(field.name, name); });
     if (it == fields.end())
         return std::nullopt;
     return it->value;
--- a/src/net/MhdServer.cpp
+++ b/src/net/MhdServer.cpp
@@ -16,9 +16,6 @@
     constexpr unsigned readLimitFactor = 2;
     constexpr unsigned strictParsing = 1;
 
-    /// Stands in a request's state for a URI that must be refused.
-    char zeroByteMark = 0;
-
     MHD_Result collectField(
         void* cls, MHD_ValueKind, const char* name, std::size_t nameSize, const char* value, std::size_t valueSize)
     {
@@ -46,6 +43,16 @@
         return info ? SocketAddress::toEndpoint(info->client_addr).address : std::string();
     }
 
+    /// What could go wrong: two servers in a row that choose different lengths see different requests on one
+    /// connection, and a part of one body runs as a request of its own.
+    bool hasAmbiguousLength(const std::vector<Field>& headers)
+    {
+        int n = 0;
+        for (const auto& field : headers)
+            n += isSameName(field.name, "Content-Length") || isSameName(field.name, "Transfer-Encoding") ? 1 : 0;
+        return n > 1;
+    }
+
     /// @return whether the announced length is above @p most; libmicrohttpd itself refuses one that isn't a number.
     bool announcesMoreThan(std::size_t most, const std::vector<Field>& headers)
     {
@@ -63,6 +70,8 @@
 struct MhdServer::PendingRequest {
     ServerRequest request;
     std::size_t discardedBytes = 0;
+    bool begun = false; ///< Its headers have been taken.
+    bool hasZeroByte = false; ///< In its target; it must be refused.
     bool tooLarge = false;
     std::shared_ptr<Exchange> exchange;
 };
@@ -155,13 +164,14 @@
 {
     // The decoded path ends at a zero byte: "/public%00/x" would be handled as "/public". Only here is the URI still as
     // sent.
-    return std::string_view(uri).find("%00") == std::string_view::npos ? nullptr : &zeroByteMark;
+    auto pending = std::make_unique<PendingRequest>();
+    pending->request.rawTarget = uri;
+    pending->hasZeroByte = pending->request.rawTarget.find("%00") != std::string::npos;
+    return pending.release();
 }
 
 void MhdServer::onCompleted(void* cls, MHD_Connection* connection, void** pending, MHD_RequestTerminationCode code)
 {
-    if (*pending == &zeroByteMark)
-        *pending = nullptr; // It broke before its first call.
     std::unique_ptr<PendingRequest> request(static_cast<PendingRequest*>(*pending));
     *pending = nullptr;
     if (!request || !request->exchange)
@@ -174,13 +184,13 @@
     const char* body, std::size_t* bodySize, void** pending)
 {
     auto& server = *static_cast<MhdServer*>(cls);
-    if (*pending == &zeroByteMark) {
-        *pending = nullptr;
-        return refuseZeroByte(connection);
-    }
     if (!*pending)
-        return server.begin(connection, path, method, pending);
+        return MHD_NO; // onUri() comes first for every request.
     auto& request = *static_cast<PendingRequest*>(*pending);
+    if (request.hasZeroByte)
+        return refuseZeroByte(connection);
+    if (!request.begun)
+        return server.begin(connection, path, method, request);
     if (*bodySize) {
         auto bytes = std::string_view(body, *bodySize);
         *bodySize = 0;
@@ -193,15 +203,16 @@
     return server.answer(connection, request);
 }
 
-MHD_Result MhdServer::begin(MHD_Connection* connection, const char* path, const char* method, void** pending)
+MHD_Result MhdServer::begin(
+    MHD_Connection* connection, const char* path, const char* method, PendingRequest& pending) const
 {
-    auto request = std::make_unique<PendingRequest>();
-    request->request.method = method;
-    request->request.path = path;
-    request->request.headers = collectFields(connection, MHD_HEADER_KIND);
-    bool tooLarge = announcesMoreThan(m_options.maxBodyBytes, request->request.headers);
-    *pending = request.release();
-    return tooLarge ? refuseTooLarge(connection) : MHD_YES;
+    pending.begun = true;
+    pending.request.method = method;
+    pending.request.path = path;
+    pending.request.headers = collectFields(connection, MHD_HEADER_KIND);
+    if (hasAmbiguousLength(pending.request.headers))
+        return refuseAmbiguousLength(connection);
+    return announcesMoreThan(m_options.maxBodyBytes, pending.request.headers) ? refuseTooLarge(connection) : MHD_YES;
 }
 
 MHD_Result MhdServer::takeBody(PendingRequest& pending, std::string_view bytes) const
@@ -226,6 +237,15 @@
     return queueWhole(connection, errorResponse(error));
 }
 
+MHD_Result MhdServer::refuseAmbiguousLength(MHD_Connection* connection)
+{
+    auto error = makeError(ErrorKind::BadRequest, "The request announces the length of its body in more than one way",
+        "Send either one Content-Length or Transfer-Encoding");
+    auto response = errorResponse(error);
+    response.headers.push_back({ "Connection", "close" });
+    return queueWhole(connection, std::move(response));
+}
+
 MHD_Result MhdServer::refuseTooLarge(MHD_Connection* connection) const
 {
     auto error = makeError(ErrorKind::TooLarge,
--- a/src/net/MhdServer.h
+++ b/src/net/MhdServer.h
@@ -31,11 +31,12 @@
     static void onCompleted(void* cls, MHD_Connection*, void** pending, MHD_RequestTerminationCode);
     static void onConnection(void* cls, MHD_Connection*, void** watched, MHD_ConnectionNotificationCode);
 
-    MHD_Result begin(MHD_Connection*, const char* path, const char* method, void** pending);
+    MHD_Result begin(MHD_Connection*, const char* path, const char* method, PendingRequest&) const;
     MHD_Result takeBody(PendingRequest&, std::string_view bytes) const;
     MHD_Result dispatch(MHD_Connection*, PendingRequest&);
     MHD_Result answer(MHD_Connection*, PendingRequest&);
     static MHD_Result refuseZeroByte(MHD_Connection*);
+    static MHD_Result refuseAmbiguousLength(MHD_Connection*);
     MHD_Result refuseTooLarge(MHD_Connection*) const;
 
     const ServerOptions m_options;
--- a/src/operators/FleetPoller.cpp
+++ b/src/operators/FleetPoller.cpp
@@ -1,6 +1,6 @@
 #include "operators/FleetPoller.h"
 
-#include <sagechute/Platform.h>
+#include <sagechute/LogService.h>
 
 #include <algorithm>
 #include <utility>
@@ -209,10 +209,10 @@
     std::vector<std::string> addresses;
     if (m_platformUrl.empty())
         return addresses;
-    const auto listed = platform::listVms(m_client, m_platformUrl, m_timeout);
+    const auto listed = logservice::listVms(m_client, m_platformUrl, m_timeout);
     if (!listed.ok())
         return addresses;
-    for (const platform::ListedVm& vm : *listed) {
+    for (const logservice::ListedVm& vm : *listed) {
         if (net::parseEndpoint(vm.address).ok())
             addresses.push_back(vm.address);
     }
--- a/src/process/Log.cpp
+++ b/src/process/Log.cpp
@@ -1,12 +1,15 @@
 #include <sagechute/Process.h>
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <array>
 #include <atomic>
 
@@ -96,9 +99,77 @@
         std::string m_identity;
     };
 
+    std::atomic<std::uint64_t> droppedLines { 0 };
+
+    /// Writes whole lines to stdout and never waits.
+    ///
+    /// What could go wrong: the reader of a pipe stands still, the pipe fills up, and with a plain write every thread
+    /// that logs stands still with it: requests would hang though nothing is wrong with the router. A pipe that polls
+    /// as writable takes PIPE_BUF bytes at once, so that a line up to that size is written whole or dropped.
+    class StdoutAppender final : public log4cplus::Appender {
+    public:
+        explicit StdoutAppender(const StreamLimits& limits)
+            : m_limits(limits)
+        {
+        }
+        ~StdoutAppender() override { destructorImpl(); }
+
+        void close() override { closed = true; }
+
+    private:
+        static constexpr std::size_t longestLine = 4096; // PIPE_BUF
+
+        void append(const log4cplus::spi::InternalLoggingEvent& event) override
+        {
+            if (!takesOneMore()) {
+                ++droppedLines;
+                return;
+            }
+            std::string& line = formatEvent(event);
+            if (line.size() > longestLine) {
+                line.resize(longestLine - 1);
+                line += '\n';
+            }
+            if (!write(line)) {
+                ++droppedLines;
+                return;
+            }
+            if (const std::uint64_t dropped = droppedLines; dropped != m_toldDropped) {
+                m_toldDropped = dropped;
+                write("log-lines-dropped total=" + std::to_string(dropped) + "\n");
+            }
+        }
+
+        bool takesOneMore()
+        {
+            const TimePoint now = steadyNow();
+            if (now - m_second >= std::chrono::seconds(1)) {
+                m_second = now;
+                m_lines = 0;
+            }
+            return ++m_lines <= m_limits.linesPerSecond;
+        }
+
+        static bool write(const std::string& line)
+        {
+            pollfd descriptor { STDOUT_FILENO, POLLOUT, 0 };
+            if (::poll(&descriptor, 1, 0) != 1 || !(descriptor.revents & POLLOUT))
+                return false;
+            return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+        }
+
+        const StreamLimits m_limits;
+        TimePoint m_second {};
+        unsigned m_lines = 0;
+        std::uint64_t m_toldDropped = 0;
+    };
+
 } // namespace
 
-absl::Status startLogging(std::string_view program, std::string_view level, const VmId& vm, Incarnation incarnation)
+std::uint64_t droppedLogLines() { return droppedLines; }
+
+absl::Status startLogging(std::string_view program, std::string_view level, const VmId& vm, Incarnation incarnation,
+    const StreamLimits& limits)
 {
     const LevelName* chosen = nullptr;
     for (const LevelName& it : levels) {
@@ -116,7 +187,7 @@
     std::string identity = fieldText("program", program);
     if (!vm.empty())
         identity += fieldText("vm", vm.value) + fieldText("incarnation", std::to_string(incarnation));
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new StdoutAppender(limits));
     appender->setLayout(std::make_unique<EventLayout>(std::move(identity)));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <fstream>
 #include <iostream>
 
 namespace sagechute::process {
@@ -44,6 +45,7 @@
     std::string summary;
     std::vector<SettingValue> values;
     std::vector<std::function<absl::Status()>> checks;
+    std::string fileVariable;
 
     void add(SettingValue value) { values.push_back(std::move(value)); }
 
@@ -60,6 +62,8 @@
     absl::Status applyFlags(const po::variables_map& flags);
     absl::Status applyEnvironment(const std::vector<std::string>& environment);
     absl::Status applyVariable(std::string_view name, const std::string& value);
+    absl::Status applyFile(const std::vector<std::string>& environment);
+    absl::Status applyLine(const std::string& place, std::string_view line);
     absl::Status validate() const;
     void printHelp(std::ostream& out) const;
     void printSettings(std::ostream& out) const;
@@ -167,7 +171,7 @@
         if (!entry.starts_with(variablePrefix))
             continue;
         const std::size_t equals = entry.find('=');
-        if (equals == std::string::npos)
+        if (equals == std::string::npos || entry.substr(0, equals) == fileVariable)
             continue;
         absl::Status status = applyVariable(std::string_view(entry).substr(0, equals), entry.substr(equals + 1));
         if (!status.ok())
@@ -176,6 +180,47 @@
     return absl::OkStatus();
 }
 
+absl::Status Settings::Impl::applyFile(const std::vector<std::string>& environment)
+{
+    if (fileVariable.empty())
+        return absl::OkStatus();
+    const std::string mark = fileVariable + "=";
+    const auto entry = std::find_if(
+        environment.begin(), environment.end(), [&](const std::string& it) { return it.starts_with(mark); });
+    if (entry == environment.end())
+        return absl::OkStatus();
+    const std::string path = entry->substr(mark.size());
+    std::ifstream file(path);
+    if (!file)
+        return badSetting("the settings file " + path + " can't be read", "check the path in " + fileVariable);
+    std::string line;
+    for (int number = 1; std::getline(file, line); ++number) {
+        const absl::Status status = applyLine(path + ":" + std::to_string(number), line);
+        if (!status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+absl::Status Settings::Impl::applyLine(const std::string& place, std::string_view line)
+{
+    if (line.empty() || line.front() == '#')
+        return absl::OkStatus();
+    const std::size_t equals = line.find('=');
+    const std::string name(line.substr(0, equals));
+    const auto it = std::find_if(values.begin(), values.end(), [&](const SettingValue& value) {
+        return value.name == name && value.role != SettingRole::Secret && value.role != SettingRole::Positional;
+    });
+    if (equals == std::string_view::npos || it == values.end())
+        return badSetting(place + ": unknown setting " + name, "see " + program + " --help for those there are");
+    if (it->given)
+        return absl::OkStatus();
+    if (const absl::Status status = it->assign({ std::string(line.substr(equals + 1)) }); !status.ok())
+        return badSetting(place + ": " + name + ": " + std::string(status.message()), errorRemedy(status));
+    it->given = true;
+    return absl::OkStatus();
+}
+
 absl::Status Settings::Impl::validate() const
 {
     for (const SettingValue& value : values) {
@@ -279,6 +324,12 @@
     return *this;
 }
 
+Settings& Settings::fileVariable(std::string_view variable)
+{
+    m_impl->fileVariable = variable;
+    return *this;
+}
+
 Settings& Settings::check(std::function<absl::Status()> rule)
 {
     m_impl->checks.push_back(std::move(rule));
@@ -308,7 +359,8 @@
         out << m_impl->program << " " << version() << "\n";
         return 0;
     }
-    for (const absl::Status& status : { m_impl->applyFlags(*flags), m_impl->applyEnvironment(environment) }) {
+    for (const absl::Status& status : { m_impl->applyFlags(*flags), m_impl->applyEnvironment(environment),
+             m_impl->applyFile(environment) }) {
         if (!status.ok())
             return m_impl->fail(status, err);
     }
--- a/src/process/StopSignal.cpp
+++ b/src/process/StopSignal.cpp
@@ -21,6 +21,14 @@
         return signals;
     }
 
+    sigset_t reloadSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGHUP);
+        return signals;
+    }
+
     timespec toTimespec(Duration duration)
     {
         const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
@@ -38,11 +46,27 @@
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     m_descriptor = signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
-    if (m_descriptor < 0)
+    const sigset_t reload = reloadSignals();
+    pthread_sigmask(SIG_BLOCK, &reload, nullptr);
+    m_reloadDescriptor = signalfd(-1, &reload, SFD_CLOEXEC | SFD_NONBLOCK);
+    if (m_descriptor < 0 || m_reloadDescriptor < 0)
         throw std::system_error(errno, std::generic_category(), "signalfd");
 }
 
-StopSignal::~StopSignal() { close(m_descriptor); }
+StopSignal::~StopSignal()
+{
+    close(m_descriptor);
+    close(m_reloadDescriptor);
+}
+
+bool StopSignal::takeReload()
+{
+    signalfd_siginfo info {};
+    bool isAsked = false;
+    while (read(m_reloadDescriptor, &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info)))
+        isAsked = true;
+    return isAsked;
+}
 
 bool StopSignal::wait(Duration most)
 {
