Carry load reports over relays in large fleets, bound callers' connections, notice callers that left before they were read

Change: in fleets over 12 a zone's relay sums reports and reads the store for its zone; idle time from the configuration, connections bounded by descriptors and memory, callers told to close above 0.6 of it; a request whose caller has already ended its connection is dropped unread; GET /v1/status.

--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -35,6 +35,7 @@
         std::lock_guard lock(m_mutex);
         change(m_roster);
         m_dispatcher->setTargets(now, m_roster.targets());
+        targetsMark = m_roster.mark();
     }
     std::vector<dispatch::Target> targets() const;
 
@@ -50,7 +51,13 @@
 
     std::atomic<bool> isStopping { false };
     std::atomic<bool> isRefusing { false }; ///< The planned stop has come so far that a new request might be cut off.
+    std::atomic<bool> isCrowded { false }; ///< So many connections that callers are to close theirs.
+    bool wantsClose() const { return isStopping || isCrowded; }
     std::atomic<LogOffset> nextTargetOffset { 0 }; ///< How far the targets' topic is known.
+    std::atomic<bool> readsConfig { false }; ///< The last read of the configuration from the store was answered.
+    std::atomic<bool> readsTargets { false }; ///< As above, of the targets.
+    bool reachesStore() const { return readsConfig && readsTargets; }
+    std::atomic<std::uint64_t> targetsMark { 0 }; ///< Differs when the list of targets does.
     std::atomic<int> activeRequests { 0 };
 
 private:
--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -14,6 +14,12 @@
     /// some eight requests on 12 engines.
     constexpr Duration busyInterval = std::chrono::milliseconds(60);
 
+    /// In a large fleet, where a report passes up to two relays and costs them one message for each router.
+    constexpr Duration largeInterval = std::chrono::milliseconds(150);
+
+    /// Under this name the dispatcher keeps what a relay told of all others.
+    const VmId sumOfOthers { "others" };
+
     /// Four heartbeats within heartbeatKept, so that three lost datagrams don't take a router out of the answers.
     constexpr Duration idleInterval = heartbeatKept / 4;
 
@@ -103,16 +109,62 @@
         return;
     m_hadLoad = isBusy;
     m_lastHeartbeat = now;
-    m_nextHeartbeat = now + busyInterval;
-    Heartbeat heartbeat { { m_options.vm }, m_incarnation, m_options.callersListen, m_options.controlListen,
-        { m_options.zone }, m_state.canServe(), m_state.configVersion(), {} };
-    heartbeat.load = encode(m_state.withDispatcher([&](dispatch::Dispatcher& it) { return it.report(now); }));
-    const std::string bytes = heartbeatTag + encode(heartbeat);
+    m_nextHeartbeat = now + (m_plan.isDirect ? busyInterval : largeInterval);
+    sendOwn(now);
+}
+
+Heartbeat Fleet::heartbeat(HeartbeatScope scope) const
+{
+    return { { m_options.vm }, m_incarnation, m_options.callersListen, m_options.controlListen, { m_options.zone },
+        m_state.canServe(), m_state.configVersion(), m_state.targetsMark, m_state.reachesStore(), scope, {} };
+}
+
+void Fleet::sendReport(const RouterAddress& to, Heartbeat heartbeat, const dispatch::LoadReport& load)
+{
+    heartbeat.load = encode(load);
+    m_socket->send(to.gossipAddress, heartbeatTag + encode(heartbeat));
+}
+
+void Fleet::sendOwn(TimePoint now)
+{
+    const dispatch::LoadReport own = m_state.withDispatcher([&](dispatch::Dispatcher& it) { return it.report(now); });
+    if (m_plan.isRelay) {
+        sendSums(now, own);
+        return;
+    }
+    Heartbeat message = heartbeat(HeartbeatScope::Router);
+    if (m_plan.relay) {
+        sendReport(*m_plan.relay, std::move(message), own);
+        return;
+    }
+    message.load = encode(own);
+    const std::string bytes = heartbeatTag + encode(message);
+    for (const RouterAddress& it : m_plan.others)
+        m_socket->send(it.gossipAddress, bytes);
+}
+
+void Fleet::sendSums(TimePoint now, const dispatch::LoadReport& own)
+{
+    m_desk.memberReported(now, { m_options.vm }, own);
+    const dispatch::LoadReport zone = m_desk.zoneSum(now);
+    for (const RouterAddress& it : m_plan.relays)
+        sendReport(it, heartbeat(HeartbeatScope::Zone), zone);
+    for (const RouterAddress& it : m_plan.others)
+        sendReport(it, heartbeat(HeartbeatScope::Others), m_desk.sumWithout(now, it.vm));
+    const dispatch::LoadReport others = m_desk.sumWithout(now, { m_options.vm });
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.peerReported(now, sumOfOthers, others); });
+    m_desk.passedOn();
+}
+
+void Fleet::updatePlan()
+{
+    std::vector<RouterAddress> alive;
     for (const membership::Member& it : m_gossip->view().members) {
-        const bool isGone = it.state == membership::MemberState::Dead || it.state == membership::MemberState::Left;
-        if (!isGone && it.summary.life.vm.value != m_options.vm)
-            m_socket->send(it.summary.gossipAddress, bytes);
+        const bool isThere = it.state == membership::MemberState::Alive || it.state == membership::MemberState::Suspect;
+        if (isThere)
+            alive.push_back({ it.summary.life.vm, it.summary.zone, it.summary.gossipAddress });
     }
+    m_plan = planReports(alive, { m_options.vm });
 }
 
 void Fleet::receive(const std::string& from, std::string_view bytes)
@@ -136,10 +188,21 @@
     if (!heartbeat.ok() || heartbeat->vm.value == m_options.vm)
         return;
     const TimePoint now = steadyNow();
-    if (const auto load = dispatch::decodeLoadReport(heartbeat->load); load.ok())
-        m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.peerReported(now, heartbeat->vm, *load); });
+    absl::StatusOr<dispatch::LoadReport> load = dispatch::decodeLoadReport(heartbeat->load);
     std::lock_guard lock(m_mutex);
     m_board.heard(now, *heartbeat);
+    if (!load.ok())
+        return;
+    if (heartbeat->scope == HeartbeatScope::Zone) {
+        m_desk.zoneReported(now, heartbeat->zone, std::move(*load));
+        return;
+    }
+    if (m_plan.isRelay && heartbeat->scope == HeartbeatScope::Router) {
+        m_desk.memberReported(now, heartbeat->vm, std::move(*load));
+        return;
+    }
+    const VmId source = heartbeat->scope == HeartbeatScope::Others ? sumOfOthers : heartbeat->vm;
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.peerReported(now, source, *load); });
 }
 
 void Fleet::logChanges()
@@ -148,6 +211,7 @@
     if (view.version == m_loggedView)
         return;
     m_loggedView = view.version;
+    updatePlan();
     std::string alive;
     unsigned known = 0;
     for (const membership::Member& it : view.members) {
@@ -157,7 +221,8 @@
         known += it.state == membership::MemberState::Left ? 0 : 1;
     }
     m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.setRouterCount(known); });
-    process::log(process::LogLevel::Info, "members", { { "version", std::to_string(view.version) }, { "alive", alive } });
+    process::log(
+        process::LogLevel::Info, "members", { { "version", std::to_string(view.version) }, { "alive", alive } });
 }
 
 void Fleet::addSeed(const std::string& gossipAddress)
@@ -180,14 +245,38 @@
     return m_gossip->view().aliveCount() > 1;
 }
 
+std::optional<Peer> Fleet::storeProxy(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_plan.relay)
+        return std::nullopt;
+    for (const Peer& it : m_board.alive(now, heartbeatKept)) {
+        if (it.vm == m_plan.relay->vm && it.scope == HeartbeatScope::Others && it.reachesStore)
+            return it;
+    }
+    return std::nullopt;
+}
+
 std::vector<std::string> Fleet::entryPoints(TimePoint now, const ZoneId& callerZone) const
 {
     std::vector<EntryPoint> ready;
     if (m_state.canServe())
         ready.push_back({ m_options.callersListen, { m_options.zone } });
-    for (const Peer& it : peers(now)) {
-        if (it.isReady)
-            ready.push_back({ it.callerAddress, it.zone });
+    std::lock_guard lock(m_mutex);
+    if (m_plan.isDirect) {
+        for (const Peer& it : m_board.alive(now, heartbeatKept)) {
+            if (it.isReady)
+                ready.push_back({ it.callerAddress, it.zone });
+        }
+        return chooseEntryPoints(ready, callerZone);
+    }
+    // Not all send heartbeats here. Gossip knows who lives, somewhat later, and who has a configuration.
+    for (const membership::Member& it : m_gossip->view().members) {
+        const membership::MemberSummary& summary = it.summary;
+        const bool isReady
+            = it.state == membership::MemberState::Alive && !summary.draining && summary.configOffset > 0;
+        if (isReady && summary.life.vm.value != m_options.vm)
+            ready.push_back({ summary.callerAddress, summary.zone });
     }
     return chooseEntryPoints(ready, callerZone);
 }
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -27,6 +27,10 @@
     /// @return whether any other router is known to gossip.
     bool knowsOthers() const;
 
+    /// @return the relay that this router hears, when it need not read the store itself: the relay does, and its
+    ///         heartbeats tell when there is news.
+    std::optional<Peer> storeProxy(TimePoint now) const;
+
     /// @return addresses for a caller, this router's among them when it can serve.
     std::vector<std::string> entryPoints(TimePoint now, const ZoneId& callerZone) const;
 
@@ -39,6 +43,11 @@
     void startGossip(Incarnation);
     void receive(const std::string& from, std::string_view bytes);
     void receiveHeartbeat(std::string_view bytes);
+    Heartbeat heartbeat(HeartbeatScope) const;
+    void sendReport(const RouterAddress&, Heartbeat, const dispatch::LoadReport&);
+    void sendOwn(TimePoint now);
+    void sendSums(TimePoint now, const dispatch::LoadReport& own);
+    void updatePlan();
     void sendGossip(const std::vector<membership::Datagram>&);
     void sendHeartbeats(TimePoint now);
     void logChanges();
@@ -51,6 +60,8 @@
     Incarnation m_step;
     std::unique_ptr<membership::Gossip> m_gossip;
     PeerBoard m_board;
+    ReportPlan m_plan;
+    RelayDesk m_desk;
     std::uint64_t m_loggedView = 0;
     TimePoint m_nextHeartbeat {};
     TimePoint m_lastHeartbeat {};
--- a/apps/sagechute-edge/Front.cpp
+++ b/apps/sagechute-edge/Front.cpp
@@ -68,7 +68,7 @@
 void Front::reject(net::ServerExchange& exchange, const RelayOrder& order, const Verdict& verdict) const
 {
     net::ServerResponse response = m_tools.callers.refusal(verdict.status, verdict.reason, verdict.comeBack);
-    if (m_tools.state.isStopping)
+    if (m_tools.state.wantsClose())
         response.headers.push_back({ "Connection", "close" });
     exchange.respond(std::move(response));
     const std::string version = order.table ? std::to_string(order.table->config().version) : "none";
--- a/apps/sagechute-edge/Housekeeping.cpp
+++ b/apps/sagechute-edge/Housekeeping.cpp
@@ -45,9 +45,11 @@
     return path && readFile(path) != m_content;
 }
 
-Housekeeping::Housekeeping(EdgeState& state, Fleet& fleet, DueTimers& timers, SettingsWatch& watch)
+Housekeeping::Housekeeping(
+    EdgeState& state, Fleet& fleet, Listeners& listeners, DueTimers& timers, SettingsWatch& watch)
     : m_state(state)
     , m_fleet(fleet)
+    , m_listeners(listeners)
     , m_timers(timers)
     , m_watch(watch)
 {
@@ -64,6 +66,7 @@
         if (!isAsked && now < nextCheck)
             continue;
         nextCheck = now + settingsInterval;
+        m_listeners.followLimits();
         if (isAsked)
             process::log(process::LogLevel::Info, "reload-asked", { { "by", "SIGHUP" } });
         if (m_watch.hasChanged())
--- a/apps/sagechute-edge/Housekeeping.h
+++ b/apps/sagechute-edge/Housekeeping.h
@@ -30,7 +30,7 @@
 /// The thread that does what comes due, until the process is asked to stop.
 class Housekeeping {
 public:
-    Housekeeping(EdgeState&, Fleet&, DueTimers&, SettingsWatch&);
+    Housekeeping(EdgeState&, Fleet&, Listeners&, DueTimers&, SettingsWatch&);
     void run(process::StopSignal&);
 
 private:
@@ -38,6 +38,7 @@
 
     EdgeState& m_state;
     Fleet& m_fleet;
+    Listeners& m_listeners;
     DueTimers& m_timers;
     SettingsWatch& m_watch;
 };
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -2,6 +2,8 @@
 
 #include "PeerState.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace sagechute::edge {
@@ -14,17 +16,31 @@
     constexpr int notFound = 404;
     constexpr int unavailable = 503;
 
-    /// Callers' idle connections stay open for longer than callers use them again: the deployments' limit is 15 s, and a
-    /// request that crosses a close is a failure.
+    /// Callers' idle connections stay open for longer than callers use them again: the deployments' limit is 15 s, and
+    /// a request that crosses a close is a failure.
     constexpr std::chrono::seconds callerIdle { 75 };
     constexpr std::chrono::seconds otherIdle { 30 };
 
+    /// With more connections than this share of the most, callers are told to close theirs. At the limit new ones would
+    /// wait in the kernel for seconds.
+    constexpr double crowdedShare = 0.6;
+
     /// Most answers of "which address" are kept for so long; a router that dies stays in them.
     constexpr std::chrono::seconds locateKept { 2 };
 
     constexpr std::size_t mostCallerBody = 8 << 20;
     constexpr std::size_t mostOtherBody = 64 << 10;
-    constexpr unsigned mostCallerConnections = 2500;
+
+    /// Descriptors that are not for callers: 200 that the platform sets aside for files, and as many sockets to targets
+    /// as a flooded router was seen to use.
+    constexpr std::uint64_t otherDescriptors = 200 + 800;
+    constexpr unsigned leastCallerConnections = 100;
+
+    /// A connection takes about so much memory, most of it for its headers; half of the process's is for connections.
+    constexpr std::uint64_t connectionKilobytes = 36;
+
+    /// Callers' idle connections stay open for a little longer than callers use them again.
+    constexpr std::chrono::seconds idleMargin { 2 };
     constexpr unsigned mostOtherConnections = 200;
 
     net::ServerResponse plain(int status, std::string body = {})
@@ -32,8 +48,17 @@
         return { status, { { "Content-Type", "text/plain" } }, std::move(body) };
     }
 
+    unsigned mostCallerConnections(const Options& options)
+    {
+        const std::uint64_t byDescriptors
+            = options.maxDescriptors > otherDescriptors ? options.maxDescriptors - otherDescriptors : 0;
+        const std::uint64_t byMemory = options.memoryMb * 1024 / 2 / connectionKilobytes;
+        return std::max(leastCallerConnections, static_cast<unsigned>(std::min(byDescriptors, byMemory)));
+    }
+
+    /// @param callerConnections 0: not for callers.
     absl::StatusOr<std::unique_ptr<net::HttpServer>> listen(
-        const std::string& address, bool isForCallers, net::HttpServer::Handler handler)
+        const std::string& address, unsigned callerConnections, net::HttpServer::Handler handler)
     {
         const auto endpoint = net::parseEndpoint(address);
         if (!endpoint.ok())
@@ -41,9 +66,9 @@
         net::ServerOptions options;
         options.listen = *endpoint;
         options.threads = 1;
-        options.maxBodyBytes = isForCallers ? mostCallerBody : mostOtherBody;
-        options.maxConnections = isForCallers ? mostCallerConnections : mostOtherConnections;
-        options.idleTimeout = isForCallers ? callerIdle : otherIdle;
+        options.maxBodyBytes = callerConnections ? mostCallerBody : mostOtherBody;
+        options.maxConnections = callerConnections ? callerConnections : mostOtherConnections;
+        options.idleTimeout = callerConnections ? callerIdle : otherIdle;
         return net::HttpServer::make(options, std::move(handler));
     }
 
@@ -66,6 +91,7 @@
     };
     const std::chrono::seconds kept
         = std::min(locateKept, std::chrono::seconds(static_cast<int>(options.locateKeptSeconds)));
+    m_mostConnections = mostCallerConnections(options);
     const std::vector<Listener> all {
         { m_callers, options.callersListen, [this](const ExchangePointer& it) { m_tools.front.handle(it); } },
         { m_readiness, options.readinessListen, [this](const ExchangePointer& it) { handleReadiness(*it); } },
@@ -74,7 +100,7 @@
         { m_metrics, options.at(options.metricsPort()), [this](const ExchangePointer& it) { handleControl(*it); } },
     };
     for (const Listener& it : all) {
-        auto server = listen(it.address, &it.server == &m_callers, it.handler);
+        auto server = listen(it.address, &it.server == &m_callers ? m_mostConnections : 0, it.handler);
         if (!server.ok())
             return server.status();
         it.server = std::move(*server);
@@ -82,6 +108,14 @@
     return absl::OkStatus();
 }
 
+void Listeners::followLimits()
+{
+    const auto table = m_tools.state.table();
+    if (table)
+        m_callers->setIdleTimeout(std::chrono::ceil<std::chrono::seconds>(table->config().limits.idle) + idleMargin);
+    m_tools.state.isCrowded = m_callers->openConnections() > crowdedShare * m_mostConnections;
+}
+
 void Listeners::handleReadiness(net::ServerExchange& exchange)
 {
     if (!m_tools.entry.isReadinessCheck(exchange.request()))
@@ -104,15 +138,32 @@
         exchange.respond(m_tools.entry.locateAnswer(addresses, kept));
 }
 
+nlohmann::json Listeners::status() const
+{
+    nlohmann::json targets = nlohmann::json::array();
+    for (const dispatch::Target& it : m_tools.state.targets())
+        targets.push_back({ { "id", it.id.value }, { "service", it.service.value }, { "address", it.address },
+            { "zone", it.zone.value }, { "draining", it.draining } });
+    nlohmann::json peers = nlohmann::json::array();
+    for (const Peer& it : m_tools.fleet.peers(steadyNow()))
+        peers.push_back({ { "vm", it.vm.value }, { "zone", it.zone.value }, { "ready", it.isReady },
+            { "configVersion", it.configVersion }, { "reachesStore", it.reachesStore } });
+    return { { "vm", m_tools.state.vm.value }, { "configVersion", m_tools.state.configVersion() },
+        { "canServe", m_tools.state.canServe() }, { "reachesStore", m_tools.state.reachesStore() },
+        { "activeRequests", m_tools.state.activeRequests.load() }, { "droppedLogLines", process::droppedLogLines() },
+        { "targets", std::move(targets) }, { "peers", std::move(peers) } };
+}
+
 void Listeners::handleControl(net::ServerExchange& exchange)
 {
     const std::string& path = exchange.request().path;
     if (path == peerStatePath) {
-        const PeerState state { m_tools.state.configRecord(), m_tools.state.nextTargetOffset,
-            m_tools.state.targets() };
+        const PeerState state { m_tools.state.configRecord(), m_tools.state.nextTargetOffset, m_tools.state.targets() };
         exchange.respond({ okStatus, { { "Content-Type", "application/cbor" } }, encode(state) });
     } else if (path == "/metrics") {
         exchange.respond(plain(okStatus, m_tools.metrics.exposition()));
+    } else if (path == "/v1/status") {
+        exchange.respond(net::jsonResponse(okStatus, status()));
     } else if (path == "/healthz") {
         exchange.respond(plain(okStatus));
     } else if (path == "/readyz") {
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -3,6 +3,8 @@
 #include "Fleet.h"
 #include "Front.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace sagechute::edge {
 
 struct ListenerTools {
@@ -21,6 +23,9 @@
     /// Refuses new connections of callers; those open go on.
     void stopTakingCallers() { m_callers->stopListening(); }
 
+    /// Takes over what the newest configuration says of connections. To be called about once a second.
+    void followLimits();
+
 private:
     explicit Listeners(const ListenerTools& tools)
         : m_tools(tools)
@@ -31,8 +36,10 @@
     void handleReadiness(net::ServerExchange&);
     void handleLocate(net::ServerExchange&, std::chrono::seconds kept);
     void handleControl(net::ServerExchange&);
+    nlohmann::json status() const;
 
     const ListenerTools m_tools;
+    unsigned m_mostConnections = 0;
     std::unique_ptr<net::HttpServer> m_callers;
     std::unique_ptr<net::HttpServer> m_readiness;
     std::unique_ptr<net::HttpServer> m_control;
--- a/apps/sagechute-edge/Options.cpp
+++ b/apps/sagechute-edge/Options.cpp
@@ -21,10 +21,11 @@
 
     absl::Status checkPorts(const std::vector<std::string>& range)
     {
-        if (range.size() == 2 && parsePort(range[0]) && parsePort(range[1]) && *parsePort(range[0]) <= *parsePort(range[1]))
+        if (range.size() == 2 && parsePort(range[0]) && parsePort(range[1])
+            && *parsePort(range[0]) <= *parsePort(range[1]))
             return absl::OkStatus();
-        return makeError(ErrorKind::BadRequest, "--port-range is not a first and a last port",
-            "write it as --port-range 7400,7415");
+        return makeError(
+            ErrorKind::BadRequest, "--port-range is not a first and a last port", "write it as --port-range 7400,7415");
     }
 
 } // namespace
@@ -41,6 +42,8 @@
         .list("port-range", portRange, "first and last port for traffic between routers")
         .list("seeds", seeds, "ADDRESS:PORT of the control listeners of some routers")
         .requiredText("store", store, "ADDRESS:PORT of the platform's store")
+        .count("max-descriptors", maxDescriptors, 256, 1'000'000, "sockets and files that this process may open")
+        .count("memory-mb", memoryMb, 32, 1'000'000, "memory that this process may take, in MB")
         .real("stop-grace-seconds", stopGraceSeconds, 0.1, longestSeconds, "from SIGTERM until the process is killed")
         .real("locate-kept-seconds", locateKeptSeconds, 1, longestSeconds,
             "the longest that callers keep an answer to which address to use")
--- a/apps/sagechute-edge/Options.h
+++ b/apps/sagechute-edge/Options.h
@@ -19,6 +19,8 @@
     std::vector<std::string> portRange;
     std::vector<std::string> seeds;
     std::string store;
+    std::uint64_t maxDescriptors = 4096;
+    std::uint64_t memoryMb = 256;
     double stopGraceSeconds = 8;
     double locateKeptSeconds = 5;
     double shareWindowSeconds = 4;
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -238,7 +238,7 @@
     m_firstEventAfter = now - m_order.arrived;
     m_tools.metrics.firstEvent(m_firstEventAfter, now - m_sentAt - m_placement.predictedFirst);
     std::vector<net::Field> fields = m_head->relayed;
-    if (m_tools.state.isStopping)
+    if (m_tools.state.wantsClose())
         fields.push_back({ "Connection", "close" });
     m_order.exchange->startStream(m_head->status, std::move(fields));
 }
@@ -357,7 +357,7 @@
 void Relay::respond(net::ServerResponse response)
 {
     const int status = response.status;
-    if (m_tools.state.isStopping)
+    if (m_tools.state.wantsClose())
         response.headers.push_back({ "Connection", "close" });
     m_order.exchange->respond(std::move(response));
     conclude(status, status < firstFailure ? "completed" : "refused-or-failed");
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -25,6 +25,11 @@
     /// How often a router that knows no other looks into the store for one.
     constexpr Duration searchInterval = std::chrono::seconds(3);
 
+    /// A router that hears its relay reads the store itself only so often, in case the relay stands still in a way that
+    /// its heartbeats don't show.
+    constexpr Duration ownReadInterval = std::chrono::seconds(20);
+    constexpr Duration proxyInterval = std::chrono::milliseconds(150);
+
     constexpr std::chrono::milliseconds peerTimeout { 400 };
     constexpr int okStatus = 200;
 
@@ -69,13 +74,18 @@
 {
     Progress progress;
     do {
+        if (followProxy(progress, false)) {
+            if (!pause(proxyInterval))
+                return;
+            continue;
+        }
         const bool isRead = readConfigOnce(progress);
         if (isRead && !progress.failures) {
             if (!pause(Duration(0)))
                 return;
             continue;
         }
-        takeFromPeer(false);
+        takeFromAnyPeer(false);
     } while (pause(std::min(mostRetryDelay, leastRetryDelay * (1 << std::min(progress.failures, mostDoublings)))));
 }
 
@@ -84,6 +94,7 @@
     absl::StatusOr<ConfigNews> news
         = progress.next ? m_store.followConfig(*progress.next, configWait) : m_store.readConfig();
     m_metrics.storeCalls().Increment();
+    m_state.readsConfig = news.ok();
     noteOutcome(progress, "configuration", news.status());
     if (!news.ok())
         return false;
@@ -116,9 +127,10 @@
 {
     Progress progress;
     do {
-        const bool isRead = readTargetsOnce(progress);
+        const bool isProxied = followProxy(progress, true);
+        const bool isRead = isProxied || readTargetsOnce(progress);
         if (!isRead)
-            takeFromPeer(true);
+            takeFromAnyPeer(true);
         else
             findOthers();
         const TimePoint now = steadyNow();
@@ -133,6 +145,7 @@
     m_metrics.storeCalls().Increment();
     const TimePoint now = steadyNow();
     const std::optional<TimePoint> failingSince = progress.failingSince;
+    m_state.readsTargets = news.ok();
     noteOutcome(progress, "targets", news.status());
     if (!news.ok()) {
         m_state.changeTargets(now, [&](TargetRoster& roster) { roster.storeLost(now); });
@@ -186,14 +199,34 @@
     }
 }
 
-void StoreFollower::takeFromPeer(bool wantsTargets)
+void StoreFollower::takeFromAnyPeer(bool wantsTargets)
 {
     const std::vector<Peer> peers = m_fleet.peers(steadyNow());
     if (peers.empty())
         return;
     const Peer& peer = peers[m_peerTurn++ % peers.size()];
-    if (!wantsTargets && peer.configVersion <= m_state.configVersion())
-        return;
+    if (wantsTargets || peer.configVersion > m_state.configVersion())
+        takeFrom(peer, wantsTargets);
+}
+
+bool StoreFollower::followProxy(Progress& progress, bool wantsTargets)
+{
+    const TimePoint now = steadyNow();
+    const std::optional<Peer> proxy = m_fleet.storeProxy(now);
+    const bool isOwnTurn = now >= progress.nextOwnRead;
+    if (!proxy || isOwnTurn) {
+        progress.nextOwnRead = now + ownReadInterval;
+        return false;
+    }
+    const bool hasNews
+        = proxy->configVersion > m_state.configVersion() || (wantsTargets && proxy->targetsMark != m_state.targetsMark);
+    if (hasNews)
+        takeFrom(*proxy, wantsTargets);
+    return true;
+}
+
+void StoreFollower::takeFrom(const Peer& peer, bool wantsTargets)
+{
     net::ClientRequest request;
     request.url = "http://" + peer.controlAddress + peerStatePath;
     request.connectTimeout = peerTimeout;
--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -27,6 +27,7 @@
         std::optional<LogOffset> next; ///< Absent: everything has to be read.
         std::optional<TimePoint> failingSince;
         unsigned failures = 0;
+        TimePoint nextOwnRead {}; ///< While a relay reads the store for this router.
     };
 
     void followConfig();
@@ -35,7 +36,9 @@
     bool readTargetsOnce(Progress&);
     void noteOutcome(Progress&, const char* topic, const absl::Status&);
     void adopt(const ConfigRecord&, const char* source);
-    void takeFromPeer(bool wantsTargets);
+    void takeFromAnyPeer(bool wantsTargets);
+    bool followProxy(Progress&, bool wantsTargets);
+    void takeFrom(const Peer&, bool wantsTargets);
     void findOthers();
     bool pause(Duration);
 
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -69,13 +69,13 @@
         StoreFollower follower(state, **fleet, *store, **peerClient, edgeMetrics);
         follower.start();
         process::log(process::LogLevel::Info, "started",
-            { { "callers", options.callersListen }, { "gossip", (*fleet)->gossipAddress() },
-                { "store", options.store }, { "version", std::string(process::version()) } });
+            { { "callers", options.callersListen }, { "gossip", (*fleet)->gossipAddress() }, { "store", options.store },
+                { "version", std::string(process::version()) } });
 
-        Housekeeping(state, **fleet, timers, watch).run(stop);
+        Housekeeping(state, **fleet, **listeners, timers, watch).run(stop);
         planStop(state, **fleet, **listeners, timers, options);
-        process::log(process::LogLevel::Info, "stopped",
-            { { "cut-off", std::to_string(state.activeRequests.load()) } });
+        process::log(
+            process::LogLevel::Info, "stopped", { { "cut-off", std::to_string(state.activeRequests.load()) } });
         // Threads may be waiting for a store or a peer that does not answer, for longer than the platform's patience.
         // Nothing is kept that would need a destructor; the kernel closes the sockets.
         _exit(0);
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -260,6 +260,9 @@
     std::map<TargetId, std::vector<PrefixKey>> placed; ///< Prefixes sent there lately.
 };
 
+/// Adds what another router, or a sum of several, has in flight.
+void add(LoadReport& sum, const LoadReport&);
+
 /// @return the report as CBOR.
 std::string encode(const LoadReport&);
 
@@ -311,7 +314,7 @@
     virtual void loadSeen(TimePoint now, AttemptId, const TargetLoad&) = 0;
     virtual void ended(TimePoint now, AttemptId, AttemptEnd) = 0;
 
-    /// @return this router's own part, for the others.
+    /// @return this router's own part, for the others. Prefixes are told in two reports, as one may be lost.
     virtual LoadReport report(TimePoint now) = 0;
     virtual void peerReported(TimePoint now, const VmId& peer, const LoadReport&) = 0;
 
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -191,6 +191,9 @@
     bool expire(TimePoint now);
 
     std::vector<dispatch::Target> targets() const;
+
+    /// @return a number that differs when the list does.
+    std::uint64_t mark() const;
     std::size_t size() const { return m_entries.size(); }
 
     /// How long after the store's return a missing entry is kept: the platform promises about two seconds.
@@ -211,6 +214,13 @@
 
 // ---- Who else is in the fleet
 
+/// Whose load a heartbeat tells.
+enum class HeartbeatScope : std::uint8_t {
+    Router, ///< The sender's own.
+    Zone, ///< The sum over the sender's availability zone.
+    Others, ///< The sum over all but the receiver.
+};
+
 /// What a router says about itself with each load report.
 struct Heartbeat {
     VmId vm;
@@ -220,6 +230,9 @@
     ZoneId zone;
     bool isReady = false;
     std::uint64_t configVersion = 0;
+    std::uint64_t targetsMark = 0; ///< Differs when the list of targets does.
+    bool reachesStore = false; ///< Its last reads of the platform's store were answered.
+    HeartbeatScope scope = HeartbeatScope::Router;
     std::string load; ///< An encoded dispatch::LoadReport.
 };
 
@@ -236,6 +249,9 @@
     ZoneId zone;
     bool isReady = false;
     std::uint64_t configVersion = 0;
+    std::uint64_t targetsMark = 0;
+    bool reachesStore = false;
+    HeartbeatScope scope = HeartbeatScope::Router;
     TimePoint heardAt;
 };
 
@@ -251,6 +267,62 @@
     std::map<VmId, Peer> m_peers;
 };
 
+/// A router that gossip knows to be alive.
+struct RouterAddress {
+    VmId vm;
+    ZoneId zone;
+    std::string gossipAddress;
+};
+
+/// Who sends load reports to whom.
+///
+/// In a small fleet each router sends its own to all others: nothing stands between them. The messages of a router
+/// would grow with the fleet, though; 80 routers that tell each other sixteen times a second need more processor time
+/// for that than for their requests. In a large fleet the routers of an availability zone therefore send theirs to one
+/// of them, the zone's relay. Relays exchange sums of their zones and pass on to each router the sum of all others'. A
+/// router then sends and receives one report an interval, whatever the size; a relay one per router of its zone and one
+/// per zone.
+struct ReportPlan {
+    bool isDirect = true;
+    bool isRelay = false;
+    std::optional<RouterAddress> relay; ///< Of the own zone; absent in a small fleet and for a relay.
+    std::vector<RouterAddress> others; ///< All in a small fleet; for a relay the others of its zone; else empty.
+    std::vector<RouterAddress> relays; ///< Of the other zones; for a relay only.
+};
+
+/// The largest fleet in which each router reports to all others.
+inline constexpr std::size_t mostDirectRouters = 12;
+
+/// @param alive all routers, the local one among them. Two routers with the same view make plans that fit together;
+/// while
+///        views differ some reports are lost, and are too old soon after.
+ReportPlan planReports(const std::vector<RouterAddress>& alive, const VmId& self);
+
+/// What a zone's relay has been told, and the sums that it passes on.
+class RelayDesk {
+public:
+    void memberReported(TimePoint now, const VmId&, dispatch::LoadReport);
+    void zoneReported(TimePoint now, const ZoneId&, dispatch::LoadReport);
+
+    /// @return the sum of this zone's routers, for the other relays.
+    dispatch::LoadReport zoneSum(TimePoint now) const;
+
+    /// @return the sum of all routers but @p member.
+    dispatch::LoadReport sumWithout(TimePoint now, const VmId& member) const;
+
+    /// Prefixes are told once; this forgets those that have been passed on.
+    void passedOn();
+
+private:
+    struct Part {
+        dispatch::LoadReport report;
+        TimePoint at;
+    };
+
+    std::map<VmId, Part> m_members;
+    std::map<ZoneId, Part> m_zones;
+};
+
 /// A router whose heartbeats stay away for so long is left out of answers to callers. Heartbeats come at most every
 /// quarter of it, so that one lost datagram says nothing.
 inline constexpr Duration heartbeatKept = std::chrono::milliseconds(900);
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -128,6 +128,9 @@
     /// Stops taking new connections; those open go on.
     virtual void stopListening() = 0;
 
+    /// Changes ServerOptions::idleTimeout for all connections, from their next request on. Any thread.
+    virtual void setIdleTimeout(std::chrono::seconds) = 0;
+
     virtual Endpoint endpoint() const = 0;
     virtual std::size_t openConnections() const = 0;
 };
--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -99,6 +99,7 @@
     if (self == sum.end())
         return 0;
     std::vector<double> asked;
+    asked.reserve(sum.size());
     for (const auto& [id, use] : sum)
         asked.push_back(use.asked);
     const double level = maxMinLevel(std::move(asked), capacity);
--- a/src/dispatch/LoadReport.cpp
+++ b/src/dispatch/LoadReport.cpp
@@ -36,6 +36,25 @@
 
 } // namespace
 
+void add(LoadReport& sum, const LoadReport& part)
+{
+    for (const auto& [id, use] : part.targets) {
+        TargetUse& total = sum.targets[id];
+        total.tokensToRead += use.tokensToRead;
+        total.active += use.active;
+        total.memoryTokens += use.memoryTokens;
+    }
+    for (const auto& [id, use] : part.customers) {
+        CustomerUse& total = sum.customers[id];
+        total.asked += use.asked;
+        total.granted += use.granted;
+    }
+    for (const auto& [id, prefixes] : part.placed) {
+        auto& told = sum.placed[id];
+        told.insert(told.end(), prefixes.begin(), prefixes.end());
+    }
+}
+
 std::string encode(const LoadReport& report)
 {
     json targets = json::object();
--- a/src/edge/Peers.cpp
+++ b/src/edge/Peers.cpp
@@ -10,7 +10,8 @@
 
     using nlohmann::json;
 
-    constexpr std::size_t heartbeatFields = 8;
+    constexpr unsigned lastScope = static_cast<unsigned>(HeartbeatScope::Others);
+    constexpr std::size_t heartbeatFields = 11;
 
 } // namespace
 
@@ -18,6 +19,7 @@
 {
     return encodeCbor(json::array({ heartbeat.vm.value, heartbeat.incarnation, heartbeat.callerAddress,
         heartbeat.controlAddress, heartbeat.zone.value, heartbeat.isReady, heartbeat.configVersion,
+        heartbeat.targetsMark, heartbeat.reachesStore, static_cast<unsigned>(heartbeat.scope),
         json::binary({ heartbeat.load.begin(), heartbeat.load.end() }) }));
 }
 
@@ -29,10 +31,12 @@
     if (!document.ok() || !document->is_array() || document->size() != heartbeatFields)
         return malformed;
     try {
-        const auto& load = document->at(7).get_binary();
+        const auto& load = document->at(10).get_binary();
         return Heartbeat { { document->at(0).get<std::string>() }, document->at(1).get<Incarnation>(),
             document->at(2).get<std::string>(), document->at(3).get<std::string>(),
             { document->at(4).get<std::string>() }, document->at(5).get<bool>(), document->at(6).get<std::uint64_t>(),
+            document->at(7).get<std::uint64_t>(), document->at(8).get<bool>(),
+            static_cast<HeartbeatScope>(std::min(document->at(9).get<unsigned>(), lastScope)),
             std::string(load.begin(), load.end()) };
     } catch (const json::exception&) {
         return malformed;
@@ -42,7 +46,8 @@
 void PeerBoard::heard(TimePoint now, const Heartbeat& heartbeat)
 {
     m_peers[heartbeat.vm] = { heartbeat.vm, heartbeat.incarnation, heartbeat.callerAddress, heartbeat.controlAddress,
-        heartbeat.zone, heartbeat.isReady, heartbeat.configVersion, now };
+        heartbeat.zone, heartbeat.isReady, heartbeat.configVersion, heartbeat.targetsMark, heartbeat.reachesStore,
+        heartbeat.scope, now };
 }
 
 std::vector<Peer> PeerBoard::alive(TimePoint now, Duration kept) const
@@ -62,6 +67,7 @@
     const auto isNear = [&](const EntryPoint& it) { return it.zone == callerZone; };
     const bool nearSuffice = std::count_if(ready.begin(), ready.end(), isNear) >= leastInZone;
     std::vector<std::string> addresses;
+    addresses.reserve(ready.size());
     for (const EntryPoint& it : ready) {
         if (!nearSuffice || isNear(it))
             addresses.push_back(it.callerAddress);
--- a/src/edge/TargetRoster.cpp
+++ b/src/edge/TargetRoster.cpp
@@ -69,6 +69,14 @@
     return std::erase_if(m_entries, [&](const auto& it) { return it.second.goneAt && now >= *it.second.goneAt; }) > 0;
 }
 
+std::uint64_t TargetRoster::mark() const
+{
+    std::uint64_t mark = 0;
+    for (const auto& [id, entry] : m_entries)
+        mark = stableHash(id.value, mark + (entry.target.draining ? 1 : 0));
+    return mark;
+}
+
 std::vector<dispatch::Target> TargetRoster::targets() const
 {
     std::vector<dispatch::Target> result;
--- a/src/net/ConnectionWatcher.cpp
+++ b/src/net/ConnectionWatcher.cpp
@@ -1,5 +1,6 @@
 #include "net/ConnectionWatcher.h"
 
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -74,8 +75,12 @@
 
 bool ConnectionWatcher::beginExchange(Connection* connection, std::shared_ptr<Exchange> exchange)
 {
+    // The caller may have left long before its request could be read: when the queue of new connections overflows, the
+    // kernel lets it in seconds later. Its end is waiting behind the request, and the watcher may not have come to it.
+    pollfd end { connection->fd, POLLRDHUP, 0 };
+    const bool hasEnded = poll(&end, 1, 0) == 1 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR));
     std::lock_guard lock(m_mutex);
-    if (connection->gone || m_closing)
+    if (hasEnded || connection->gone || m_closing)
         return false;
     connection->exchange = std::move(exchange);
     return true;
--- a/src/net/CurlTransfer.cpp
+++ b/src/net/CurlTransfer.cpp
@@ -28,7 +28,7 @@
         setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeAfterSeconds, sizeof(int));
         setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeEverySeconds, sizeof(int));
         setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &mostLostProbes, sizeof(int));
-        const auto unackedMs = static_cast<unsigned>(reinterpret_cast<std::uintptr_t>(timeout));
+        const auto unackedMs = static_cast<unsigned>(static_cast<const std::chrono::milliseconds*>(timeout)->count());
         if (unackedMs)
             setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unackedMs, sizeof(unackedMs));
         return CURL_SOCKOPT_OK;
@@ -116,8 +116,7 @@
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, m_request.freshConnection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, m_request.freshConnection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
-    curl_easy_setopt(
-        handle, CURLOPT_SOCKOPTDATA, reinterpret_cast<void*>(static_cast<std::uintptr_t>(m_request.unackedTimeout.count())));
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, &m_request.unackedTimeout);
     curl_easy_setopt(
         handle, CURLOPT_REQUEST_TARGET, m_request.rawTarget.empty() ? nullptr : m_request.rawTarget.c_str());
     setMethod();
--- a/src/net/MhdServer.cpp
+++ b/src/net/MhdServer.cpp
@@ -100,6 +100,7 @@
     , m_handler(std::move(handler))
     , m_endpoint(std::move(endpoint))
     , m_watcher(std::move(watcher))
+    , m_idleSeconds(static_cast<unsigned>(options.idleTimeout.count()))
 {
 }
 
@@ -207,6 +208,7 @@
     MHD_Connection* connection, const char* path, const char* method, PendingRequest& pending) const
 {
     pending.begun = true;
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, m_idleSeconds.load());
     pending.request.method = method;
     pending.request.path = path;
     pending.request.headers = collectFields(connection, MHD_HEADER_KIND);
--- a/src/net/MhdServer.h
+++ b/src/net/MhdServer.h
@@ -14,6 +14,10 @@
     ~MhdServer() override;
 
     void stopListening() override;
+    void setIdleTimeout(std::chrono::seconds timeout) override
+    {
+        m_idleSeconds = static_cast<unsigned>(timeout.count());
+    }
     Endpoint endpoint() const override { return m_endpoint; }
     std::size_t openConnections() const override { return m_watcher->openConnections(); }
 
@@ -44,6 +48,7 @@
     const Endpoint m_endpoint;
     const std::unique_ptr<ConnectionWatcher> m_watcher;
     MHD_Daemon* m_daemon = nullptr;
+    std::atomic<unsigned> m_idleSeconds;
     std::mutex m_listenMutex;
     FileDescriptor m_quiesced; ///< The listening socket once libmicrohttpd has given it back.
 };
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -195,7 +195,7 @@
         return badSetting("the settings file " + path + " can't be read", "check the path in " + fileVariable);
     std::string line;
     for (int number = 1; std::getline(file, line); ++number) {
-        const absl::Status status = applyLine(path + ":" + std::to_string(number), line);
+        absl::Status status = applyLine(path + ":" + std::to_string(number), line);
         if (!status.ok())
             return status;
     }
@@ -359,8 +359,8 @@
         out << m_impl->program << " " << version() << "\n";
         return 0;
     }
-    for (const absl::Status& status : { m_impl->applyFlags(*flags), m_impl->applyEnvironment(environment),
-             m_impl->applyFile(environment) }) {
+    for (const absl::Status& status :
+        { m_impl->applyFlags(*flags), m_impl->applyEnvironment(environment), m_impl->applyFile(environment) }) {
         if (!status.ok())
             return m_impl->fail(status, err);
     }
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -111,11 +111,15 @@
 
 TEST_CASE("a heartbeat survives its encoding, and other bytes are refused")
 {
-    const Heartbeat sent { { "vm" }, 5, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true, 9, std::string("\0\xFF", 2) };
+    const Heartbeat sent { { "vm" }, 5, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true, 9, 8, true, HeartbeatScope::Zone,
+        std::string("\0\xFF", 2) };
     const auto read = decodeHeartbeat(encode(sent));
     REQUIRE(read.ok());
     CHECK(read->vm == sent.vm);
     CHECK(read->load == sent.load);
+    CHECK(read->targetsMark == 8);
+    CHECK(read->reachesStore);
+    CHECK(read->scope == HeartbeatScope::Zone);
     CHECK(read->isReady);
     CHECK_FALSE(decodeHeartbeat("x").ok());
     CHECK_FALSE(decodeHeartbeat(encodeCbor(nlohmann::json { 1 })).ok());
@@ -124,7 +128,8 @@
 TEST_CASE("a router that falls silent leaves the answers to callers")
 {
     PeerBoard board;
-    board.heard(start, { { "p" }, 1, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true, 1, {} });
+    board.heard(
+        start, { { "p" }, 1, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true, 1, 0, true, HeartbeatScope::Router, {} });
     CHECK(board.alive(start + heartbeatKept, heartbeatKept).size() == 1);
     CHECK(board.alive(start + heartbeatKept + 1ms, heartbeatKept).empty());
 }
@@ -154,3 +159,89 @@
         RC_ASSERT(it.end < grace);
     });
 }
+
+namespace {
+
+std::vector<RouterAddress> routers(unsigned zones, unsigned each)
+{
+    std::vector<RouterAddress> all;
+    for (unsigned z = 0; z < zones; ++z) {
+        for (unsigned i = 0; i < each; ++i) {
+            const std::string zone = "z" + std::to_string(z);
+            all.push_back({ { zone + "-" + std::to_string(100 + i) }, { zone }, zone + ":" + std::to_string(i) });
+        }
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("in a small fleet each router reports to all others")
+{
+    const auto all = routers(3, 2);
+    const ReportPlan plan = planReports(all, all[3].vm);
+    CHECK(plan.isDirect);
+    CHECK(plan.others.size() == 5);
+    CHECK_FALSE(plan.relay);
+}
+
+// Load pattern: fleets of tens and hundreds of routers, each with a few requests a second.
+TEST_CASE("in a large fleet a router sends one report, and each zone has one relay")
+{
+    for (const unsigned each : { 20U, 90U }) {
+        const auto all = routers(4, each);
+        unsigned relays = 0;
+        for (const RouterAddress& it : all) {
+            const ReportPlan plan = planReports(all, it.vm);
+            CHECK_FALSE(plan.isDirect);
+            if (plan.isRelay) {
+                ++relays;
+                CHECK(plan.others.size() == each - 1);
+                CHECK(plan.relays.size() == 3);
+            } else {
+                REQUIRE(plan.relay);
+                CHECK(plan.relay->zone == it.zone);
+                CHECK(plan.others.empty());
+                CHECK(plan.relays.empty());
+            }
+        }
+        CHECK(relays == 4);
+    }
+}
+
+TEST_CASE("a relay tells each router the sum of all others, once for prefixes")
+{
+    RelayDesk desk;
+    dispatch::LoadReport one;
+    one.targets[{ "t" }] = { 10, 1, 100 };
+    one.customers[{ "c" }] = { 5, 4 };
+    one.placed[{ "t" }] = { { 7, 1 } };
+    dispatch::LoadReport two = one;
+    two.targets[{ "t" }] = { 20, 2, 200 };
+    desk.memberReported(start, { "a" }, one);
+    desk.memberReported(start, { "b" }, two);
+    desk.zoneReported(start, { "far" }, one);
+    CHECK(desk.zoneSum(start).targets.at({ "t" }).tokensToRead == 30);
+    const dispatch::LoadReport forA = desk.sumWithout(start, { "a" });
+    CHECK(forA.targets.at({ "t" }).tokensToRead == 30);
+    CHECK(forA.customers.at({ "c" }).granted == 8);
+    CHECK(forA.placed.at({ "t" }).size() == 2);
+    desk.passedOn();
+    CHECK(desk.sumWithout(start, { "a" }).placed.empty());
+    CHECK(desk.sumWithout(start, { "a" }).targets.at({ "t" }).active == 3);
+    CHECK(desk.zoneSum(start + 5s).targets.empty());
+}
+
+TEST_CASE("a roster's mark differs when the list does, and not with mere repetition")
+{
+    TargetRoster roster;
+    roster.apply(start, entry("t"));
+    const std::uint64_t mark = roster.mark();
+    roster.apply(start + 1s, entry("t"));
+    CHECK(roster.mark() == mark);
+    roster.apply(start + 2s, entry("u"));
+    CHECK(roster.mark() != mark);
+    const std::uint64_t two = roster.mark();
+    roster.apply(start + 3s, entry("u", true));
+    CHECK(roster.mark() != two);
+}
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -155,25 +155,17 @@
         self.configure()
         for router in self.routers:
             self.wait_until("a router is ready", lambda it=router: self.is_ready(it))
-        for name in self.workers:
-            self.wait_until(f"{name} is listed", lambda it=name: it in self.listed())
+        for router in self.routers:
+            # A router is ready with the first target; a worker that registers a moment later is known with the next read.
+            self.wait_until("a router knows all workers", lambda it=router: set(self.workers) <= self.known_to(it))
 
     def is_ready(self, router):
         return call(router["ready"], "GET", "/sagechute/ready", timeout=1.0)[0] == 200
 
-    def listed(self):
-        """The entries of the list of targets, as the store has them."""
-        names, after = [], ""
-        while True:
-            path = "/sagechute/log-newest?topic=keyed.servers&part=0" + (f"&after={after}" if after else "")
-            status, _, body = call(self.store, "GET", path)
-            if status != 200:
-                return names
-            page = json.loads(body)
-            names += [entry["key"] for entry in page["entries"]]
-            if not page["hasMore"]:
-                return names
-            after = names[-1]
+    def known_to(self, router):
+        """The targets that a router knows."""
+        status, _, body = call(router["control"], "GET", "/v1/status")
+        return {target["id"] for target in json.loads(body)["targets"]} if status == 200 else set()
 
     def configure(self, keys=(KEY,), extra_routes=()):
         """Writes the next version of the configuration."""
