--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -31,20 +31,20 @@
     /// First step by which a life passes a former one with a larger number; doubled each time. A minute.
     constexpr Incarnation firstStep = Incarnation { 60'000 } << drawnBits;
 
-    Incarnation drawIncarnation()
-    {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        const auto ms = static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-        std::random_device device;
-        return ms << drawnBits | (device() & drawnMask);
-    }
-
 } // namespace
 
-absl::StatusOr<std::unique_ptr<Fleet>> Fleet::make(EdgeState& state, const Options& options)
+Incarnation drawIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto ms = static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    std::random_device device;
+    return ms << drawnBits | (device() & drawnMask);
+}
+
+absl::StatusOr<std::unique_ptr<Fleet>> Fleet::make(EdgeState& state, const Options& options, Incarnation incarnation)
 {
     std::unique_ptr<Fleet> fleet(new Fleet(state, options));
-    fleet->startGossip(drawIncarnation());
+    fleet->startGossip(incarnation);
     auto socket = peer::DatagramSocket::make(fleet->m_gossipAddress,
         [raw = fleet.get()](const std::string& from, std::string_view bytes) { raw->receive(from, bytes); });
     if (!socket.ok())
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -10,10 +10,15 @@
 
 namespace sagechute::edge {
 
+/// @return a number for this life of the process that no other has: the time of day, which may have been set back, and
+///         bits that are drawn.
+Incarnation drawIncarnation();
+
 /// One UDP socket for gossip and heartbeats. Its receiving thread and the housekeeping thread use it.
 class Fleet {
 public:
-    static absl::StatusOr<std::unique_ptr<Fleet>> make(EdgeState&, const Options&);
+    /// @param incarnation see drawIncarnation().
+    static absl::StatusOr<std::unique_ptr<Fleet>> make(EdgeState&, const Options&, Incarnation incarnation);
 
     /// Sends what has come due. Call it about every 25 ms.
     void tick(TimePoint now);
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -34,6 +34,8 @@
     /// A longer answer that is no stream is cut: nothing in these deployments comes near it.
     constexpr std::size_t mostBodyBytes = 16 << 20;
 
+    constexpr double percent = 100;
+
     /// Least time that is worth an attempt.
     constexpr Duration leastLeft = std::chrono::milliseconds(15);
 
@@ -122,6 +124,7 @@
         return;
     }
     const auto& refusal = std::get<dispatch::Refusal>(decision);
+    m_refusal = refusal;
     m_trace += " refused:" + std::string(toString(refusal.reason));
     if (m_failedHead && !m_hasStarted)
         relayHeldAnswer();
@@ -379,7 +382,11 @@
             { "first-ms", milliseconds(m_firstEventAfter) },
             { "predicted-ms", milliseconds(m_placement.predictedFirst) },
             { "read-tokens", std::to_string(m_placement.tokensToRead) },
-            { "prompt-tokens", std::to_string(m_order.facts.prompt.tokensIn) } });
+            { "prompt-tokens", std::to_string(m_order.facts.prompt.tokensIn) },
+            { "wait-ms", milliseconds(m_refusal.wait) }, { "allowed-ms", milliseconds(m_refusal.allowed) },
+            { "share-percent", std::to_string(static_cast<int>(m_refusal.share * percent)) },
+            { "come-back-ms", milliseconds(m_refusal.comeBack) },
+            { "targets-offset", std::to_string(m_tools.state.nextTargetOffset.load()) } });
 }
 
 void Relay::cancelTransfer()
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -101,6 +101,7 @@
     std::string m_lastEventId;
     std::optional<TargetAnswerHead> m_failedHead; ///< A target's own failure, passed on if nothing better comes.
     std::string m_failedBody;
+    dispatch::Refusal m_refusal; ///< The last one, for the log.
     std::string m_trace; ///< Attempts and their ends, for the log.
     Duration m_firstEventAfter {};
 };
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -39,7 +39,7 @@
         return 1;
     }
 
-    int serve(const Options& options, SettingsWatch& watch, process::StopSignal& stop)
+    int serve(const Options& options, Incarnation incarnation, SettingsWatch& watch, process::StopSignal& stop)
     {
         EdgeState state(options.dispatchSettings(), { options.vm }, { options.zone }, std::random_device {}());
         process::Metrics metrics;
@@ -59,7 +59,7 @@
         const auto targetProtocol = platform::makeTargetProtocol();
         const auto entryProtocol = platform::makeEntryProtocol();
 
-        auto fleet = Fleet::make(state, options);
+        auto fleet = Fleet::make(state, options, incarnation);
         if (!fleet.ok())
             return failStart(fleet.status());
         Front front({ state, **targetClient, *callerProtocol, *targetProtocol, timers, edgeMetrics });
@@ -88,14 +88,16 @@
         if (const auto code = watch.read(options))
             return *code;
         process::StopSignal stop;
+        const Incarnation incarnation = drawIncarnation();
         process::StreamLimits limits;
         limits.linesPerSecond = static_cast<unsigned>(options.logLinesPerSecond);
-        if (absl::Status status = process::startLogging("sagechute-edge", options.logLevel, { options.vm }, 0, limits);
+        if (absl::Status status
+            = process::startLogging("sagechute-edge", options.logLevel, { options.vm }, incarnation, limits);
             !status.ok()) {
             fprintf(stderr, "%s\n", std::string(status.message()).c_str());
             return process::exitUsage;
         }
-        return serve(options, watch, stop);
+        return serve(options, incarnation, watch, stop);
     }
 
 } // namespace
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -206,6 +206,9 @@
 struct Refusal {
     RefusalReason reason = RefusalReason::NoTarget;
     Duration comeBack {}; ///< By then the same request is expected to be served.
+    Duration wait {}; ///< What the best target was predicted to let it wait.
+    Duration allowed {}; ///< What it would have been allowed to wait.
+    double share = 0; ///< Its customer's use, as a multiple of what all can have; 0: there is enough for all.
 };
 
 using Decision = std::variant<Placement, Refusal>;
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -193,7 +193,11 @@
     const Duration allowed = std::max(onTime, leastWait);
     if (wait <= allowed)
         return std::nullopt;
-    return refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, wait - allowed);
+    Refusal refusal = refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, wait - allowed);
+    refusal.wait = wait;
+    refusal.allowed = allowed;
+    refusal.share = share;
+    return refusal;
 }
 
 Refusal LocalDispatcher::refuse(RefusalReason reason, Duration comeBack)
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -220,6 +220,13 @@
         self.assertEqual(len(lines), 1)
         for part in ("route=posts", "customer=teller", "status=502", ":broken", "config=3"):
             self.assertIn(part, lines[0])
+        self.fleet.fault_all("app", "shed", 20)
+        turned = fresh()
+        self.fleet.send("/posts/x", turned)
+        line = next(it for it in self.fleet.routers[0]["process"].log().splitlines() if f"id={turned}" in it)
+        for part in ("status=503", ":not-run", "targets-offset="):
+            self.assertIn(part, line)
+        self.assertNotIn("incarnation=0", line)
         refused = fresh()
         self.fleet.send("/posts/x", refused, headers={"Api-Key": "wrong"})
         self.assertRegex(self.fleet.routers[0]["process"].log(), f"id={refused} .*outcome=unknown-key")
