Send callers away from a router with too much to do

Cause: a flooding caller keeps its connections, so that one small router gets hundreds of requests a second. Change: above 0.4 of its cores by measured cost, or 0.6 of its connections, answers say Connection: close. Test: CrowdMeter case.

--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -51,6 +51,7 @@
 
     std::atomic<bool> isStopping { false };
     std::atomic<bool> isRefusing { false }; ///< The planned stop has come so far that a new request might be cut off.
+    std::atomic<std::uint64_t> requestsTaken { 0 };
     std::atomic<bool> isCrowded { false }; ///< So many connections that callers are to close theirs.
     bool wantsClose() const { return isStopping || isCrowded; }
     std::atomic<LogOffset> nextTargetOffset { 0 }; ///< How far the targets' topic is known.
--- a/apps/sagechute-edge/Front.cpp
+++ b/apps/sagechute-edge/Front.cpp
@@ -25,6 +25,7 @@
 {
     RelayOrder order;
     order.arrived = steadyNow();
+    ++m_tools.state.requestsTaken;
     if (const std::optional<Verdict> verdict = accept(exchange->request(), order)) {
         reject(*exchange, order, *verdict);
         return;
--- a/apps/sagechute-edge/Housekeeping.cpp
+++ b/apps/sagechute-edge/Housekeeping.cpp
@@ -16,6 +16,8 @@
     /// How often the settings file is compared; it may change without a signal.
     constexpr Duration settingsInterval = std::chrono::seconds(1);
 
+    constexpr Duration crowdInterval = std::chrono::milliseconds(250);
+
     /// No request for so long: callers have taken up other addresses.
     constexpr Duration quietTime = std::chrono::milliseconds(700);
 
@@ -58,15 +60,19 @@
 void Housekeeping::run(process::StopSignal& stop)
 {
     TimePoint nextCheck = steadyNow() + settingsInterval;
+    TimePoint nextLook {};
     while (!stop.wait(tickInterval)) {
         const TimePoint now = steadyNow();
         m_timers.run(now);
         m_fleet.tick(now);
+        if (now >= nextLook) {
+            m_listeners.followLimits();
+            nextLook = now + crowdInterval;
+        }
         const bool isAsked = stop.takeReload();
         if (!isAsked && now < nextCheck)
             continue;
         nextCheck = now + settingsInterval;
-        m_listeners.followLimits();
         if (isAsked)
             process::log(process::LogLevel::Info, "reload-asked", { { "by", "SIGHUP" } });
         if (m_watch.hasChanged())
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -21,10 +21,6 @@
     constexpr std::chrono::seconds callerIdle { 75 };
     constexpr std::chrono::seconds otherIdle { 30 };
 
-    /// With more connections than this share of the most, callers are told to close theirs. At the limit new ones would
-    /// wait in the kernel for seconds.
-    constexpr double crowdedShare = 0.6;
-
     /// Most answers of "which address" are kept for so long; a router that dies stays in them.
     constexpr std::chrono::seconds locateKept { 2 };
 
@@ -92,6 +88,7 @@
     const std::chrono::seconds kept
         = std::min(locateKept, std::chrono::seconds(static_cast<int>(options.locateKeptSeconds)));
     m_mostConnections = mostCallerConnections(options);
+    m_crowd.emplace(options.cpuShare, m_mostConnections);
     const std::vector<Listener> all {
         { m_callers, options.callersListen, [this](const ExchangePointer& it) { m_tools.front.handle(it); } },
         { m_readiness, options.readinessListen, [this](const ExchangePointer& it) { handleReadiness(*it); } },
@@ -113,7 +110,8 @@
     const auto table = m_tools.state.table();
     if (table)
         m_callers->setIdleTimeout(std::chrono::ceil<std::chrono::seconds>(table->config().limits.idle) + idleMargin);
-    m_tools.state.isCrowded = m_callers->openConnections() > crowdedShare * m_mostConnections;
+    m_tools.state.isCrowded
+        = m_crowd->isCrowded(steadyNow(), m_tools.state.requestsTaken, m_callers->openConnections());
 }
 
 void Listeners::handleReadiness(net::ServerExchange& exchange)
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -23,7 +23,8 @@
     /// Refuses new connections of callers; those open go on.
     void stopTakingCallers() { m_callers->stopListening(); }
 
-    /// Takes over what the newest configuration says of connections. To be called about once a second.
+    /// Takes over what the newest configuration says of connections, and looks whether there is too much to do. To be
+    /// called a few times a second.
     void followLimits();
 
 private:
@@ -40,6 +41,7 @@
 
     const ListenerTools m_tools;
     unsigned m_mostConnections = 0;
+    std::optional<CrowdMeter> m_crowd;
     std::unique_ptr<net::HttpServer> m_callers;
     std::unique_ptr<net::HttpServer> m_readiness;
     std::unique_ptr<net::HttpServer> m_control;
--- a/apps/sagechute-edge/Options.cpp
+++ b/apps/sagechute-edge/Options.cpp
@@ -44,6 +44,7 @@
         .requiredText("store", store, "ADDRESS:PORT of the platform's store")
         .count("max-descriptors", maxDescriptors, 256, 1'000'000, "sockets and files that this process may open")
         .count("memory-mb", memoryMb, 32, 1'000'000, "memory that this process may take, in MB")
+        .real("cpu-share", cpuShare, 0.01, 1024, "cores that this process may use")
         .real("stop-grace-seconds", stopGraceSeconds, 0.1, longestSeconds, "from SIGTERM until the process is killed")
         .real("locate-kept-seconds", locateKeptSeconds, 1, longestSeconds,
             "the longest that callers keep an answer to which address to use")
--- a/apps/sagechute-edge/Options.h
+++ b/apps/sagechute-edge/Options.h
@@ -21,6 +21,7 @@
     std::string store;
     std::uint64_t maxDescriptors = 4096;
     std::uint64_t memoryMb = 256;
+    double cpuShare = 1;
     double stopGraceSeconds = 8;
     double locateKeptSeconds = 5;
     double shareWindowSeconds = 4;
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -338,6 +338,29 @@
 ///         as bytes between zones are dear, else of all.
 std::vector<std::string> chooseEntryPoints(const std::vector<EntryPoint>& ready, const ZoneId& callerZone);
 
+// ---- A router with too much to do
+
+/// Load pattern: a caller that sends many times its usual keeps using the connections that it has, and all of its
+/// requests come to one router. That router falls behind, and what it holds is late, while its neighbours are idle. A
+/// caller that is told to close its connection chooses among all addresses for the next.
+class CrowdMeter {
+public:
+    /// @param cores that the process may use.
+    /// @param mostConnections of callers at once.
+    CrowdMeter(double cores, unsigned mostConnections);
+
+    /// @param requests taken since the start.
+    /// @return whether callers are to be told to close their connections.
+    bool isCrowded(TimePoint now, std::uint64_t requests, std::size_t connections);
+
+private:
+    const double m_mostPerSecond;
+    const double m_mostConnections;
+    std::optional<TimePoint> m_measuredAt;
+    std::uint64_t m_requests = 0;
+    bool m_isCrowded = false;
+};
+
 // ---- The planned stop
 
 /// When a stopping router does what.
--- /dev/null
+++ b/src/edge/CrowdMeter.cpp
@@ -0,0 +1,43 @@
+#include <sagechute/Edge.h>
+
+namespace sagechute::edge {
+
+namespace {
+
+    /// Processor time of a request with its answer, the mean over a heavy day: 1.1 ms.
+    constexpr double requestSeconds = 0.0011;
+
+    /// Share of its cores from which a router sends callers away. Above half of them, pauses of the scheduler add up.
+    constexpr double mostUse = 0.4;
+
+    /// With more connections than this share of the most, new ones would soon wait in the kernel for seconds.
+    constexpr double connectionShare = 0.6;
+
+    constexpr Duration leastInterval = std::chrono::milliseconds(200);
+
+} // namespace
+
+CrowdMeter::CrowdMeter(double cores, unsigned mostConnections)
+    : m_mostPerSecond(mostUse * cores / requestSeconds)
+    , m_mostConnections(connectionShare * mostConnections)
+{
+}
+
+bool CrowdMeter::isCrowded(TimePoint now, std::uint64_t requests, std::size_t connections)
+{
+    if (!m_measuredAt) {
+        m_measuredAt = now;
+        m_requests = requests;
+    }
+    const Duration passed = now - *m_measuredAt;
+    if (passed >= leastInterval) {
+        const double perSecond
+            = static_cast<double>(requests - m_requests) / std::chrono::duration<double>(passed).count();
+        m_isCrowded = perSecond > m_mostPerSecond || static_cast<double>(connections) > m_mostConnections;
+        m_measuredAt = now;
+        m_requests = requests;
+    }
+    return m_isCrowded;
+}
+
+} // namespace sagechute::edge
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -245,3 +245,23 @@
     roster.apply(start + 3s, entry("u", true));
     CHECK(roster.mark() != two);
 }
+
+// Symptom: on one router of 80 thousands of requests pass their deadlines, while its neighbours are idle.
+// Sequence: a caller sends 300 requests a second over the connections that it has, all to one router of an eighth of a
+// core. Cause: nothing told the caller to use another.
+TEST_CASE("a router with too many requests or connections sends callers away, and stops when they have gone")
+{
+    CrowdMeter meter(0.12, 1000);
+    std::uint64_t requests = 0;
+    const auto after = [&](TimePoint now, std::uint64_t more, std::size_t connections) {
+        requests += more;
+        return meter.isCrowded(now, requests, connections);
+    };
+    CHECK_FALSE(after(start, 0, 0));
+    CHECK_FALSE(after(start + 250ms, 5, 10));
+    CHECK(after(start + 500ms, 75, 10));
+    CHECK(after(start + 510ms, 0, 10)); // Too soon to say anything new.
+    CHECK_FALSE(after(start + 750ms, 5, 10));
+    CHECK(after(start + 1000ms, 0, 900));
+    CHECK_FALSE(CrowdMeter(0.5, 1000).isCrowded(start, 0, 0));
+}
