Leave drowned routers out of callers' answers

Cause: a caller that uses few connections sends all its requests to one router, whatever it is told of its connections. Change: a router with over three times the mean of requests in flight, and 25 more, is left out of answers, by the load that gossip carries.

--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -261,7 +261,8 @@
 {
     std::vector<EntryPoint> ready;
     if (m_state.canServe())
-        ready.push_back({ m_options.callersListen, { m_options.zone } });
+        ready.push_back({ m_options.callersListen, { m_options.zone },
+            static_cast<std::uint32_t>(std::max(0, m_state.activeRequests.load())) });
     std::lock_guard lock(m_mutex);
     if (m_plan.isDirect) {
         for (const Peer& it : m_board.alive(now, heartbeatKept)) {
@@ -276,7 +277,7 @@
         const bool isReady
             = it.state == membership::MemberState::Alive && !summary.draining && summary.configOffset > 0;
         if (isReady && summary.life.vm.value != m_options.vm)
-            ready.push_back({ summary.callerAddress, summary.zone });
+            ready.push_back({ summary.callerAddress, summary.zone, summary.load });
     }
     return chooseEntryPoints(ready, callerZone);
 }
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -130,6 +130,9 @@
         return;
     }
     const std::vector<std::string> addresses = m_tools.fleet.entryPoints(steadyNow(), *zone);
+    if (m_toldAddresses.exchange(addresses.size()) != addresses.size())
+        process::log(process::LogLevel::Info, "addresses-for-callers",
+            { { "count", std::to_string(addresses.size()) }, { "zone", zone->value } });
     if (addresses.empty())
         exchange.respond(plain(unavailable, "no router is ready\n"));
     else
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -41,6 +41,7 @@
 
     const ListenerTools m_tools;
     unsigned m_mostConnections = 0;
+    std::atomic<std::size_t> m_toldAddresses { 0 }; ///< In the last answer, for the log.
     std::optional<CrowdMeter> m_crowd;
     std::unique_ptr<net::HttpServer> m_callers;
     std::unique_ptr<net::HttpServer> m_readiness;
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -331,11 +331,13 @@
 struct EntryPoint {
     std::string callerAddress;
     ZoneId zone;
+    std::uint32_t load = 0; ///< Requests in flight there, as it said last.
 };
 
 /// @return the addresses to give to a caller of that availability zone: of ready routers there if there are two or
 /// more,
-///         as bytes between zones are dear, else of all.
+///         as bytes between zones are dear, else of all. A router with far more
+///         in flight than the others is left out: a caller that uses few connections would drown it.
 std::vector<std::string> chooseEntryPoints(const std::vector<EntryPoint>& ready, const ZoneId& callerZone);
 
 // ---- A router with too much to do
--- a/src/edge/Peers.cpp
+++ b/src/edge/Peers.cpp
@@ -10,6 +10,18 @@
 
     using nlohmann::json;
 
+    /// A router is left out of answers with this many times the mean of requests in flight, and a few more.
+    constexpr double mostOverMean = 3;
+    constexpr double loadMargin = 25;
+
+    double mostLoad(const std::vector<EntryPoint>& ready)
+    {
+        double sum = 0;
+        for (const EntryPoint& it : ready)
+            sum += it.load;
+        return ready.empty() ? 0 : mostOverMean * sum / static_cast<double>(ready.size()) + loadMargin;
+    }
+
     constexpr unsigned lastScope = static_cast<unsigned>(HeartbeatScope::Others);
     constexpr std::size_t heartbeatFields = 11;
 
@@ -62,14 +74,15 @@
 
 std::vector<std::string> chooseEntryPoints(const std::vector<EntryPoint>& ready, const ZoneId& callerZone)
 {
+    const double most = mostLoad(ready);
     // With a single router in the zone, its loss would leave its callers without an address until they ask again.
     constexpr std::ptrdiff_t leastInZone = 2;
-    const auto isNear = [&](const EntryPoint& it) { return it.zone == callerZone; };
+    const auto isNear = [&](const EntryPoint& it) { return it.zone == callerZone && it.load <= most; };
     const bool nearSuffice = std::count_if(ready.begin(), ready.end(), isNear) >= leastInZone;
     std::vector<std::string> addresses;
     addresses.reserve(ready.size());
     for (const EntryPoint& it : ready) {
-        if (!nearSuffice || isNear(it))
+        if (nearSuffice ? isNear(it) : it.load <= most)
             addresses.push_back(it.callerAddress);
     }
     return addresses;
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -265,3 +265,18 @@
     CHECK(after(start + 1000ms, 0, 900));
     CHECK_FALSE(CrowdMeter(0.5, 1000).isCrowded(start, 0, 0));
 }
+
+TEST_CASE("a router with far more in flight than the others is left out of callers' answers")
+{
+    std::vector<EntryPoint> ready;
+    for (int i = 0; i < 19; ++i)
+        ready.push_back({ "a" + std::to_string(i), { "a" }, 4 });
+    ready.push_back({ "drowned", { "a" }, 300 });
+    const auto given = chooseEntryPoints(ready, { "a" });
+    CHECK(given.size() == 19);
+    CHECK(std::count(given.begin(), given.end(), "drowned") == 0);
+    // Where all have much to do, none stands out.
+    for (EntryPoint& it : ready)
+        it.load = 300;
+    CHECK(chooseEntryPoints(ready, { "a" }).size() == 20);
+}
