Refuse at once what a router's own cores can't carry; make decisions and log lines cheaper

Cause: one small router that got 300 requests a second fell behind; all it held was late, and callers' connections piled up. Change: a token bucket of 0.7 of its cores by measured cost; sums and share levels once a decision and each 25 ms; the log's bound is asked before a line is put together. Test: CrowdMeter's bucket.

--- a/apps/sagechute-edge/Front.cpp
+++ b/apps/sagechute-edge/Front.cpp
@@ -16,6 +16,9 @@
     /// Another router takes the request at once.
     constexpr Duration stopComeBack = std::chrono::milliseconds(20);
 
+    /// Another router may take it at once; the same one has let its queue shrink.
+    constexpr Duration crowdComeBack = std::chrono::milliseconds(150);
+
     /// @return a number in [0, 1) that is the same wherever this request is decided on.
     double pointOf(const std::string& id) { return static_cast<double>(stableHash(id) >> 11) * 0x1.0p-53; }
 
@@ -34,7 +37,7 @@
     Relay::start(m_tools, std::move(order));
 }
 
-std::optional<Front::Verdict> Front::accept(const net::ServerRequest& request, RelayOrder& order) const
+std::optional<Front::Verdict> Front::accept(const net::ServerRequest& request, RelayOrder& order)
 {
     absl::StatusOr<CallerFacts> facts = m_tools.callers.decode(request);
     if (!facts.ok())
@@ -59,6 +62,8 @@
         return Verdict { badRequest, "no-request-id", std::nullopt };
     if (request.body.size() > order.table->config().limits.bodyBytes)
         return Verdict { tooLarge, "body-too-large", std::nullopt };
+    if (!m_crowd.takes(order.arrived))
+        return Verdict { unavailable, "router-crowded", crowdComeBack };
     const ServiceId* service = dispatch::RoutingTable::chooseService(*order.route, pointOf(order.facts.id));
     if (!service)
         return Verdict { unavailable, "route-without-service", startTime };
--- a/apps/sagechute-edge/Front.h
+++ b/apps/sagechute-edge/Front.h
@@ -7,8 +7,9 @@
 /// Takes callers' requests: finds route, customer and service, and hands them to a relay.
 class Front {
 public:
-    explicit Front(const RelayTools& tools)
+    Front(const RelayTools& tools, CrowdMeter& crowd)
         : m_tools(tools)
+        , m_crowd(crowd)
     {
     }
 
@@ -21,10 +22,11 @@
         std::optional<Duration> comeBack;
     };
 
-    std::optional<Verdict> accept(const net::ServerRequest&, RelayOrder&) const;
+    std::optional<Verdict> accept(const net::ServerRequest&, RelayOrder&);
     void reject(net::ServerExchange&, const RelayOrder&, const Verdict&) const;
 
     const RelayTools m_tools;
+    CrowdMeter& m_crowd;
 };
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -27,14 +27,6 @@
     constexpr std::size_t mostCallerBody = 8 << 20;
     constexpr std::size_t mostOtherBody = 64 << 10;
 
-    /// Descriptors that are not for callers: 200 that the platform sets aside for files, and as many sockets to targets
-    /// as a flooded router was seen to use.
-    constexpr std::uint64_t otherDescriptors = 200 + 800;
-    constexpr unsigned leastCallerConnections = 100;
-
-    /// A connection takes about so much memory, most of it for its headers; half of the process's is for connections.
-    constexpr std::uint64_t connectionKilobytes = 36;
-
     /// Callers' idle connections stay open for a little longer than callers use them again.
     constexpr std::chrono::seconds idleMargin { 2 };
     constexpr unsigned mostOtherConnections = 200;
@@ -44,14 +36,6 @@
         return { status, { { "Content-Type", "text/plain" } }, std::move(body) };
     }
 
-    unsigned mostCallerConnections(const Options& options)
-    {
-        const std::uint64_t byDescriptors
-            = options.maxDescriptors > otherDescriptors ? options.maxDescriptors - otherDescriptors : 0;
-        const std::uint64_t byMemory = options.memoryMb * 1024 / 2 / connectionKilobytes;
-        return std::max(leastCallerConnections, static_cast<unsigned>(std::min(byDescriptors, byMemory)));
-    }
-
     /// @param callerConnections 0: not for callers.
     absl::StatusOr<std::unique_ptr<net::HttpServer>> listen(
         const std::string& address, unsigned callerConnections, net::HttpServer::Handler handler)
@@ -87,8 +71,7 @@
     };
     const std::chrono::seconds kept
         = std::min(locateKept, std::chrono::seconds(static_cast<int>(options.locateKeptSeconds)));
-    m_mostConnections = mostCallerConnections(options);
-    m_crowd.emplace(options.cpuShare, m_mostConnections);
+    m_mostConnections = options.mostCallerConnections();
     const std::vector<Listener> all {
         { m_callers, options.callersListen, [this](const ExchangePointer& it) { m_tools.front.handle(it); } },
         { m_readiness, options.readinessListen, [this](const ExchangePointer& it) { handleReadiness(*it); } },
@@ -111,7 +94,7 @@
     if (table)
         m_callers->setIdleTimeout(std::chrono::ceil<std::chrono::seconds>(table->config().limits.idle) + idleMargin);
     m_tools.state.isCrowded
-        = m_crowd->isCrowded(steadyNow(), m_tools.state.requestsTaken, m_callers->openConnections());
+        = m_tools.crowd.isCrowded(steadyNow(), m_tools.state.requestsTaken, m_callers->openConnections());
 }
 
 void Listeners::handleReadiness(net::ServerExchange& exchange)
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -11,6 +11,7 @@
     EdgeState& state;
     Fleet& fleet;
     Front& front;
+    CrowdMeter& crowd;
     const EntryProtocol& entry;
     process::Metrics& metrics;
 };
@@ -42,7 +43,6 @@
     const ListenerTools m_tools;
     unsigned m_mostConnections = 0;
     std::atomic<std::size_t> m_toldAddresses { 0 }; ///< In the last answer, for the log.
-    std::optional<CrowdMeter> m_crowd;
     std::unique_ptr<net::HttpServer> m_callers;
     std::unique_ptr<net::HttpServer> m_readiness;
     std::unique_ptr<net::HttpServer> m_control;
--- a/apps/sagechute-edge/Options.cpp
+++ b/apps/sagechute-edge/Options.cpp
@@ -77,6 +77,27 @@
     return result;
 }
 
+unsigned Options::mostCallerConnections() const
+{
+    // 200 descriptors that the platform sets aside for files, and as many sockets to targets as a flooded router was
+    // seen to use.
+    constexpr std::uint64_t otherDescriptors = 200 + 800;
+    constexpr std::uint64_t leastConnections = 100;
+    // Most of it for its headers; half of the process's memory is for connections.
+    constexpr std::uint64_t connectionKilobytes = 36;
+    const std::uint64_t byDescriptors = maxDescriptors > otherDescriptors ? maxDescriptors - otherDescriptors : 0;
+    const std::uint64_t byMemory = memoryMb * 1024 / 2 / connectionKilobytes;
+    return static_cast<unsigned>(std::max(leastConnections, std::min(byDescriptors, byMemory)));
+}
+
+unsigned Options::affordableLogLines() const
+{
+    // A line costs some 60 us; at this rate they take a twentieth of the cores.
+    constexpr double linesPerCore = 800;
+    const auto affordable = static_cast<std::uint64_t>(std::max(1.0, linesPerCore * cpuShare));
+    return static_cast<unsigned>(std::min(logLinesPerSecond, affordable));
+}
+
 dispatch::DispatchSettings Options::dispatchSettings() const
 {
     dispatch::DispatchSettings settings;
--- a/apps/sagechute-edge/Options.h
+++ b/apps/sagechute-edge/Options.h
@@ -46,6 +46,12 @@
     /// @return the seeds' addresses with the port that gossip uses.
     std::vector<std::string> gossipSeeds() const;
 
+    /// @return how many connections of callers descriptors and memory allow.
+    unsigned mostCallerConnections() const;
+
+    /// @return log lines a second: the setting, or what a small VM can afford.
+    unsigned affordableLogLines() const;
+
     dispatch::DispatchSettings dispatchSettings() const;
 };
 
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -62,8 +62,9 @@
         auto fleet = Fleet::make(state, options, incarnation);
         if (!fleet.ok())
             return failStart(fleet.status());
-        Front front({ state, **targetClient, *callerProtocol, *targetProtocol, timers, edgeMetrics });
-        auto listeners = Listeners::make(options, { state, **fleet, front, *entryProtocol, metrics });
+        CrowdMeter crowd(options.cpuShare, options.mostCallerConnections());
+        Front front({ state, **targetClient, *callerProtocol, *targetProtocol, timers, edgeMetrics }, crowd);
+        auto listeners = Listeners::make(options, { state, **fleet, front, crowd, *entryProtocol, metrics });
         if (!listeners.ok())
             return failStart(listeners.status());
         StoreFollower follower(state, **fleet, *store, **peerClient, edgeMetrics);
@@ -90,7 +91,7 @@
         process::StopSignal stop;
         const Incarnation incarnation = drawIncarnation();
         process::StreamLimits limits;
-        limits.linesPerSecond = static_cast<unsigned>(options.logLinesPerSecond);
+        limits.linesPerSecond = options.affordableLogLines();
         if (absl::Status status
             = process::startLogging("sagechute-edge", options.logLevel, { options.vm }, incarnation, limits);
             !status.ok()) {
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -8,6 +8,8 @@
 #include <sagechute/Membership.h>
 #include <sagechute/Net.h>
 
+#include <mutex>
+
 namespace sagechute::edge {
 
 // ---- Ports
@@ -351,13 +353,21 @@
     /// @param mostConnections of callers at once.
     CrowdMeter(double cores, unsigned mostConnections);
 
+    /// Any thread.
+    /// @return whether one more request can be carried; false: it is to be refused at once. What a router takes beyond
+    ///         its cores makes all it holds late, and ends at the callers' deadlines.
+    bool takes(TimePoint now);
+
     /// @param requests taken since the start.
     /// @return whether callers are to be told to close their connections.
     bool isCrowded(TimePoint now, std::uint64_t requests, std::size_t connections);
 
 private:
-    const double m_mostPerSecond;
+    const double m_fullPerSecond; ///< What all of its cores could carry.
     const double m_mostConnections;
+    std::mutex m_mutex;
+    double m_tokens = 0;
+    TimePoint m_filledAt {};
     std::optional<TimePoint> m_measuredAt;
     std::uint64_t m_requests = 0;
     bool m_isCrowded = false;
--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -10,6 +10,8 @@
     /// Entries of one moment are added up, so that their number is bounded by time and customers, not by requests.
     constexpr Duration entrySpan = std::chrono::milliseconds(250);
 
+    constexpr Duration sumKept = std::chrono::milliseconds(25);
+
     /// A peer that has not reported for so long counts as gone; its share of the window has passed to others.
     constexpr Duration peerKept = std::chrono::seconds(2);
 
@@ -94,16 +96,18 @@
 
 double CustomerShares::overShare(TimePoint now, const CustomerId& customer, double capacity)
 {
-    const std::map<CustomerId, CustomerUse> sum = total(now);
-    const auto self = sum.find(customer);
-    if (self == sum.end())
-        return 0;
-    std::vector<double> asked;
-    asked.reserve(sum.size());
-    for (const auto& [id, use] : sum)
-        asked.push_back(use.asked);
-    const double level = maxMinLevel(std::move(asked), capacity);
-    return level > 0 ? self->second.granted / level : 0;
+    // Summing up costs more than all the rest of a decision; what peers said is older than this anyway.
+    if (!m_summedAt || now - *m_summedAt >= sumKept) {
+        m_summedAt = now;
+        m_sum = total(now);
+        std::vector<double> asked;
+        asked.reserve(m_sum.size());
+        for (const auto& [id, use] : m_sum)
+            asked.push_back(use.asked);
+        m_level = maxMinLevel(std::move(asked), capacity);
+    }
+    const auto self = m_sum.find(customer);
+    return self == m_sum.end() || m_level <= 0 ? 0 : self->second.granted / m_level;
 }
 
 } // namespace sagechute::dispatch
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -62,6 +62,9 @@
     std::deque<Entry> m_entries;
     std::map<CustomerId, OwnUse> m_own;
     std::map<VmId, PeerPart> m_peers;
+    std::optional<TimePoint> m_summedAt;
+    std::map<CustomerId, CustomerUse> m_sum; ///< Of all routers, at that time.
+    double m_level = 0;
 };
 
 /// @return the level L for which the sum of min(asked, L) over all is @p capacity; infinity when all fits.
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -148,14 +148,15 @@
 {
     Candidate candidate { &model };
     candidate.tokensToRead = model.tokensToRead(demand.prompt, prefixes);
-    candidate.predictedFirst = model.predictFirst(now, candidate.tokensToRead);
+    const TargetUse inFlight = model.use(now);
+    candidate.predictedFirst = model.predictFirst(inFlight, candidate.tokensToRead);
     double cost = Milliseconds(candidate.predictedFirst).count();
     cost += (m_settings.readWeight - 1) * candidate.tokensToRead / m_settings.readTokensPerMs;
     cost += failureCostMs * model.failureShare();
-    cost += activeCostMs * model.use(now).active;
+    cost += activeCostMs * inFlight.active;
     if (model.target().zone != m_ownZone)
         cost += Milliseconds(m_settings.zonePenalty).count();
-    if (!model.hasRoom(now, demand.prompt.tokensIn + demand.prompt.tokensOut))
+    if (!model.hasRoom(inFlight, demand.prompt.tokensIn + demand.prompt.tokensOut))
         cost += noRoomCostMs;
     if (prefixes.size() > 1) {
         // Rendezvous hashing: the order of targets for a prefix is the same in every router, and stays so for the
--- a/src/dispatch/TargetModel.cpp
+++ b/src/dispatch/TargetModel.cpp
@@ -80,14 +80,13 @@
     return m_engine ? fromMs(tokens / m_settings.readTokensPerMs * m_slowness) : Duration::zero();
 }
 
-Duration TargetModel::predictFirst(TimePoint now, std::uint32_t tokensToRead) const
+Duration TargetModel::predictFirst(const TargetUse& inFlight, std::uint32_t tokensToRead) const
 {
-    const TargetUse sum = use(now);
     if (m_engine) {
-        return m_settings.firstEventBase + readTime(sum.tokensToRead + tokensToRead);
+        return m_settings.firstEventBase + readTime(inFlight.tokensToRead + tokensToRead);
     }
     const double slots = std::max(1U, m_target.slots);
-    const double queued = std::max(0.0, sum.active + 1 - slots);
+    const double queued = std::max(0.0, inFlight.active + 1 - slots);
     return fromMs(m_answerMs * (1 + queued / slots));
 }
 
@@ -97,15 +96,14 @@
     return std::any_of(m_firstDue.begin(), m_firstDue.end(), [&](const auto& it) { return it.second < now; });
 }
 
-bool TargetModel::hasRoom(TimePoint now, std::uint32_t memoryTokens) const
+bool TargetModel::hasRoom(const TargetUse& inFlight, std::uint32_t memoryTokens) const
 {
     if (!m_engine)
         return true;
-    const TargetUse sum = use(now);
-    if (m_engine->slots && sum.active >= m_engine->slots)
+    if (m_engine->slots && inFlight.active >= m_engine->slots)
         return false;
     const double most = memoryShare * static_cast<double>(m_engine->cacheTokens);
-    return sum.active == 0 || static_cast<double>(sum.memoryTokens) + memoryTokens <= most;
+    return inFlight.active == 0 || static_cast<double>(inFlight.memoryTokens) + memoryTokens <= most;
 }
 
 void TargetModel::placed(TimePoint now, std::uint32_t tokensToRead, std::uint32_t memoryTokens,
--- a/src/dispatch/TargetModel.h
+++ b/src/dispatch/TargetModel.h
@@ -24,11 +24,12 @@
     /// @return how long it reads that many tokens.
     Duration readTime(std::uint32_t tokens) const;
 
+    /// @param inFlight see use(); summed up once for all that is asked about one request.
     /// @return when the first event, or the whole answer of an application, can be expected.
-    Duration predictFirst(TimePoint now, std::uint32_t tokensToRead) const;
+    Duration predictFirst(const TargetUse& inFlight, std::uint32_t tokensToRead) const;
 
     /// @return whether one more request of that size fits beside those in flight without one being pushed out.
-    bool hasRoom(TimePoint now, std::uint32_t memoryTokens) const;
+    bool hasRoom(const TargetUse& inFlight, std::uint32_t memoryTokens) const;
 
     /// @return whether it should get no request now, because it could not be reached lately.
     bool isAvoided(TimePoint now) const { return now < m_avoidUntil || isOverdue(now); }
--- a/src/edge/CrowdMeter.cpp
+++ b/src/edge/CrowdMeter.cpp
@@ -1,5 +1,7 @@
 #include <sagechute/Edge.h>
 
+#include <algorithm>
+
 namespace sagechute::edge {
 
 namespace {
@@ -10,6 +12,13 @@
     /// Share of its cores from which a router sends callers away. Above half of them, pauses of the scheduler add up.
     constexpr double mostUse = 0.4;
 
+    /// Share of its cores that a router fills with requests; refusing the others, heartbeats and the rest take some,
+    /// too.
+    constexpr double takeShare = 0.7;
+
+    /// Requests come in bursts; as many as fit into this time are taken at once.
+    constexpr double burstSeconds = 0.4;
+
     /// With more connections than this share of the most, new ones would soon wait in the kernel for seconds.
     constexpr double connectionShare = 0.6;
 
@@ -18,11 +27,24 @@
 } // namespace
 
 CrowdMeter::CrowdMeter(double cores, unsigned mostConnections)
-    : m_mostPerSecond(mostUse * cores / requestSeconds)
+    : m_fullPerSecond(cores / requestSeconds)
     , m_mostConnections(connectionShare * mostConnections)
 {
 }
 
+bool CrowdMeter::takes(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    const double passed = std::chrono::duration<double>(now - m_filledAt).count();
+    const double rate = takeShare * m_fullPerSecond;
+    m_tokens = std::min(m_tokens + passed * rate, burstSeconds * rate);
+    m_filledAt = now;
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
 bool CrowdMeter::isCrowded(TimePoint now, std::uint64_t requests, std::size_t connections)
 {
     if (!m_measuredAt) {
@@ -33,7 +55,7 @@
     if (passed >= leastInterval) {
         const double perSecond
             = static_cast<double>(requests - m_requests) / std::chrono::duration<double>(passed).count();
-        m_isCrowded = perSecond > m_mostPerSecond || static_cast<double>(connections) > m_mostConnections;
+        m_isCrowded = perSecond > mostUse * m_fullPerSecond || static_cast<double>(connections) > m_mostConnections;
         m_measuredAt = now;
         m_requests = requests;
     }
--- a/src/process/Log.cpp
+++ b/src/process/Log.cpp
@@ -101,6 +101,28 @@
 
     std::atomic<std::uint64_t> droppedLines { 0 };
 
+    /// Lines that may still be written in a second. Asked before a line is put together, as that costs most of it.
+    class LineBudget {
+    public:
+        void setMost(unsigned linesPerSecond) { m_most = linesPerSecond; }
+
+        bool take()
+        {
+            const TimePoint::rep second
+                = std::chrono::floor<std::chrono::seconds>(steadyNow().time_since_epoch()).count();
+            if (m_second.exchange(second) != second)
+                m_lines = 0;
+            return ++m_lines <= m_most;
+        }
+
+    private:
+        std::atomic<unsigned> m_most { 0 };
+        std::atomic<TimePoint::rep> m_second { 0 };
+        std::atomic<unsigned> m_lines { 0 };
+    };
+
+    LineBudget lineBudget;
+
     /// Writes whole lines to stdout and never waits.
     ///
     /// What could go wrong: the reader of a pipe stands still, the pipe fills up, and with a plain write every thread
@@ -108,10 +130,6 @@
     /// as writable takes PIPE_BUF bytes at once, so that a line up to that size is written whole or dropped.
     class StdoutAppender final : public log4cplus::Appender {
     public:
-        explicit StdoutAppender(const StreamLimits& limits)
-            : m_limits(limits)
-        {
-        }
         ~StdoutAppender() override { destructorImpl(); }
 
         void close() override { closed = true; }
@@ -121,10 +139,6 @@
 
         void append(const log4cplus::spi::InternalLoggingEvent& event) override
         {
-            if (!takesOneMore()) {
-                ++droppedLines;
-                return;
-            }
             std::string& line = formatEvent(event);
             if (line.size() > longestLine) {
                 line.resize(longestLine - 1);
@@ -140,16 +154,6 @@
             }
         }
 
-        bool takesOneMore()
-        {
-            const TimePoint now = steadyNow();
-            if (now - m_second >= std::chrono::seconds(1)) {
-                m_second = now;
-                m_lines = 0;
-            }
-            return ++m_lines <= m_limits.linesPerSecond;
-        }
-
         static bool write(const std::string& line)
         {
             pollfd descriptor { STDOUT_FILENO, POLLOUT, 0 };
@@ -158,9 +162,6 @@
             return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
         }
 
-        const StreamLimits m_limits;
-        TimePoint m_second {};
-        unsigned m_lines = 0;
         std::uint64_t m_toldDropped = 0;
     };
 
@@ -187,12 +188,13 @@
     std::string identity = fieldText("program", program);
     if (!vm.empty())
         identity += fieldText("vm", vm.value) + fieldText("incarnation", std::to_string(incarnation));
-    log4cplus::SharedAppenderPtr appender(new StdoutAppender(limits));
+    log4cplus::SharedAppenderPtr appender(new StdoutAppender);
     appender->setLayout(std::make_unique<EventLayout>(std::move(identity)));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
     root.addAppender(appender);
     root.setLogLevel(chosen->native);
+    lineBudget.setMost(limits.linesPerSecond);
     started = true;
     return absl::OkStatus();
 }
@@ -205,6 +207,10 @@
     static const log4cplus::Logger logger = log4cplus::Logger::getRoot();
     if (!logger.isEnabledFor(native))
         return;
+    if (!lineBudget.take()) {
+        ++droppedLines;
+        return;
+    }
     std::string line(event);
     for (const LogField& field : fields)
         line += fieldText(field.name, field.value);
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -280,3 +280,22 @@
         it.load = 300;
     CHECK(chooseEntryPoints(ready, { "a" }).size() == 20);
 }
+
+TEST_CASE("a router takes what its cores can carry and refuses the rest at once")
+{
+    CrowdMeter meter(0.12, 1000);
+    unsigned taken = 0;
+    unsigned late = 0;
+    for (int i = 0; i < 3000; ++i) { // 300 a second
+        const bool isTaken = meter.takes(start + i * 3333us);
+        taken += isTaken ? 1 : 0;
+        late += isTaken && i >= 1500 ? 1 : 0;
+    }
+    CHECK(late >= 5 * 70);
+    CHECK(late <= 5 * 80);
+    CHECK(taken <= 10 * 80 + 40);
+    // At a usual load none is refused.
+    CrowdMeter calm(0.25, 1000);
+    for (int i = 0; i < 600; ++i)
+        CHECK(calm.takes(start + i * 16ms));
+}
