--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -34,6 +34,12 @@
     return m_roster.targets();
 }
 
+std::vector<ListedTarget> EdgeState::listedTargets() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_roster.listed();
+}
+
 bool EdgeState::canServe() const
 {
     if (isStopping || !table())
--- a/apps/sagechute-edge/PeerState.cpp
+++ b/apps/sagechute-edge/PeerState.cpp
@@ -8,16 +8,18 @@
 
     using nlohmann::json;
 
-    json encodeTarget(const dispatch::Target& target)
+    json encodeTarget(const ListedTarget& listed)
     {
+        const dispatch::Target& target = listed.target;
         return { target.id.value, target.service.value, target.address, target.zone.value, target.slots,
-            target.draining };
+            target.draining, listed.isMissing };
     }
 
-    dispatch::Target decodeTarget(const json& item)
+    ListedTarget decodeTarget(const json& item)
     {
-        return { { item.at(0).get<std::string>() }, { item.at(1).get<std::string>() }, item.at(2).get<std::string>(),
-            { item.at(3).get<std::string>() }, item.at(4).get<unsigned>(), item.at(5).get<bool>() };
+        return { { { item.at(0).get<std::string>() }, { item.at(1).get<std::string>() }, item.at(2).get<std::string>(),
+                     { item.at(3).get<std::string>() }, item.at(4).get<unsigned>(), item.at(5).get<bool>() },
+            item.at(6).get<bool>() };
     }
 
 } // namespace
@@ -28,7 +30,7 @@
     if (state.config)
         config = { state.config->version, state.config->offset, state.config->document };
     json targets = json::array();
-    for (const dispatch::Target& it : state.targets)
+    for (const ListedTarget& it : state.targets)
         targets.push_back(encodeTarget(it));
     return encodeCbor(json::array({ std::move(config), state.nextTargetOffset, std::move(targets) }));
 }
--- a/apps/sagechute-edge/PeerState.h
+++ b/apps/sagechute-edge/PeerState.h
@@ -10,7 +10,7 @@
 struct PeerState {
     std::optional<ConfigRecord> config;
     LogOffset nextTargetOffset = 0;
-    std::vector<dispatch::Target> targets;
+    std::vector<ListedTarget> targets;
 };
 
 /// Path of the state on a router's control listener.
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -244,15 +244,12 @@
         adopt(*state->config, peer.vm.value.c_str());
     if (!wantsTargets || state->nextTargetOffset <= m_state.nextTargetOffset)
         return;
-    std::vector<TargetChange> all;
-    for (const dispatch::Target& it : state->targets)
-        all.push_back({ it.id, it });
     const TimePoint now = steadyNow();
-    m_state.changeTargets(now, [&](TargetRoster& roster) { roster.replace(now, all); });
+    m_state.changeTargets(now, [&](TargetRoster& roster) { roster.replaceFromPeer(now, state->targets); });
     m_state.nextTargetOffset.store(state->nextTargetOffset);
     process::log(process::LogLevel::Info, "targets-from-peer",
         { { "peer", peer.vm.value }, { "offset", std::to_string(state->nextTargetOffset) },
-            { "targets", std::to_string(all.size()) } });
+            { "targets", std::to_string(state->targets.size()) } });
 }
 
 void StoreFollower::findOthers()
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -171,6 +171,12 @@
 
 // ---- The list of targets
 
+/// A target, and whether it is merely kept though its entry is missing.
+struct ListedTarget {
+    dispatch::Target target;
+    bool isMissing = false;
+};
+
 /// The targets as this router believes in them.
 ///
 /// Entries lapse while the store is away, though their targets live; these write themselves again within two seconds of
@@ -189,6 +195,13 @@
     /// Replaces everything by a whole list.
     void replace(TimePoint now, const std::vector<TargetChange>& all);
 
+    /// Takes over another router's list. What that router merely keeps though its entry is missing is kept here, too,
+    /// for the same time, but not taken up again by one that saw it go.
+    void replaceFromPeer(TimePoint now, const std::vector<ListedTarget>&);
+
+    /// @return all entries with what is known of them, for another router.
+    std::vector<ListedTarget> listed() const;
+
     /// @return whether something expired since the last call.
     bool expire(TimePoint now);
 
--- a/src/edge/TargetRoster.cpp
+++ b/src/edge/TargetRoster.cpp
@@ -62,6 +62,32 @@
         remove(now, id);
 }
 
+void TargetRoster::replaceFromPeer(TimePoint now, const std::vector<ListedTarget>& all)
+{
+    std::vector<TargetChange> present;
+    for (const ListedTarget& it : all) {
+        const auto known = m_entries.find(it.target.id);
+        if (it.isMissing && known == m_entries.end())
+            continue;
+        present.push_back({ it.target.id, it.target });
+    }
+    replace(now, present);
+    for (const ListedTarget& it : all) {
+        const auto known = m_entries.find(it.target.id);
+        if (it.isMissing && known != m_entries.end())
+            known->second.goneAt = now + returnGrace;
+    }
+}
+
+std::vector<ListedTarget> TargetRoster::listed() const
+{
+    std::vector<ListedTarget> result;
+    result.reserve(m_entries.size());
+    for (const auto& [id, entry] : m_entries)
+        result.push_back({ entry.target, entry.goneAt.has_value() });
+    return result;
+}
+
 bool TargetRoster::expire(TimePoint now)
 {
     if (m_lostAt)
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -299,3 +299,34 @@
     for (int i = 0; i < 600; ++i)
         CHECK(calm.takes(start + i * 16ms));
 }
+
+// Symptom: a target gets requests three seconds after its entry was removed, by a router that had seen the removal.
+// Sequence: the store turns some routers away; a target's entry is removed; the store takes the routers in again; one
+// of them keeps the missing entry for its grace and hands its list to a router that never lost the store. Cause: the
+// receiver took over the kept entry and forgot what it knew.
+TEST_CASE("an entry that another router merely keeps is not taken over by one that saw it go")
+{
+    TargetRoster cutOff;
+    cutOff.apply(start, entry("t"));
+    cutOff.apply(start, entry("u"));
+    cutOff.storeLost(start);
+    cutOff.storeRegained(start + 9s, true);
+    cutOff.apply(start + 9s, gone("t"));
+    REQUIRE(cutOff.listed().size() == 2);
+
+    TargetRoster inTouch;
+    inTouch.apply(start, entry("t"));
+    inTouch.apply(start, entry("u"));
+    inTouch.apply(start + 8s, gone("t"));
+    inTouch.replaceFromPeer(start + 9s, cutOff.listed());
+    REQUIRE(inTouch.size() == 1);
+    CHECK(inTouch.targets().front().id.value == "u");
+
+    // One that relies on the other's reads keeps the entry as long as the other does.
+    TargetRoster follower;
+    follower.apply(start, entry("t"));
+    follower.replaceFromPeer(start + 9s, cutOff.listed());
+    CHECK(follower.size() == 2);
+    CHECK(follower.expire(start + 9s + TargetRoster::returnGrace));
+    CHECK(follower.size() == 1);
+}
