--- /dev/null
+++ b/tests/DispatchReplayTest.cpp
@@ -0,0 +1,98 @@
+// Replays of loads at their worst, the product's policy against simpler ones: tests/DispatchWorld.h.
+
+#include "DispatchWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace sagechute::dispatch;
+
+namespace {
+
+constexpr std::uint64_t seed = 20261202;
+
+Outcome play(const char* name, const LoadPattern& pattern, const Policy& policy = {})
+{
+    const Outcome it = DispatchWorld(pattern, policy, seed).play();
+    std::cout << name << ": asked " << it.asked << ", on time " << it.onTime << ", late " << it.late << ", refused "
+              << it.refused << ", small customers on time " << it.smallShare() << ", tokens read " << it.tokensRead
+              << "\n";
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("a usual load is served on time")
+{
+    const Outcome it = play("usual", {});
+    CHECK(it.onTimeShare() > 0.85);
+}
+
+// Load pattern: half as much again as the engines can read, for two seconds.
+TEST_CASE("in a burst more are on time than when everything is sent")
+{
+    LoadPattern pattern;
+    pattern.burst = 3;
+    const Outcome product = play("burst", pattern);
+    const Outcome baseline = play("burst, no admission", pattern, { false, false, true });
+    CHECK(product.onTime > baseline.onTime);
+    CHECK(product.late < baseline.late);
+}
+
+// Load pattern: one customer sends four fifths of all requests, twice what the engines can read.
+TEST_CASE("beside a customer that floods the others' requests are on time")
+{
+    LoadPattern pattern;
+    pattern.requestsPerSecond = 160;
+    pattern.hotCustomer = 0.8;
+    const Outcome product = play("hot customer", pattern);
+    const Outcome unshared = play("hot customer, no shares", pattern, { true, false, true });
+    const Outcome unlimited = play("hot customer, no admission", pattern, { false, false, true });
+    CHECK(product.smallShare() > 0.75);
+    CHECK(product.smallShare() > unshared.smallShare() + 0.1);
+    CHECK(product.smallShare() > unlimited.smallShare() + 0.1);
+}
+
+// Load pattern: a third of all requests share one prompt.
+TEST_CASE("a prompt that many ask for is kept on more engines than one, and the rest where it is")
+{
+    LoadPattern pattern;
+    pattern.hotPrompt = 0.33;
+    const Outcome product = play("hot prompt", pattern);
+    const Outcome baseline = play("hot prompt, least loaded", pattern, { true, true, false });
+    CHECK(product.onTimeShare() > 0.85);
+    CHECK(product.tokensRead < baseline.tokensRead);
+    CHECK(product.onTime > baseline.onTime);
+}
+
+TEST_CASE("placing by kept prompts reads far less than the least loaded engine")
+{
+    const Outcome product = play("affinity", {});
+    const Outcome baseline = play("affinity, least loaded", {}, { true, true, false });
+    CHECK(product.tokensRead * 10 < baseline.tokensRead * 8);
+    CHECK(product.onTime > baseline.onTime);
+}
+
+// Load pattern: two engines of six vanish; their entries stay for 3.6 s.
+TEST_CASE("after the loss of engines few requests are sent to them")
+{
+    LoadPattern pattern;
+    pattern.lostEngines = 2;
+    const Outcome it = play("lost engines", pattern);
+    const unsigned unanswered = it.asked - it.onTime - it.late - it.refused;
+    CHECK(unanswered < it.asked / 10);
+    CHECK(it.onTimeShare() > 0.6);
+}
+
+// Load pattern: overload, and every refused caller asks again at once.
+TEST_CASE("callers that repeat at once gain nothing over those that wait")
+{
+    LoadPattern pattern;
+    pattern.requestsPerSecond = 130;
+    const Outcome waiting = play("overload", pattern);
+    pattern.repeatsAtOnce = true;
+    const Outcome repeating = play("overload, repeats at once", pattern);
+    CHECK(repeating.onTimeShare() < waiting.onTimeShare() + 0.05);
+    CHECK(repeating.late < repeating.asked / 5);
+}
--- /dev/null
+++ b/tests/DispatchWorld.cpp
@@ -0,0 +1,175 @@
+#include "DispatchWorld.h"
+
+namespace sagechute::dispatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr TimePoint start { 1000s };
+    constexpr Duration step = 5ms;
+    constexpr Duration reportEvery = 60ms;
+    constexpr Duration goal = 800ms;
+    constexpr Duration firstBase = 55ms;
+    constexpr Duration streamTime = 800ms;
+    constexpr Duration listedAfterLoss = 3600ms;
+    constexpr double engineTokensPerMs = 44;
+    constexpr std::uint64_t engineMemory = 400'000;
+    constexpr unsigned customers = 10;
+    constexpr unsigned sharedParts = 40;
+    constexpr std::uint32_t sharedTokens = 13'000;
+    constexpr std::uint32_t tokensOut = 120;
+    constexpr unsigned mostAsks = 4;
+
+} // namespace
+
+DispatchWorld::DispatchWorld(const LoadPattern& pattern, const Policy& policy, std::uint64_t seed)
+    : m_pattern(pattern)
+    , m_policy(policy)
+    , m_random(seed)
+{
+    FleetConfig config;
+    config.version = 1;
+    // What the engines read in a second with all shared parts kept: some 4,000 of 17,000 tokens of each prompt.
+    config.tokensPerSecond = policy.isSharing ? pattern.engines * 44'000.0 * 2 : 0;
+    config.services = { { { "llm" }, 100, EngineProfile { 64, engineMemory, 3 } } };
+    Route route;
+    route.kind = RequestKind::Stream;
+    route.goal = goal;
+    route.timeout = 12s;
+    config.routes = { route };
+    m_table = RoutingTable::make(config);
+    for (unsigned i = 0; i < pattern.engines; ++i) {
+        const TargetId id { "e" + std::to_string(i) };
+        m_targets.push_back({ id, { "llm" }, "127.0.0.1:1", { "z" }, 64, false });
+        m_engines[id].id = id;
+        m_engines[id].kept.setCapacity(engineMemory);
+    }
+    DispatchSettings settings;
+    if (!policy.isAdmitting)
+        settings.admitShare = 1e6;
+    if (!policy.isAffine) {
+        settings.readWeight = 1;
+        settings.homeBonus = Duration(0);
+    }
+    for (unsigned i = 0; i < pattern.routers; ++i) {
+        m_routers.push_back(Dispatcher::make(settings, { "z" }, seed + i));
+        m_routers.back()->setConfig(m_table);
+        m_routers.back()->setTargets(start, m_targets);
+    }
+}
+
+DispatchWorld::Request DispatchWorld::draw(TimePoint now)
+{
+    const bool isHot = m_random.fraction() < m_pattern.hotCustomer;
+    const auto shared
+        = m_random.fraction() < m_pattern.hotPrompt ? 0 : static_cast<std::uint64_t>(m_random.below(sharedParts));
+    const auto own = static_cast<std::uint32_t>(500 + m_random.below(6500));
+    Request request;
+    request.customer = isHot ? "hot" : "c" + std::to_string(m_random.below(customers - 1));
+    request.prompt = { sharedTokens + own, tokensOut, { { shared, sharedTokens }, { ++m_ownPart, own } } };
+    request.arrived = now;
+    return request;
+}
+
+Outcome DispatchWorld::play()
+{
+    double due = 0;
+    TimePoint nextReport = start;
+    for (TimePoint now = start; now < start + m_pattern.lasts; now += step) {
+        while (!m_events.empty() && m_events.begin()->first <= now) {
+            const Event it = m_events.begin()->second;
+            m_events.erase(m_events.begin());
+            if (it.isEnd)
+                m_routers[it.router]->ended(now, it.attempt, AttemptEnd::Answered);
+            else
+                m_routers[it.router]->firstAnswer(now, it.attempt);
+        }
+        while (!m_returns.empty() && m_returns.begin()->first <= now) {
+            Request request = m_returns.begin()->second;
+            m_returns.erase(m_returns.begin());
+            ask(now, std::move(request));
+        }
+        loseEngines(now);
+        const bool isBurst = now >= start + 2s && now < start + 4s;
+        due += m_pattern.requestsPerSecond * (isBurst ? m_pattern.burst : 1)
+            * std::chrono::duration<double>(step).count();
+        for (; due >= 1; due -= 1) {
+            Request request = draw(now);
+            ++m_outcome.asked;
+            m_outcome.smallAsked += request.customer == "hot" ? 0 : 1;
+            ask(now, std::move(request));
+        }
+        if (now >= nextReport) {
+            report(now);
+            nextReport = now + reportEvery;
+        }
+    }
+    return m_outcome;
+}
+
+void DispatchWorld::loseEngines(TimePoint now)
+{
+    if (!m_pattern.lostEngines || now < start + 3s)
+        return;
+    for (unsigned i = 0; i < m_pattern.lostEngines; ++i)
+        m_engines.at({ "e" + std::to_string(i) }).isLost = true;
+    if (now < start + 3s + listedAfterLoss)
+        return;
+    std::vector<Target> left(m_targets.begin() + m_pattern.lostEngines, m_targets.end());
+    for (const auto& it : m_routers)
+        it->setTargets(now, left);
+}
+
+void DispatchWorld::ask(TimePoint now, Request request)
+{
+    const auto router = static_cast<unsigned>(m_random.below(m_pattern.routers));
+    Demand demand { { request.customer }, { "llm" }, &m_table->config().routes.front(), request.prompt, request.arrived,
+        now + 12s, {} };
+    if (!m_policy.isAffine)
+        demand.prompt.parts = { { ++m_ownPart, request.prompt.tokensIn } };
+    const Decision decision = m_routers[router]->place(now, demand, Round::First);
+    if (const auto* placement = std::get_if<Placement>(&decision)) {
+        serve(now, router, request, *placement);
+        return;
+    }
+    const Duration comeBack = m_pattern.repeatsAtOnce ? Duration(20ms) : std::get<Refusal>(decision).comeBack;
+    const unsigned most = m_pattern.repeatsAtOnce ? mostAsks : 2;
+    if (++request.asks < most && now + comeBack < request.arrived + goal)
+        m_returns.emplace(now + comeBack, std::move(request));
+    else
+        ++m_outcome.refused;
+}
+
+void DispatchWorld::serve(TimePoint now, unsigned router, const Request& request, const Placement& placement)
+{
+    Engine& engine = m_engines.at(placement.target.id);
+    if (engine.isLost)
+        return;
+    const auto prefixes = prefixesOf(request.prompt.parts);
+    const std::uint32_t read = request.prompt.tokensIn - engine.kept.keptTokens(prefixes);
+    engine.kept.touch(prefixes);
+    m_outcome.tokensRead += read;
+    engine.busyUntil
+        = std::max(engine.busyUntil, now) + Duration(static_cast<Duration::rep>(read / engineTokensPerMs * 1000));
+    const TimePoint first = engine.busyUntil + firstBase;
+    m_events.emplace(first, Event { router, placement.attempt, false });
+    m_events.emplace(first + streamTime, Event { router, placement.attempt, true });
+    const bool isOnTime = first - request.arrived <= goal;
+    m_outcome.onTime += isOnTime ? 1 : 0;
+    m_outcome.late += isOnTime ? 0 : 1;
+    m_outcome.smallOnTime += isOnTime && request.customer != "hot" ? 1 : 0;
+}
+
+void DispatchWorld::report(TimePoint now)
+{
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+        const auto read = decodeLoadReport(encode(m_routers[i]->report(now)));
+        for (std::size_t k = 0; k < m_routers.size(); ++k) {
+            if (k != i)
+                m_routers[k]->peerReported(now, { "r" + std::to_string(i) }, *read);
+        }
+    }
+}
+
+} // namespace sagechute::dispatch
--- /dev/null
+++ b/tests/DispatchWorld.h
@@ -0,0 +1,95 @@
+#pragma once
+
+/// @file
+/// Several routers' dispatchers before emulated engines under a virtual clock: replays of loads, policy against policy.
+
+#include "dispatch/PrefixMemory.h"
+
+#include <sagechute/Dispatch.h>
+
+#include <deque>
+
+namespace sagechute::dispatch {
+
+/// What is played.
+struct LoadPattern {
+    unsigned routers = 4;
+    unsigned engines = 6;
+    double requestsPerSecond = 36;
+    double burst = 1; ///< Times the usual from the second to the fourth second.
+    double hotCustomer = 0; ///< Share of all requests that come from one of ten customers.
+    double hotPrompt = 0; ///< Share of all requests that have the same shared part.
+    unsigned lostEngines = 0; ///< From the third second on they answer nothing, and are listed for 3.6 s more.
+    bool repeatsAtOnce = false; ///< A refused caller asks again after 20 ms, up to three times.
+    Duration lasts = std::chrono::seconds(8);
+};
+
+/// How requests are placed and turned away.
+struct Policy {
+    bool isAdmitting = true; ///< False: everything is sent, first come first served.
+    bool isSharing = true; ///< False: no customer's use counts.
+    bool isAffine = true; ///< False: the least loaded engine, whatever it keeps.
+};
+
+/// What callers saw.
+struct Outcome {
+    unsigned asked = 0;
+    unsigned onTime = 0;
+    unsigned late = 0;
+    unsigned refused = 0;
+    unsigned smallAsked = 0; ///< Of customers other than the hot one.
+    unsigned smallOnTime = 0;
+    std::uint64_t tokensRead = 0;
+
+    double onTimeShare() const { return asked ? static_cast<double>(onTime) / asked : 0; }
+    double smallShare() const { return smallAsked ? static_cast<double>(smallOnTime) / smallAsked : 0; }
+};
+
+/// Plays a pattern with a policy; the same seed gives the same requests under every policy.
+class DispatchWorld {
+public:
+    DispatchWorld(const LoadPattern&, const Policy&, std::uint64_t seed);
+
+    Outcome play();
+
+private:
+    struct Engine {
+        TargetId id;
+        TimePoint busyUntil;
+        PrefixMemory kept;
+        bool isLost = false;
+    };
+
+    struct Request {
+        std::string customer;
+        PromptSize prompt;
+        TimePoint arrived;
+        unsigned asks = 0;
+    };
+
+    struct Event {
+        unsigned router = 0;
+        AttemptId attempt = 0;
+        bool isEnd = false;
+    };
+
+    Request draw(TimePoint now);
+    void ask(TimePoint now, Request);
+    void serve(TimePoint now, unsigned router, const Request&, const Placement&);
+    void report(TimePoint now);
+    void loseEngines(TimePoint now);
+
+    const LoadPattern m_pattern;
+    const Policy m_policy;
+    SeededRandom m_random;
+    std::shared_ptr<const RoutingTable> m_table;
+    std::vector<Target> m_targets;
+    std::vector<std::unique_ptr<Dispatcher>> m_routers;
+    std::map<TargetId, Engine> m_engines;
+    std::multimap<TimePoint, Event> m_events;
+    std::multimap<TimePoint, Request> m_returns;
+    std::uint64_t m_ownPart = 1'000'000;
+    Outcome m_outcome;
+};
+
+} // namespace sagechute::dispatch
