--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -115,8 +115,9 @@
 
 Heartbeat Fleet::heartbeat(HeartbeatScope scope) const
 {
-    return { { m_options.vm }, m_incarnation, m_options.callersListen, m_options.controlListen, { m_options.zone },
-        m_state.canServe(), m_state.configVersion(), m_state.targetsMark, m_state.reachesStore(), scope, {} };
+    return { { { m_options.vm }, m_incarnation, m_options.callersListen, m_options.controlListen, { m_options.zone },
+                 m_state.canServe(), m_state.configVersion(), m_state.targetsMark, m_state.reachesStore(), scope },
+        {} };
 }
 
 void Fleet::sendReport(const RouterAddress& to, Heartbeat heartbeat, const dispatch::LoadReport& load)
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -236,8 +236,8 @@
     Others, ///< The sum over all but the receiver.
 };
 
-/// What a router says about itself with each load report.
-struct Heartbeat {
+/// What a router says about itself.
+struct RouterFacts {
     VmId vm;
     Incarnation incarnation = 0;
     std::string callerAddress;
@@ -248,6 +248,10 @@
     std::uint64_t targetsMark = 0; ///< Differs when the list of targets does.
     bool reachesStore = false; ///< Its last reads of the platform's store were answered.
     HeartbeatScope scope = HeartbeatScope::Router;
+};
+
+/// Sent with each load report.
+struct Heartbeat : RouterFacts {
     std::string load; ///< An encoded dispatch::LoadReport.
 };
 
@@ -256,17 +260,7 @@
 absl::StatusOr<Heartbeat> decodeHeartbeat(std::string_view);
 
 /// A router that was heard of lately.
-struct Peer {
-    VmId vm;
-    Incarnation incarnation = 0;
-    std::string callerAddress;
-    std::string controlAddress;
-    ZoneId zone;
-    bool isReady = false;
-    std::uint64_t configVersion = 0;
-    std::uint64_t targetsMark = 0;
-    bool reachesStore = false;
-    HeartbeatScope scope = HeartbeatScope::Router;
+struct Peer : RouterFacts {
     TimePoint heardAt;
 };
 
--- a/src/edge/Peers.cpp
+++ b/src/edge/Peers.cpp
@@ -44,23 +44,19 @@
         return malformed;
     try {
         const auto& load = document->at(10).get_binary();
-        return Heartbeat { { document->at(0).get<std::string>() }, document->at(1).get<Incarnation>(),
-            document->at(2).get<std::string>(), document->at(3).get<std::string>(),
-            { document->at(4).get<std::string>() }, document->at(5).get<bool>(), document->at(6).get<std::uint64_t>(),
-            document->at(7).get<std::uint64_t>(), document->at(8).get<bool>(),
-            static_cast<HeartbeatScope>(std::min(document->at(9).get<unsigned>(), lastScope)),
+        return Heartbeat { { { document->at(0).get<std::string>() }, document->at(1).get<Incarnation>(),
+                               document->at(2).get<std::string>(), document->at(3).get<std::string>(),
+                               { document->at(4).get<std::string>() }, document->at(5).get<bool>(),
+                               document->at(6).get<std::uint64_t>(), document->at(7).get<std::uint64_t>(),
+                               document->at(8).get<bool>(),
+                               static_cast<HeartbeatScope>(std::min(document->at(9).get<unsigned>(), lastScope)) },
             std::string(load.begin(), load.end()) };
     } catch (const json::exception&) {
         return malformed;
     }
 }
 
-void PeerBoard::heard(TimePoint now, const Heartbeat& heartbeat)
-{
-    m_peers[heartbeat.vm] = { heartbeat.vm, heartbeat.incarnation, heartbeat.callerAddress, heartbeat.controlAddress,
-        heartbeat.zone, heartbeat.isReady, heartbeat.configVersion, heartbeat.targetsMark, heartbeat.reachesStore,
-        heartbeat.scope, now };
-}
+void PeerBoard::heard(TimePoint now, const Heartbeat& heartbeat) { m_peers[heartbeat.vm] = Peer { heartbeat, now }; }
 
 std::vector<Peer> PeerBoard::alive(TimePoint now, Duration kept) const
 {
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -111,7 +111,8 @@
 
 TEST_CASE("a heartbeat survives its encoding, and other bytes are refused")
 {
-    const Heartbeat sent { { "vm" }, 5, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true, 9, 8, true, HeartbeatScope::Zone,
+    const Heartbeat sent { { { "vm" }, 5, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true, 9, 8, true,
+                               HeartbeatScope::Zone },
         std::string("\0\xFF", 2) };
     const auto read = decodeHeartbeat(encode(sent));
     REQUIRE(read.ok());
@@ -129,7 +130,7 @@
 {
     PeerBoard board;
     board.heard(
-        start, { { "p" }, 1, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true, 1, 0, true, HeartbeatScope::Router, {} });
+        start, { { { "p" }, 1, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true, 1, 0, true, HeartbeatScope::Router }, {} });
     CHECK(board.alive(start + heartbeatKept, heartbeatKept).size() == 1);
     CHECK(board.alive(start + heartbeatKept + 1ms, heartbeatKept).empty());
 }
