--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -270,6 +270,7 @@
 TEST_CASE("a router with far more in flight than the others is left out of callers' answers")
 {
     std::vector<EntryPoint> ready;
+    ready.reserve(20);
     for (int i = 0; i < 19; ++i)
         ready.push_back({ "a" + std::to_string(i), { "a" }, 4 });
     ready.push_back({ "drowned", { "a" }, 300 });
