--- a/apps/sagechute-api/main.cpp
+++ b/apps/sagechute-api/main.cpp
@@ -1,5 +1,5 @@
-#include <sagechute/Operators.h>
 #include <sagechute/LogService.h>
+#include <sagechute/Operators.h>
 #include <sagechute/Process.h>
 
 #include <iostream>
--- a/include/sagechute/LogService.h
+++ b/include/sagechute/LogService.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// Adapters over HTTP to the log service and the list of VMs of deployments that bring these: the product's own interface.
+/// Adapters over HTTP to the log service and the list of VMs of deployments that bring these: the product's own
+/// interface.
 
 #include <sagechute/Config.h>
 #include <sagechute/Net.h>
--- a/include/sagechute/Process.h
+++ b/include/sagechute/Process.h
@@ -97,8 +97,8 @@
 std::uint64_t droppedLogLines();
 
 /// Sets up log4cplus: one event a line on stdout, with time, level, program, VM and incarnation. A line that can't be
-/// written at once is dropped and counted, so that a reader that stands still can't hold up a request; the next one that
-/// is written tells how many were lost. Events logged before are lost.
+/// written at once is dropped and counted, so that a reader that stands still can't hold up a request; the next one
+/// that is written tells how many were lost. Events logged before are lost.
 /// @param level "debug", "info", "warning" or "error".
 /// @param vm left out of the lines, with the incarnation, when empty.
 /// @return BadRequest for another level.
@@ -132,8 +132,8 @@
 /// @return this process's usage now; zeros where /proc/self cannot be read.
 Usage usage();
 
-/// Turns SIGTERM and SIGINT into a planned stop and SIGHUP into a request to reload, and ignores SIGPIPE. Make it before any thread starts, hence also
-/// before startLogging(): threads inherit the blocked signals.
+/// Turns SIGTERM and SIGINT into a planned stop and SIGHUP into a request to reload, and ignores SIGPIPE. Make it
+/// before any thread starts, hence also before startLogging(): threads inherit the blocked signals.
 class StopSignal {
 public:
     StopSignal();
--- a/src/net/Endpoint.cpp
+++ b/src/net/Endpoint.cpp
@@ -28,8 +28,8 @@
 
 std::optional<std::string_view> findField(const std::vector<Field>& fields, std::string_view name)
 {
-    auto it = std::find_if(
-        fields.begin(), fields.end(), [&](const Field& field) { return isSameName(field.name, name); });
+    auto it
+        = std::find_if(fields.begin(), fields.end(), [&](const Field& field) { return isSameName(field.name, name); });
     if (it == fields.end())
         return std::nullopt;
     return it->value;
