Take out the targets' own load figures, which nothing used

Cause: the dispatcher's loadSeen() did nothing: reports of all routers are newer than what a target says with its answers. A call that does nothing reads as done.

--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -189,12 +189,9 @@
         m_tools.client.cancel(transfer);
         return;
     }
-    m_tools.state.withDispatcher([&](dispatch::Dispatcher& it) {
-        if (m_head->load)
-            it.loadSeen(steadyNow(), m_placement.attempt, *m_head->load);
-        if (!isStreamed() && !m_head->hasNotRun)
-            it.firstAnswer(steadyNow(), m_placement.attempt);
-    });
+    if (!isStreamed() && !m_head->hasNotRun)
+        m_tools.state.withDispatcher(
+            [&](dispatch::Dispatcher& it) { it.firstAnswer(steadyNow(), m_placement.attempt); });
 }
 
 void Relay::onBytes(unsigned number, std::string_view bytes)
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -234,13 +234,6 @@
 
 std::string_view toString(AttemptEnd);
 
-/// What a target said of its load with an answer.
-struct TargetLoad {
-    unsigned running = 0;
-    unsigned waiting = 0;
-    unsigned slots = 0;
-};
-
 /// A customer's tokens over the share window, as one router counts them.
 struct CustomerUse {
     double asked = 0;
@@ -314,7 +307,6 @@
 
     /// The first event or the answer's head has come.
     virtual void firstAnswer(TimePoint now, AttemptId) = 0;
-    virtual void loadSeen(TimePoint now, AttemptId, const TargetLoad&) = 0;
     virtual void ended(TimePoint now, AttemptId, AttemptEnd) = 0;
 
     /// @return this router's own part, for the others. Prefixes are told in two reports, as one may be lost.
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -97,7 +97,6 @@
     bool hasNotRun = false; ///< The target did not and will not run the request.
     bool isOtherTarget = false; ///< Another target has the address.
     bool isSigned = false; ///< It bears the target's signature: a result, not an error on the way.
-    std::optional<dispatch::TargetLoad> load;
     std::vector<net::Field> relayed; ///< What concerns the caller.
 };
 
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -231,8 +231,6 @@
         model->firstAnswer(attempt.placedAt, attempt.tokensToRead, attempt.predictedFirst, now - attempt.placedAt);
 }
 
-void LocalDispatcher::loadSeen(TimePoint, AttemptId, const TargetLoad&) { }
-
 void LocalDispatcher::ended(TimePoint now, AttemptId id, AttemptEnd end)
 {
     const auto it = m_attempts.find(id);
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -15,7 +15,6 @@
     void setTargets(TimePoint now, const std::vector<Target>&) override;
     Decision place(TimePoint now, const Demand&, Round) override;
     void firstAnswer(TimePoint now, AttemptId) override;
-    void loadSeen(TimePoint now, AttemptId, const TargetLoad&) override;
     void ended(TimePoint now, AttemptId, AttemptEnd) override;
     LoadReport report(TimePoint now) override;
     void peerReported(TimePoint now, const VmId& peer, const LoadReport&) override;
