--- a/apps/sagechute-edge/Front.cpp
+++ b/apps/sagechute-edge/Front.cpp
@@ -62,7 +62,7 @@
         return Verdict { badRequest, "no-request-id", std::nullopt };
     if (request.body.size() > order.table->config().limits.bodyBytes)
         return Verdict { tooLarge, "body-too-large", std::nullopt };
-    if (!m_crowd.takes(order.arrived))
+    if (!m_crowd.takes(order.arrived, order.customer))
         return Verdict { unavailable, "router-crowded", crowdComeBack };
     const ServiceId* service = dispatch::RoutingTable::chooseService(*order.route, pointOf(order.facts.id));
     if (!service)
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -359,21 +359,27 @@
     /// @param mostConnections of callers at once.
     CrowdMeter(double cores, unsigned mostConnections);
 
-    /// Any thread.
+    /// Any thread. Half of what may come at once is kept for customers with few requests here: otherwise one that
+    /// floods this router takes all, and the others' requests are refused with its own.
     /// @return whether one more request can be carried; false: it is to be refused at once. What a router takes beyond
     ///         its cores makes all it holds late, and ends at the callers' deadlines.
-    bool takes(TimePoint now);
+    bool takes(TimePoint now, const CustomerId&);
 
     /// @param requests taken since the start.
     /// @return whether callers are to be told to close their connections.
     bool isCrowded(TimePoint now, std::uint64_t requests, std::size_t connections);
 
 private:
+    bool isHeavy(TimePoint now, const CustomerId&);
+
     const double m_fullPerSecond; ///< What all of its cores could carry.
     const double m_mostConnections;
     std::mutex m_mutex;
     double m_tokens = 0;
     TimePoint m_filledAt {};
+    std::map<CustomerId, unsigned> m_counts; ///< Requests since m_countedSince.
+    unsigned m_total = 0;
+    TimePoint m_countedSince {};
     std::optional<TimePoint> m_measuredAt;
     std::uint64_t m_requests = 0;
     bool m_isCrowded = false;
--- a/src/edge/CrowdMeter.cpp
+++ b/src/edge/CrowdMeter.cpp
@@ -16,6 +16,11 @@
     /// too.
     constexpr double takeShare = 0.7;
 
+    /// A customer with more than this share of a router's requests, and a few, floods it.
+    constexpr double heavyShare = 0.2;
+    constexpr unsigned leastHeavy = 5;
+    constexpr Duration countedTime = std::chrono::seconds(1);
+
     /// Requests come in bursts; as many as fit into this time are taken at once.
     constexpr double burstSeconds = 0.4;
 
@@ -32,14 +37,28 @@
 {
 }
 
-bool CrowdMeter::takes(TimePoint now)
+bool CrowdMeter::isHeavy(TimePoint now, const CustomerId& customer)
+{
+    if (now - m_countedSince > countedTime) {
+        m_counts.clear();
+        m_total = 0;
+        m_countedSince = now;
+    }
+    const unsigned own = ++m_counts[customer];
+    ++m_total;
+    return own > heavyShare * m_total && own > leastHeavy;
+}
+
+bool CrowdMeter::takes(TimePoint now, const CustomerId& customer)
 {
     std::lock_guard lock(m_mutex);
+    const bool heavy = isHeavy(now, customer);
     const double passed = std::chrono::duration<double>(now - m_filledAt).count();
     const double rate = takeShare * m_fullPerSecond;
     m_tokens = std::min(m_tokens + passed * rate, burstSeconds * rate);
     m_filledAt = now;
-    if (m_tokens < 1)
+    const double kept = heavy ? burstSeconds * rate / 2 : 0;
+    if (m_tokens < 1 + kept)
         return false;
     m_tokens -= 1;
     return true;
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -289,7 +289,7 @@
     unsigned taken = 0;
     unsigned late = 0;
     for (int i = 0; i < 3000; ++i) { // 300 a second
-        const bool isTaken = meter.takes(start + i * 3333us);
+        const bool isTaken = meter.takes(start + i * 3333us, { "c" + std::to_string(i % 10) });
         taken += isTaken ? 1 : 0;
         late += isTaken && i >= 1500 ? 1 : 0;
     }
@@ -299,7 +299,7 @@
     // At a usual load none is refused.
     CrowdMeter calm(0.25, 1000);
     for (int i = 0; i < 600; ++i)
-        CHECK(calm.takes(start + i * 16ms));
+        CHECK(calm.takes(start + i * 16ms, { "c" }));
 }
 
 // Symptom: a target gets requests three seconds after its entry was removed, by a router that had seen the removal.
@@ -332,3 +332,21 @@
     CHECK(follower.expire(start + 9s + TargetRoster::returnGrace));
     CHECK(follower.size() == 1);
 }
+
+// Symptom: a small customer's requests are refused for six seconds on end, while the largest gets all it can take.
+// Sequence: a caller that repeats at once floods the only router of its zone; the router refuses what its cores can't
+// carry. Cause: it refused whoever came next, and the flood came next nearly always.
+TEST_CASE("a customer that floods a router does not take the others' requests with it")
+{
+    CrowdMeter meter(0.25, 1000);
+    unsigned small = 0;
+    unsigned large = 0;
+    for (int i = 0; i < 4000; ++i) { // 400 a second, one in forty of them a small customer's.
+        const bool isSmall = i % 40 == 0;
+        const bool isTaken = meter.takes(start + i * 2500us, { isSmall ? "small" : "large" });
+        small += isTaken && isSmall ? 1 : 0;
+        large += isTaken && !isSmall ? 1 : 0;
+    }
+    CHECK(small >= 95);
+    CHECK(large > 1300);
+}
