--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -71,7 +71,7 @@
     };
     const std::chrono::seconds kept
         = std::min(locateKept, std::chrono::seconds(static_cast<int>(options.locateKeptSeconds)));
-    m_mostConnections = options.mostCallerConnections();
+    const unsigned mostConnections = options.mostCallerConnections();
     const std::vector<Listener> all {
         { m_callers, options.callersListen, [this](const ExchangePointer& it) { m_tools.front.handle(it); } },
         { m_readiness, options.readinessListen, [this](const ExchangePointer& it) { handleReadiness(*it); } },
@@ -80,7 +80,7 @@
         { m_metrics, options.at(options.metricsPort()), [this](const ExchangePointer& it) { handleControl(*it); } },
     };
     for (const Listener& it : all) {
-        auto server = listen(it.address, &it.server == &m_callers ? m_mostConnections : 0, it.handler);
+        auto server = listen(it.address, &it.server == &m_callers ? mostConnections : 0, it.handler);
         if (!server.ok())
             return server.status();
         it.server = std::move(*server);
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -41,7 +41,6 @@
     nlohmann::json status() const;
 
     const ListenerTools m_tools;
-    unsigned m_mostConnections = 0;
     std::atomic<std::size_t> m_toldAddresses { 0 }; ///< In the last answer, for the log.
     std::unique_ptr<net::HttpServer> m_callers;
     std::unique_ptr<net::HttpServer> m_readiness;
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -129,9 +129,8 @@
             "readiness-listen": f"127.0.0.1:{ports[1]}", "control-listen": f"127.0.0.1:{ports[2]}",
             "locate-listen": f"127.0.0.1:{ports[3]}", "address": "127.0.0.1",
             "port-range": f"{ports[4]},{ports[5]}", "seeds": seeds, "store": self.store,
-            "stop-grace-seconds": "4", "gossip-seeds": "",
+            "stop-grace-seconds": "4",
         }
-        settings.pop("gossip-seeds")
         path = os.path.join(self.directory, f"router-{index}.settings")
         if ports[5] < ports[4]:
             settings["port-range"] = f"{ports[5]},{ports[4]}"
