Take the flow of a request out of its adapter, as decision logic without sockets and clock

Cause: at most once, the echo check and what follows a failure stood among locks, timers and sockets, where no property test could reach them. Change: relay::RequestFlow takes events and the time and calls a port; apps/sagechute-edge/Relay is the adapter.

--- /dev/null
+++ b/src/relay/RequestFlow.cpp
@@ -0,0 +1,347 @@
+#include <sagechute/Relay.h>
+
+#include <algorithm>
+
+namespace sagechute::relay {
+
+namespace {
+
+    using dispatch::AttemptEnd;
+    using dispatch::NextStep;
+    using dispatch::RequestKind;
+    using edge::TargetAnswerHead;
+
+    constexpr int callerGoneStatus = 499;
+    constexpr int badGateway = 502;
+    constexpr int unavailable = 503;
+    constexpr int gatewayTimeout = 504;
+    constexpr int tooManyRequests = 429;
+    constexpr int firstFailure = 300;
+    constexpr int firstServerFailure = 500;
+
+    /// An idempotent request is sent elsewhere when this share of its time has passed without an answer.
+    constexpr double silenceShare = 0.35;
+
+    /// A stream that may be resumed goes on elsewhere after so long without an event. Callers give up after two
+    /// seconds; engines under the heaviest load are silent for some 150 ms.
+    constexpr Duration streamSilence = std::chrono::milliseconds(1200);
+    constexpr int firstEventFactor = 2;
+
+    /// A longer answer that is no stream is cut: nothing in these deployments comes near it.
+    constexpr std::size_t mostBodyBytes = 16 << 20;
+
+    /// Least time that is worth an attempt.
+    constexpr Duration leastLeft = std::chrono::milliseconds(15);
+
+    /// Targets refused the request one after the other; by then their queues have moved.
+    constexpr Duration comeBackAfterRefusals = std::chrono::milliseconds(300);
+
+    bool echoesRequest(const TargetAnswerHead& head, const std::string& requestId)
+    {
+        return head.requestId ? *head.requestId == requestId : head.hasNotRun;
+    }
+
+    AttemptEnd notRunEnd(const TargetAnswerHead& head)
+    {
+        return head.isOtherTarget ? AttemptEnd::WrongTarget : AttemptEnd::NotRun;
+    }
+
+    AttemptEnd judgeTransfer(net::TransferEnd end, const std::optional<TargetAnswerHead>& head)
+    {
+        switch (end) {
+        case net::TransferEnd::NothingSent:
+            return AttemptEnd::Unreachable;
+        case net::TransferEnd::TimedOut:
+            return AttemptEnd::Silent;
+        case net::TransferEnd::BrokenAfterSend:
+        case net::TransferEnd::Cancelled:
+            // The head alone is a promise that it has not run.
+            return head && head->hasNotRun ? notRunEnd(*head) : AttemptEnd::Broken;
+        case net::TransferEnd::Completed:
+            break;
+        }
+        if (!head)
+            return AttemptEnd::Broken;
+        if (head->hasNotRun)
+            return notRunEnd(*head);
+        if (head->status < firstFailure && !head->isSigned)
+            return AttemptEnd::Broken;
+        return head->status >= firstServerFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
+    }
+
+    bool certainlyHasNotRun(AttemptEnd end)
+    {
+        return end == AttemptEnd::Unreachable || end == AttemptEnd::NotRun || end == AttemptEnd::WrongTarget;
+    }
+
+} // namespace
+
+FlowRules FlowRules::standard() { return { dispatch::nextStep, echoesRequest, judgeTransfer }; }
+
+RequestFlow::RequestFlow(FlowPort& port, RequestFacts facts, const FlowRules& rules)
+    : m_port(port)
+    , m_facts(std::move(facts))
+    , m_rules(rules)
+{
+}
+
+void RequestFlow::begin(TimePoint now) { place(now, Round::First); }
+
+void RequestFlow::place(TimePoint now, Round round)
+{
+    if (m_facts.due - now < leastLeft) {
+        fail(m_mayHaveRun ? gatewayTimeout : unavailable, "no time is left");
+        return;
+    }
+    const dispatch::Demand demand { m_facts.customer, m_facts.service, m_facts.route, m_facts.prompt, m_facts.arrived,
+        m_facts.due, m_tried };
+    const dispatch::Decision decision = m_port.place(now, demand, round);
+    if (const auto* placement = std::get_if<dispatch::Placement>(&decision)) {
+        send(now, *placement);
+        return;
+    }
+    m_record.refusal = std::get<dispatch::Refusal>(decision);
+    m_record.trace += " refused:" + std::string(toString(m_record.refusal.reason));
+    if (m_failedHead && !m_hasStarted)
+        relayHeldAnswer();
+    else if (m_mayHaveRun || m_hasStarted)
+        fail(badGateway, "the target broke off");
+    else
+        refuse(m_record.refusal);
+}
+
+void RequestFlow::send(TimePoint now, const dispatch::Placement& placement)
+{
+    m_record.placement = placement;
+    m_sentAt = now;
+    m_lastEventAt = now;
+    m_head.reset();
+    m_body.clear();
+    m_isForeign = false;
+    m_splitter.emplace(m_lastEventId);
+    m_tried.insert(placement.target.id);
+    ++m_tries;
+    ++m_number;
+    m_inFlight = true;
+    m_silenceCheck = now + patience(now);
+    m_port.send({ m_number, placement, m_facts.due - now, m_hasStarted ? m_lastEventId : std::string() });
+}
+
+Duration RequestFlow::patience(TimePoint now) const
+{
+    const Duration left = m_facts.due - now;
+    if (m_facts.route->kind == RequestKind::Idempotent)
+        return std::chrono::duration_cast<Duration>(silenceShare * left);
+    if (m_facts.route->kind == RequestKind::Stream && m_facts.route->isResumable)
+        return firstEventFactor * m_record.placement.predictedFirst + streamSilence;
+    return left;
+}
+
+TimePoint RequestFlow::nextWake() const { return m_inFlight ? std::min(m_facts.due, m_silenceCheck) : m_facts.due; }
+
+bool RequestFlow::isStreamed() const
+{
+    return m_facts.route->kind == RequestKind::Stream && m_head && m_head->status < firstFailure && !m_head->hasNotRun;
+}
+
+void RequestFlow::disown()
+{
+    m_isForeign = true;
+    m_port.cancel();
+}
+
+void RequestFlow::head(TimePoint now, unsigned number, TargetAnswerHead head)
+{
+    if (!isOf(number))
+        return;
+    m_head = std::move(head);
+    if (!m_rules.isAnswerTo(*m_head, m_facts.id)) {
+        disown();
+        return;
+    }
+    if (!isStreamed() && !m_head->hasNotRun)
+        m_port.firstAnswer(now, m_record.placement.attempt);
+}
+
+void RequestFlow::bytes(TimePoint now, unsigned number, std::string_view bytes)
+{
+    if (!isOf(number) || m_isForeign || !m_head)
+        return;
+    if (isStreamed()) {
+        takeStreamBytes(now, bytes);
+        return;
+    }
+    if (m_body.size() + bytes.size() > mostBodyBytes) {
+        disown();
+        return;
+    }
+    m_body += bytes;
+}
+
+void RequestFlow::takeStreamBytes(TimePoint now, std::string_view bytes)
+{
+    const std::string whole = m_splitter->feed(bytes);
+    if (!whole.empty()) {
+        startStream(now);
+        m_lastEventId = m_splitter->lastId();
+        m_lastEventAt = now;
+        m_port.write(whole);
+    }
+    if (m_splitter->isDisordered())
+        disown();
+}
+
+void RequestFlow::startStream(TimePoint now)
+{
+    if (m_splitter->events() > 0)
+        m_port.firstAnswer(now, m_record.placement.attempt);
+    if (m_hasStarted)
+        return;
+    m_hasStarted = true;
+    m_record.firstEventAfter = now - m_facts.arrived;
+    m_record.firstEventError = now - m_sentAt - m_record.placement.predictedFirst;
+    m_port.startStream(m_head->status, m_head->relayed);
+}
+
+void RequestFlow::ended(TimePoint now, unsigned number, net::TransferEnd transferEnd)
+{
+    if (!m_inFlight || number != m_number)
+        return;
+    const AttemptEnd end = m_isForeign ? AttemptEnd::Broken : m_rules.judge(transferEnd, m_head);
+    finishAttempt(now, end);
+    // A request that goes on after its caller left is followed no further.
+    if (!m_done)
+        follow(now, end);
+}
+
+void RequestFlow::finishAttempt(TimePoint now, AttemptEnd end)
+{
+    m_inFlight = false;
+    m_port.attemptEnded(now, m_record.placement.attempt, end);
+    m_record.trace += " " + m_record.placement.target.id.value + ":" + std::string(toString(end));
+    if (!certainlyHasNotRun(end)) {
+        m_mayHaveRun = true;
+        ++m_runs;
+    }
+}
+
+void RequestFlow::cancelAs(TimePoint now, AttemptEnd end)
+{
+    m_port.cancel();
+    finishAttempt(now, end);
+}
+
+void RequestFlow::follow(TimePoint now, AttemptEnd end)
+{
+    if (end == AttemptEnd::Failed) {
+        m_failedHead = m_head;
+        m_failedBody = m_body;
+    }
+    const dispatch::AttemptFacts facts { m_facts.route->kind, m_facts.route->isResumable, m_hasStarted, m_runs,
+        m_facts.route->attempts, m_tries, end, m_mayHaveRun };
+    switch (m_rules.next(facts)) {
+    case NextStep::Relay:
+        if (isStreamed()) {
+            endStream(now);
+        } else {
+            m_port.respond(*m_head, std::move(m_body));
+            conclude(m_head->status, m_head->status < firstFailure ? "completed" : "refused-or-failed");
+        }
+        return;
+    case NextStep::TryElsewhere:
+        place(now, end == AttemptEnd::Unreachable ? Round::AfterNothing : Round::AfterArrival);
+        return;
+    case NextStep::Refuse:
+        refuse({ dispatch::RefusalReason::NoTarget, comeBackAfterRefusals });
+        return;
+    case NextStep::Fail:
+        if (m_failedHead && !m_hasStarted)
+            relayHeldAnswer();
+        else
+            fail(badGateway, "the target's answer was lost");
+        return;
+    }
+}
+
+void RequestFlow::endStream(TimePoint now)
+{
+    // Also where the target closed it without an event: an empty stream is a whole answer.
+    startStream(now);
+    m_port.write(m_splitter->rest());
+    m_port.finish();
+    conclude(m_head->status, "completed");
+}
+
+void RequestFlow::relayHeldAnswer()
+{
+    m_port.respond(*m_failedHead, m_failedBody);
+    conclude(m_failedHead->status, "refused-or-failed");
+}
+
+void RequestFlow::refuse(const dispatch::Refusal& refusal)
+{
+    const int status = refusal.reason == dispatch::RefusalReason::OverShare ? tooManyRequests : unavailable;
+    m_port.refuse(status, toString(refusal.reason), refusal.comeBack);
+    conclude(status, "refused-or-failed");
+}
+
+void RequestFlow::fail(int status, std::string_view reason)
+{
+    if (m_hasStarted) {
+        m_port.abort();
+        conclude(status, reason);
+        return;
+    }
+    m_port.refuse(status, reason, std::nullopt);
+    conclude(status, "refused-or-failed");
+}
+
+void RequestFlow::conclude(int status, std::string_view outcome)
+{
+    m_done = true;
+    m_record.status = status;
+    m_record.outcome = outcome;
+}
+
+void RequestFlow::wake(TimePoint now)
+{
+    if (m_done)
+        return;
+    if (now >= m_facts.due) {
+        if (m_inFlight)
+            cancelAs(now, AttemptEnd::Silent);
+        fail(gatewayTimeout, "the time for the answer has passed");
+        return;
+    }
+    if (m_inFlight && now >= m_silenceCheck)
+        checkSilence(now);
+}
+
+void RequestFlow::checkSilence(TimePoint now)
+{
+    m_silenceCheck = m_facts.due;
+    if (m_runs + 1 >= m_facts.route->attempts)
+        return;
+    const bool isStream = m_facts.route->kind == RequestKind::Stream;
+    if (!isStream && m_head)
+        return;
+    const Duration quiet = now - m_lastEventAt;
+    if (isStream && m_hasStarted && quiet < streamSilence) {
+        m_silenceCheck = m_lastEventAt + streamSilence;
+        return;
+    }
+    cancelAs(now, AttemptEnd::Silent);
+    follow(now, AttemptEnd::Silent);
+}
+
+void RequestFlow::callerGone(TimePoint now)
+{
+    if (m_done)
+        return;
+    // A request that must not run twice goes on: whether it ran matters more than the target's time.
+    if (m_inFlight && m_facts.route->kind != RequestKind::Once)
+        cancelAs(now, AttemptEnd::CallerGone);
+    conclude(callerGoneStatus, "caller-gone");
+}
+
+} // namespace sagechute::relay
