Don't bring back targets that have gone when a router catches up on the store

Change: edge::ReadCursor says where a router stands and moves on with what a relay told; of a read only each target's last change counts. While a relay doesn't reach the store its routers try once a second, not at a single reader's pace; own reads beside a relay each 40 s instead of 20.

--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -277,16 +277,13 @@
     return m_gossip->view().aliveCount() > 1;
 }
 
-std::optional<Peer> Fleet::storeProxy(TimePoint now) const
+std::optional<Peer> Fleet::relayHeard(TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
     if (!m_plan.relay)
         return std::nullopt;
-    for (const Peer& it : m_board.alive(now, heartbeatKept)) {
-        if (it.vm == m_plan.relay->vm && it.scope == HeartbeatScope::Others && it.reachesStore)
-            return it;
-    }
-    return std::nullopt;
+    std::optional<Peer> relay = m_board.find(now, m_plan.relay->vm);
+    return relay && relay->scope == HeartbeatScope::Others ? relay : std::nullopt;
 }
 
 std::vector<std::string> Fleet::entryPoints(TimePoint now, const ZoneId& callerZone, std::string_view callerKey) const
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -32,9 +32,9 @@
     /// @return whether any other router is known to gossip.
     bool knowsOthers() const;
 
-    /// @return the relay that this router hears, when it need not read the store itself: the relay does, and its
+    /// @return the relay that this router hears. While it reaches the store this router need not: the relay's
     ///         heartbeats tell when there is news.
-    std::optional<Peer> storeProxy(TimePoint now) const;
+    std::optional<Peer> relayHeard(TimePoint now) const;
 
     /// @return addresses for a caller, this router's among them when it can serve; see chooseEntryPoints().
     std::vector<std::string> entryPoints(TimePoint now, const ZoneId& callerZone, std::string_view callerKey) const;
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -15,10 +15,6 @@
     /// A leaving target must get nothing new two seconds after the store knows; a call then may still fail once.
     constexpr Duration targetInterval = std::chrono::milliseconds(450);
 
-    constexpr Duration leastRetryDelay = std::chrono::milliseconds(60);
-    constexpr Duration mostRetryDelay = std::chrono::milliseconds(500);
-    constexpr unsigned mostDoublings = 3;
-
     /// Entries lapse after three heartbeats of their targets; a shorter absence of the store costs none.
     constexpr Duration lapseTime = std::chrono::seconds(3);
 
@@ -27,7 +23,11 @@
 
     /// A router that hears its relay reads the store itself only so often, in case the relay stands still in a way that
     /// its heartbeats don't show.
-    constexpr Duration ownReadInterval = std::chrono::seconds(20);
+    constexpr Duration ownReadInterval = std::chrono::seconds(40);
+
+    /// While the relay doesn't reach the store its routers try themselves, as it may be refused alone; all at once and
+    /// at the pace of a single reader they would be many calls.
+    constexpr Duration relayAwayInterval = std::chrono::seconds(1);
     constexpr Duration proxyInterval = std::chrono::milliseconds(150);
 
     constexpr std::chrono::milliseconds peerTimeout { 400 };
@@ -72,33 +72,31 @@
 
 void StoreFollower::followConfig()
 {
-    Progress progress;
-    do {
-        if (followProxy(progress, false)) {
-            if (!pause(proxyInterval))
-                return;
-            continue;
-        }
-        const bool isRead = readConfigOnce(progress);
-        if (isRead && !progress.failures) {
-            if (!pause(Duration(0)))
-                return;
-            continue;
+    TimePoint nextOwnRead {};
+    for (;;) {
+        Duration delay {};
+        if (followProxy(nextOwnRead, false)) {
+            delay = proxyInterval;
+        } else if (!readConfigOnce()) {
+            takeFromAnyPeer(false);
+            delay = m_configCursor.retryDelay();
         }
-        takeFromAnyPeer(false);
-    } while (pause(std::min(mostRetryDelay, leastRetryDelay * (1 << std::min(progress.failures, mostDoublings)))));
+        if (!pause(delay))
+            return;
+    }
 }
 
-bool StoreFollower::readConfigOnce(Progress& progress)
+bool StoreFollower::readConfigOnce()
 {
     absl::StatusOr<ConfigNews> news
-        = progress.next ? m_store.followConfig(*progress.next, configWait) : m_store.readConfig();
+        = m_configCursor.next() ? m_store.followConfig(*m_configCursor.next(), configWait) : m_store.readConfig();
     m_metrics.storeCalls().Increment();
     m_state.readsConfig = news.ok();
-    noteOutcome(progress, "configuration", news.status());
-    if (!news.ok())
+    if (!news.ok()) {
+        noteFailure(m_configCursor, "configuration", news.status());
         return false;
-    progress.next = news->next;
+    }
+    noteReturn("configuration", m_configCursor.readDone(steadyNow(), news->next));
     if (news->newest)
         adopt(*news->newest, "store");
     return true;
@@ -125,43 +123,46 @@
 
 void StoreFollower::followTargets()
 {
-    Progress progress;
+    TimePoint nextOwnRead {};
     do {
-        const bool isProxied = followProxy(progress, true);
-        const bool isRead = isProxied || readTargetsOnce(progress);
-        if (!isRead)
+        if (!followProxy(nextOwnRead, true) && !readTargetsOnce())
             takeFromAnyPeer(true);
-        else
-            findOthers();
+        findOthers();
         const TimePoint now = steadyNow();
         m_state.changeTargets(now, [&](TargetRoster& roster) { roster.expire(now); });
     } while (pause(targetInterval));
 }
 
-bool StoreFollower::readTargetsOnce(Progress& progress)
+void StoreFollower::trustRelay()
+{
+    // What the relay keeps though its entry is missing comes with its list; nothing lapses by this router's own count.
+    m_targetCursor.toldByPeer(m_state.nextTargetOffset);
+    const TimePoint now = steadyNow();
+    m_state.changeTargets(now, [&](TargetRoster& roster) { roster.storeRegained(now, false); });
+}
+
+bool StoreFollower::readTargetsOnce()
 {
-    const bool isWhole = !progress.next;
-    absl::StatusOr<TargetNews> news = isWhole ? m_store.readTargets() : m_store.followTargets(*progress.next);
+    const bool isWhole = !m_targetCursor.next();
+    absl::StatusOr<TargetNews> news = isWhole ? m_store.readTargets() : m_store.followTargets(*m_targetCursor.next());
     m_metrics.storeCalls().Increment();
     const TimePoint now = steadyNow();
-    const std::optional<TimePoint> failingSince = progress.failingSince;
     m_state.readsTargets = news.ok();
-    noteOutcome(progress, "targets", news.status());
     if (!news.ok()) {
+        noteFailure(m_targetCursor, "targets", news.status());
         m_state.changeTargets(now, [&](TargetRoster& roster) { roster.storeLost(now); });
         return false;
     }
-    progress.next = news->next;
+    const std::optional<Duration> away = m_targetCursor.readDone(now, news->next);
+    noteReturn("targets", away);
     m_state.nextTargetOffset.store(news->next);
-    const bool mayHaveLapsed = failingSince && now - *failingSince > lapseTime / 3;
+    const bool mayHaveLapsed = away && *away > lapseTime / 3;
     m_state.changeTargets(now, [&](TargetRoster& roster) {
         roster.storeRegained(now, mayHaveLapsed);
-        if (isWhole) {
+        if (isWhole)
             roster.replace(now, news->changes);
-            return;
-        }
-        for (const TargetChange& it : news->changes)
-            roster.apply(now, it);
+        else
+            roster.applyAll(now, news->changes);
     });
     for (const TargetChange& it : news->changes) {
         if (!it.target || it.target->draining)
@@ -171,32 +172,24 @@
     return true;
 }
 
-void StoreFollower::noteOutcome(Progress& progress, const char* topic, const absl::Status& status)
+void StoreFollower::noteReturn(const char* topic, std::optional<Duration> away)
 {
-    const TimePoint now = steadyNow();
-    if (status.ok()) {
-        if (progress.failingSince)
-            process::log(process::LogLevel::Info, "store-regained",
-                { { "topic", topic }, { "failures", std::to_string(progress.failures) },
-                    { "away-ms",
-                        std::to_string(
-                            std::chrono::duration_cast<std::chrono::milliseconds>(now - *progress.failingSince)
-                                .count()) } });
-        progress.failingSince.reset();
-        progress.failures = 0;
+    if (!away)
         return;
-    }
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(*away).count();
+    process::log(process::LogLevel::Info, "store-regained", { { "topic", topic }, { "away-ms", std::to_string(ms) } });
+}
+
+void StoreFollower::noteFailure(ReadCursor& cursor, const char* topic, const absl::Status& status)
+{
     if (errorKind(status) == ErrorKind::RetentionExceeded) {
-        progress.next.reset();
+        cursor.historyLost();
         process::log(process::LogLevel::Warning, "store-history-lost", { { "topic", topic } });
         return;
     }
-    ++progress.failures;
-    if (!progress.failingSince) {
-        progress.failingSince = now;
+    if (cursor.readFailed(steadyNow()))
         process::log(process::LogLevel::Warning, "store-lost",
             { { "topic", topic }, { "reason", std::string(status.message()) } });
-    }
 }
 
 void StoreFollower::takeFromAnyPeer(bool wantsTargets)
@@ -209,19 +202,26 @@
         takeFrom(peer, wantsTargets);
 }
 
-bool StoreFollower::followProxy(Progress& progress, bool wantsTargets)
+bool StoreFollower::followProxy(TimePoint& nextOwnRead, bool wantsTargets)
 {
     const TimePoint now = steadyNow();
-    const std::optional<Peer> proxy = m_fleet.storeProxy(now);
-    const bool isOwnTurn = now >= progress.nextOwnRead;
-    if (!proxy || isOwnTurn) {
-        progress.nextOwnRead = now + ownReadInterval;
+    const std::optional<Peer> relay = m_fleet.relayHeard(now);
+    if (!relay) {
+        nextOwnRead = now + ownReadInterval;
         return false;
     }
+    if (now >= nextOwnRead) {
+        nextOwnRead = now + (relay->reachesStore ? ownReadInterval : relayAwayInterval);
+        return false;
+    }
+    if (!relay->reachesStore)
+        nextOwnRead = std::min(nextOwnRead, now + relayAwayInterval);
     const bool hasNews
-        = proxy->configVersion > m_state.configVersion() || (wantsTargets && proxy->targetsMark != m_state.targetsMark);
+        = relay->configVersion > m_state.configVersion() || (wantsTargets && relay->targetsMark != m_state.targetsMark);
     if (hasNews)
-        takeFrom(*proxy, wantsTargets);
+        takeFrom(*relay, wantsTargets);
+    if (wantsTargets && relay->reachesStore)
+        trustRelay();
     return true;
 }
 
@@ -255,6 +255,8 @@
 void StoreFollower::findOthers()
 {
     const TimePoint now = steadyNow();
+    if (!m_state.readsTargets)
+        return;
     if (!m_isAnnounced) {
         m_metrics.storeCalls().Increment();
         m_isAnnounced = m_store.announce({ m_state.vm, m_fleet.gossipAddress() }).ok();
--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -22,22 +22,20 @@
     void start();
 
 private:
-    /// What is known of a topic and of the store's health, by the thread that follows it.
-    struct Progress {
-        std::optional<LogOffset> next; ///< Absent: everything has to be read.
-        std::optional<TimePoint> failingSince;
-        unsigned failures = 0;
-        TimePoint nextOwnRead {}; ///< While a relay reads the store for this router.
-    };
-
     void followConfig();
     void followTargets();
-    bool readConfigOnce(Progress&);
-    bool readTargetsOnce(Progress&);
-    void noteOutcome(Progress&, const char* topic, const absl::Status&);
+    bool readConfigOnce();
+    bool readTargetsOnce();
+    void noteFailure(ReadCursor&, const char* topic, const absl::Status&);
+    static void noteReturn(const char* topic, std::optional<Duration> away);
     void adopt(const ConfigRecord&, const char* source);
     void takeFromAnyPeer(bool wantsTargets);
-    bool followProxy(Progress&, bool wantsTargets);
+
+    /// @return whether a relay reads the store for this router, so that it need not now.
+    bool followProxy(TimePoint& nextOwnRead, bool wantsTargets);
+
+    /// The relay reads the store: what this router itself failed to read before doesn't count any more.
+    void trustRelay();
     void takeFrom(const Peer&, bool wantsTargets);
     void findOthers();
     bool pause(Duration);
@@ -47,6 +45,8 @@
     FleetStore& m_store;
     net::HttpClient& m_peerClient;
     EdgeMetrics& m_metrics;
+    ReadCursor m_configCursor; ///< Of the thread that follows the configuration.
+    ReadCursor m_targetCursor; ///< Of the thread that follows the targets.
     std::mutex m_mutex;
     std::condition_variable m_stopped;
     bool m_isStopping = false;
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -192,6 +192,11 @@
 
     void apply(TimePoint now, const TargetChange&);
 
+    /// Applies changes that one read brought. Of each target only the last counts, and that it ever was draining: a
+    /// read that catches up on a long absence brings targets that came and have gone since, and those must not be kept
+    /// as if their entries had just lapsed.
+    void applyAll(TimePoint now, const std::vector<TargetChange>&);
+
     /// Replaces everything by a whole list.
     void replace(TimePoint now, const std::vector<TargetChange>& all);
 
@@ -227,6 +232,39 @@
     std::optional<TimePoint> m_graceUntil;
 };
 
+// ---- Reading the store
+
+/// Where a router stands in reading one topic of the store, and how the reads went.
+class ReadCursor {
+public:
+    /// @return where to read on; absent: everything has to be read.
+    std::optional<LogOffset> next() const { return m_next; }
+
+    /// @return how long the store had been away before this read, if it was.
+    std::optional<Duration> readDone(TimePoint now, LogOffset next);
+
+    /// @return whether this is the first failure in a row.
+    bool readFailed(TimePoint now);
+
+    /// The records at the cursor are no longer kept.
+    void historyLost() { m_next.reset(); }
+
+    /// Another router, which reads the store for this one, has got as far as @p next. What failed here before says
+    /// nothing any more, and what it has told need not be read again: records of long ago would bring back targets that
+    /// have gone since.
+    void toldByPeer(LogOffset next);
+
+    unsigned failures() const { return m_failures; }
+
+    /// @return how long to wait before the next try: longer with each failure in a row.
+    Duration retryDelay() const;
+
+private:
+    std::optional<LogOffset> m_next;
+    std::optional<TimePoint> m_failingSince;
+    unsigned m_failures = 0;
+};
+
 // ---- Who else is in the fleet
 
 /// Whose load a heartbeat tells.
--- /dev/null
+++ b/src/edge/ReadCursor.cpp
@@ -0,0 +1,50 @@
+#include <sagechute/Edge.h>
+
+#include <algorithm>
+
+namespace sagechute::edge {
+
+namespace {
+
+    constexpr Duration leastRetryDelay = std::chrono::milliseconds(60);
+
+    /// A leaving target must be known of within two seconds of the store's return.
+    constexpr Duration mostRetryDelay = std::chrono::milliseconds(500);
+    constexpr unsigned mostDoublings = 3;
+
+} // namespace
+
+std::optional<Duration> ReadCursor::readDone(TimePoint now, LogOffset next)
+{
+    std::optional<Duration> away;
+    if (m_failingSince)
+        away = now - *m_failingSince;
+    m_failingSince.reset();
+    m_failures = 0;
+    m_next = next;
+    return away;
+}
+
+bool ReadCursor::readFailed(TimePoint now)
+{
+    ++m_failures;
+    if (m_failingSince)
+        return false;
+    m_failingSince = now;
+    return true;
+}
+
+void ReadCursor::toldByPeer(LogOffset next)
+{
+    m_failingSince.reset();
+    m_failures = 0;
+    if (!m_next || *m_next < next)
+        m_next = next;
+}
+
+Duration ReadCursor::retryDelay() const
+{
+    return std::min(mostRetryDelay, leastRetryDelay * (1 << std::min(m_failures, mostDoublings)));
+}
+
+} // namespace sagechute::edge
--- a/src/edge/TargetRoster.cpp
+++ b/src/edge/TargetRoster.cpp
@@ -34,6 +34,20 @@
     it->second.target.draining = wasDraining || change.target->draining;
 }
 
+void TargetRoster::applyAll(TimePoint now, const std::vector<TargetChange>& changes)
+{
+    std::map<TargetId, TargetChange> last;
+    for (const TargetChange& it : changes) {
+        TargetChange& change = last.try_emplace(it.id, it).first->second;
+        const bool wasDraining = change.target && change.target->draining;
+        change = it;
+        if (change.target)
+            change.target->draining = change.target->draining || wasDraining;
+    }
+    for (const auto& [id, change] : last)
+        apply(now, change);
+}
+
 void TargetRoster::remove(TimePoint now, const TargetId& id)
 {
     const auto it = m_entries.find(id);
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -326,6 +326,41 @@
     CHECK(roster.mark() != two);
 }
 
+// Symptom: requests reach a target up to four seconds after the store acknowledged that it has left.
+// Sequence: a router of a large fleet fails to read the store once, and from then on a relay reads for it. Twenty
+// seconds later it reads the store itself again, from where it had stopped. Cause: it took the store to have been away
+// for twenty seconds, applied records of that time one by one, and so kept targets that had come and gone in between as
+// if their entries had just lapsed.
+TEST_CASE("a router that catches up on what others told it brings no target back")
+{
+    ReadCursor cursor;
+    CHECK_FALSE(cursor.next());
+    cursor.readDone(start, 10);
+    CHECK(cursor.readFailed(start + 1s));
+    CHECK_FALSE(cursor.readFailed(start + 2s));
+    CHECK(cursor.retryDelay() > ReadCursor().retryDelay());
+    cursor.toldByPeer(150);
+    CHECK(cursor.next() == 150);
+    CHECK_FALSE(cursor.readDone(start + 20s, 178));
+    cursor.toldByPeer(150);
+    CHECK(cursor.next() == 178);
+    CHECK(cursor.readFailed(start + 30s));
+    CHECK(cursor.readDone(start + 33s, 180) == Duration(3s));
+
+    TargetRoster roster;
+    roster.apply(start, entry("stays"));
+    roster.storeLost(start + 1s);
+    roster.storeRegained(start + 20s, true);
+    roster.applyAll(start + 20s,
+        { entry("passing"), entry("leaving"), gone("passing"), entry("leaving", true), entry("leaving", false),
+            gone("stays") });
+    const auto targets = roster.targets();
+    REQUIRE(targets.size() == 2);
+    CHECK(targets[0].id.value == "leaving");
+    CHECK(targets[0].draining);
+    CHECK(targets[1].id.value == "stays"); // It may have lapsed.
+}
+
 // Symptom: on one router of 80 thousands of requests pass their deadlines, while its neighbours are idle.
 // Sequence: a caller sends 300 requests a second over the connections that it has, all to one router of an eighth of a
 // core. Cause: nothing told the caller to use another.
