Prove at most once over routers, targets and a faulty transport by a property test with deliberate faults

RelayFlowTest plays requests through request flows of three routers under a virtual clock: refused connections, lost requests and answers, silence, refusals, reused addresses, failures, foreign answers, callers that leave and retry.

--- /dev/null
+++ b/tests/RelayFlowTest.cpp
@@ -0,0 +1,195 @@
+// What a request's flow must keep whatever transport and targets do: src/relay, played by tests/RelayWorld.h.
+
+#include "RelayWorld.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace sagechute;
+using namespace sagechute::relay;
+using namespace std::chrono_literals;
+using dispatch::AttemptEnd;
+using dispatch::AttemptFacts;
+using dispatch::NextStep;
+using dispatch::RequestKind;
+
+namespace {
+
+constexpr unsigned requestsPerTrial = 120;
+constexpr unsigned trialsOfFaultyRules = 12;
+
+/// @return what a flow with these rules breaks within some trials.
+std::set<Breach> breachesOf(const FlowRules& rules)
+{
+    std::set<Breach> all;
+    for (unsigned seed = 1; seed <= trialsOfFaultyRules; ++seed)
+        all.merge(RelayWorld(seed, Troubles {}, rules).play(requestsPerTrial));
+    return all;
+}
+
+// ---- Deliberate faults, each with the breach that it must lead to.
+
+NextStep repeatsAlways(const AttemptFacts& facts)
+{
+    const bool hasEnded = facts.end == AttemptEnd::Answered || facts.end == AttemptEnd::CallerGone;
+    return hasEnded ? dispatch::nextStep(facts) : NextStep::TryElsewhere;
+}
+
+NextStep callsUnknownNotRun(const AttemptFacts& facts)
+{
+    const NextStep next = dispatch::nextStep(facts);
+    return next == NextStep::Fail && !facts.hasStarted ? NextStep::Refuse : next;
+}
+
+NextStep ignoresTheBoundOfRuns(const AttemptFacts& facts)
+{
+    AttemptFacts unbounded = facts;
+    unbounded.attemptsMost = 100;
+    return dispatch::nextStep(unbounded);
+}
+
+bool takesAnyAnswer(const edge::TargetAnswerHead&, const std::string&) { return true; }
+
+AttemptEnd takesBrokenForWhole(net::TransferEnd end, const std::optional<edge::TargetAnswerHead>& head)
+{
+    return FlowRules::standard().judge(
+        end == net::TransferEnd::BrokenAfterSend ? net::TransferEnd::Completed : end, head);
+}
+
+AttemptEnd takesBrokenForUnsent(net::TransferEnd end, const std::optional<edge::TargetAnswerHead>& head)
+{
+    return end == net::TransferEnd::BrokenAfterSend ? AttemptEnd::Unreachable : FlowRules::standard().judge(end, head);
+}
+
+} // namespace
+
+TEST_CASE("no request runs twice, is falsely called not run, or gets another's answer, whatever fails")
+{
+    rc::prop("random troubles", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        const double scale = *rc::gen::element(0.2, 1.0, 2.5);
+        Troubles it;
+        for (double* probability : { &it.unreachable, &it.lostRequest, &it.lostAnswer, &it.silent, &it.refused,
+                 &it.otherTarget, &it.failed, &it.foreign, &it.leaves })
+            *probability *= scale;
+        RelayWorld world(seed, it, FlowRules::standard());
+        const std::set<Breach> breaches = world.play(requestsPerTrial);
+        for (const Breach breach : breaches)
+            RC_LOG() << toString(breach) << "\n";
+        RC_ASSERT(breaches.empty());
+        RC_ASSERT(world.completed() > requestsPerTrial / 4);
+    });
+}
+
+TEST_CASE("each deliberate fault in the rules is caught")
+{
+    const FlowRules standard = FlowRules::standard();
+    const auto with = [&](auto&& change) {
+        FlowRules rules = standard;
+        change(rules);
+        return breachesOf(rules);
+    };
+    CHECK(breachesOf(standard).empty());
+    const auto repeated = with([](FlowRules& it) { it.next = repeatsAlways; });
+    CHECK(repeated.contains(Breach::RunTwice));
+    CHECK(with([](FlowRules& it) { it.next = callsUnknownNotRun; }).contains(Breach::FalseNotRun));
+    CHECK(with([](FlowRules& it) { it.next = ignoresTheBoundOfRuns; }).contains(Breach::TooManyRuns));
+    CHECK(with([](FlowRules& it) { it.isAnswerTo = takesAnyAnswer; }).contains(Breach::Mixed));
+    const auto cut = with([](FlowRules& it) { it.judge = takesBrokenForWhole; });
+    CHECK(cut.contains(Breach::Mixed));
+    CHECK(cut.contains(Breach::Disorder));
+    CHECK(with([](FlowRules& it) { it.judge = takesBrokenForUnsent; }).contains(Breach::RunTwice));
+}
+
+namespace {
+
+/// A port that counts.
+struct CountingPort final : FlowPort {
+    dispatch::Decision place(TimePoint, const dispatch::Demand&, dispatch::Round) override { return placement; }
+    void firstAnswer(TimePoint, dispatch::AttemptId) override { }
+    void attemptEnded(TimePoint, dispatch::AttemptId, AttemptEnd end) override { ends.push_back(end); }
+    void send(const AttemptOrder& order) override { orders.push_back(order); }
+    void cancel() override { ++cancels; }
+    void startStream(int, const std::vector<net::Field>&) override { }
+    void write(std::string_view bytes) override { written += bytes; }
+    void finish() override { }
+    void abort() override { ++aborts; }
+    void respond(const edge::TargetAnswerHead&, std::string) override { }
+    void refuse(int status, std::string_view, std::optional<Duration>) override { refused = status; }
+
+    dispatch::Placement placement { 1, { { "t" }, { "s" }, "127.0.0.1:1", { "z" }, 8, false }, 0, 50ms };
+    std::vector<AttemptOrder> orders;
+    std::vector<AttemptEnd> ends;
+    unsigned cancels = 0;
+    unsigned aborts = 0;
+    int refused = 0;
+    std::string written;
+};
+
+constexpr TimePoint start { 100s };
+
+RequestFacts factsOf(const dispatch::Route& route) { return { "id", &route, { "s" }, { "c" }, {}, start, start + 3s }; }
+
+} // namespace
+
+// Symptom: the fleet's picture of a target shows requests that ended long ago, and it gets fewer and fewer.
+// Sequence: a caller leaves a request that must not be repeated; the request goes on at the target and ends.
+// Cause: what a flow without a caller hears was ignored.
+TEST_CASE("a request that goes on without its caller is counted as ended when it ends")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Once;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    flow.callerGone(start + 10ms);
+    CHECK(flow.isDone());
+    CHECK(port.cancels == 0);
+    flow.ended(start + 50ms, 1, net::TransferEnd::Completed);
+    CHECK(port.ends.size() == 1);
+    CHECK(port.orders.size() == 1);
+}
+
+TEST_CASE("a caller that leaves ends its stream at the target at once")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Stream;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    flow.callerGone(start + 10ms);
+    CHECK(port.cancels == 1);
+    CHECK(port.ends == std::vector<AttemptEnd> { AttemptEnd::CallerGone });
+}
+
+TEST_CASE("a request that is still unanswered at its end is ended then, and not called not run")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Once;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    CHECK(flow.nextWake() == start + 3s);
+    flow.wake(start + 3s);
+    CHECK(port.refused == 504);
+    CHECK(port.cancels == 1);
+}
+
+TEST_CASE("a silent target's idempotent request goes elsewhere with what time is left")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Idempotent;
+    route.attempts = 2;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    REQUIRE(flow.nextWake() < start + 2s);
+    const TimePoint at = flow.nextWake();
+    flow.wake(at);
+    REQUIRE(port.orders.size() == 2);
+    CHECK(port.orders[1].left == start + 3s - at);
+    CHECK(port.cancels == 1);
+    // The first target's late answer is nobody's.
+    flow.head(at + 1ms, 1, { 200, "id", false, false, true, {} });
+    CHECK_FALSE(flow.isDone());
+}
--- /dev/null
+++ b/tests/RelayWorld.cpp
@@ -0,0 +1,339 @@
+#include "RelayWorld.h"
+
+#include <algorithm>
+
+namespace sagechute::relay {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using dispatch::RequestKind;
+
+    constexpr unsigned routers = 3;
+    constexpr unsigned targets = 4;
+    constexpr unsigned pieces = 5;
+    constexpr unsigned callerRetries = 2;
+    constexpr Duration timeout = 3s;
+    constexpr Duration between = 20ms;
+
+    enum RouteIndex : unsigned { Idempotent, Once, Resumable, Plain, RouteCount };
+
+    dispatch::Route makeRoute(RequestKind kind, unsigned attempts, bool isResumable)
+    {
+        dispatch::Route route;
+        route.kind = kind;
+        route.attempts = attempts;
+        route.isResumable = isResumable;
+        route.timeout = timeout;
+        return route;
+    }
+
+    std::shared_ptr<const dispatch::RoutingTable> makeTable()
+    {
+        dispatch::FleetConfig config;
+        config.version = 1;
+        config.services = { { { "s" }, 100, std::nullopt } };
+        config.routes = { makeRoute(RequestKind::Idempotent, 2, false), makeRoute(RequestKind::Once, 2, false),
+            makeRoute(RequestKind::Stream, 2, true), makeRoute(RequestKind::Stream, 2, false) };
+        return dispatch::RoutingTable::make(config);
+    }
+
+    std::vector<dispatch::Target> makeTargets()
+    {
+        std::vector<dispatch::Target> all;
+        for (unsigned i = 0; i < targets; ++i)
+            all.push_back({ { "t" + std::to_string(i) }, { "s" }, "127.0.0.1:1", { "z" }, 8, false });
+        return all;
+    }
+
+    std::string pieceOf(unsigned number, const std::string& runTag)
+    {
+        return "id: " + std::to_string(number) + "\ndata: " + runTag + "\n\n";
+    }
+
+    bool saysNotRun(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
+
+} // namespace
+
+std::string toString(Breach breach)
+{
+    switch (breach) {
+    case Breach::RunTwice:
+        return "run twice";
+    case Breach::FalseNotRun:
+        return "falsely said not to have run";
+    case Breach::Mixed:
+        return "mixed answer";
+    case Breach::Disorder:
+        return "disorder in a stream";
+    case Breach::TooManyRuns:
+        return "too many runs";
+    case Breach::NoEnd:
+        return "no end";
+    }
+    return "";
+}
+
+struct RelayWorld::Send final : FlowPort {
+    Send(RelayWorld& world, unsigned kindOfRoute, std::string requestId, unsigned retries, dispatch::Dispatcher& chosen)
+        : owner(world)
+        , kind(kindOfRoute)
+        , id(std::move(requestId))
+        , retriesLeft(retries)
+        , dispatcher(chosen)
+        , flow(*this, facts(), world.m_rules)
+    {
+    }
+
+    RequestFacts facts() const
+    {
+        return { id, &owner.m_table->config().routes[kind], { "s" }, { "c" }, {}, owner.m_now, owner.m_now + timeout };
+    }
+
+    bool mayRepeat() const { return kind == Idempotent || kind == Resumable; }
+
+    dispatch::Decision place(TimePoint now, const dispatch::Demand& demand, dispatch::Round round) override
+    {
+        return dispatcher.place(now, demand, round);
+    }
+    void firstAnswer(TimePoint now, dispatch::AttemptId it) override { dispatcher.firstAnswer(now, it); }
+    void attemptEnded(TimePoint now, dispatch::AttemptId it, dispatch::AttemptEnd end) override
+    {
+        dispatcher.ended(now, it, end);
+    }
+    void send(const AttemptOrder& order) override { owner.deliver(*this, order); }
+    void cancel() override { cancelled = lastNumber; }
+
+    void startStream(int, const std::vector<net::Field>&) override { isStreaming = true; }
+    void write(std::string_view bytes) override { received += bytes; }
+    void finish() override { end(200, true); }
+    void abort() override { end(0, false); }
+    void respond(const edge::TargetAnswerHead& head, std::string body) override
+    {
+        received = std::move(body);
+        if (head.status < 300 && (!head.isSigned || received != "answer to " + id))
+            owner.m_breaches.insert(Breach::Mixed);
+        end(head.status, true);
+    }
+    void refuse(int status, std::string_view, std::optional<Duration>) override { end(status, true); }
+
+    void end(int answered, bool isWhole)
+    {
+        if (hasEnd || hasLeft)
+            return;
+        hasEnd = true;
+        status = answered;
+        owner.m_completed += status == 200 ? 1 : 0;
+        if (isStreaming)
+            checkPieces(isWhole && status == 200);
+        const bool isPromise = saysNotRun(status);
+        const bool isRetried = status != 200 && status < 600 && (isPromise || kind == Idempotent) && retriesLeft > 0;
+        if (isRetried)
+            owner.after(100ms, [this] { owner.sendNext(kind, retriesLeft - 1); });
+    }
+
+    void checkPieces(bool isComplete)
+    {
+        unsigned expected = 1;
+        std::string tag;
+        std::string_view rest = received;
+        while (!rest.empty()) {
+            const std::size_t size = rest.find("\n\n");
+            if (size == std::string_view::npos) {
+                owner.m_breaches.insert(Breach::Disorder);
+                return;
+            }
+            const std::string piece(rest.substr(0, size + 2));
+            rest.remove_prefix(size + 2);
+            const std::string ownTag = piece.substr(piece.find("data: ") + 6, piece.size());
+            if (kind == Plain && !tag.empty() && ownTag != tag)
+                owner.m_breaches.insert(Breach::Disorder);
+            tag = ownTag;
+            if (!piece.starts_with("id: " + std::to_string(expected++) + "\n"))
+                owner.m_breaches.insert(Breach::Disorder);
+            if (ownTag.find(id + "@") != 0)
+                owner.m_breaches.insert(Breach::Mixed);
+        }
+        if (isComplete && expected != pieces + 1)
+            owner.m_breaches.insert(Breach::Disorder);
+    }
+
+    RelayWorld& owner;
+    const unsigned kind;
+    const std::string id;
+    const unsigned retriesLeft;
+    dispatch::Dispatcher& dispatcher;
+    RequestFlow flow;
+    unsigned lastNumber = 0;
+    unsigned cancelled = 0;
+    std::string received;
+    int status = 0;
+    bool isStreaming = false;
+    bool hasEnd = false;
+    bool hasLeft = false;
+};
+
+RelayWorld::RelayWorld(std::uint64_t seed, const Troubles& troubles, const FlowRules& rules)
+    : m_random(seed)
+    , m_troubles(troubles)
+    , m_rules(rules)
+    , m_table(makeTable())
+{
+    for (unsigned i = 0; i < routers; ++i) {
+        dispatch::DispatchSettings settings;
+        settings.retrySlack = 1e6; // The budget has tests of its own; here repeats are wanted.
+        m_routers.push_back(dispatch::Dispatcher::make(settings, { "z" }, seed + i));
+        m_routers.back()->setConfig(m_table);
+        m_routers.back()->setTargets(m_now, makeTargets());
+    }
+}
+
+RelayWorld::~RelayWorld() = default;
+
+void RelayWorld::at(TimePoint when, std::function<void()> call) { m_events.emplace(when, std::move(call)); }
+
+void RelayWorld::after(Duration most, std::function<void()> call)
+{
+    at(m_now + Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(most.count()) + 1))),
+        std::move(call));
+}
+
+void RelayWorld::sendNext(unsigned kind, unsigned retriesLeft)
+{
+    const std::string id = "r" + std::to_string(m_sends.size());
+    m_sends.push_back(std::make_unique<Send>(*this, kind, id, retriesLeft, *m_routers[m_random.below(routers)]));
+    Send& send = *m_sends.back();
+    send.flow.begin(m_now);
+    if (chance(m_troubles.leaves)) {
+        after(400ms, [this, &send] {
+            if (send.hasEnd)
+                return;
+            send.hasLeft = true;
+            send.flow.callerGone(m_now);
+        });
+    }
+}
+
+void RelayWorld::deliver(Send& send, const AttemptOrder& order)
+{
+    send.lastNumber = order.number;
+    const unsigned number = order.number;
+    const auto ends = [this, &send, number](net::TransferEnd end) {
+        after(20ms, [this, &send, number, end] { send.flow.ended(m_now, number, end); });
+    };
+    if (chance(m_troubles.unreachable)) {
+        ends(net::TransferEnd::NothingSent);
+        return;
+    }
+    if (chance(m_troubles.lostRequest)) {
+        ends(net::TransferEnd::BrokenAfterSend);
+        return;
+    }
+    if (chance(m_troubles.refused)) {
+        at(m_now + 5ms, [this, &send, number] {
+            send.flow.head(m_now, number, { 503, send.id, true, false, false, {} });
+        });
+        at(m_now + 6ms, [this, &send, number] { send.flow.ended(m_now, number, net::TransferEnd::Completed); });
+        return;
+    }
+    if (chance(m_troubles.otherTarget)) {
+        at(m_now + 5ms, [this, &send, number] {
+            send.flow.head(m_now, number, { 421, send.id, true, true, false, {} });
+        });
+        at(m_now + 6ms, [this, &send, number] { send.flow.ended(m_now, number, net::TransferEnd::Completed); });
+        return;
+    }
+    // It reaches the target a little later, whatever becomes of the flow meanwhile.
+    const dispatch::Target target = order.placement.target;
+    const std::string resumeAfter = order.resumeAfter;
+    after(10ms, [this, &send, number, target, resumeAfter, ends] {
+        m_runs.push_back({ target.id, send.id });
+        const std::string tag = send.id + "@" + std::to_string(m_runs.size());
+        if (chance(m_troubles.silent))
+            return;
+        if (chance(m_troubles.foreign)) {
+            send.flow.head(m_now, number, { 200, "another", false, false, true, {} });
+            send.flow.bytes(m_now, number, "answer to another");
+            ends(net::TransferEnd::Completed);
+            return;
+        }
+        if (chance(m_troubles.failed)) {
+            send.flow.head(m_now, number, { 500, send.id, false, false, true, {} });
+            send.flow.bytes(m_now, number, "failed");
+            send.flow.ended(m_now, number, net::TransferEnd::Completed);
+            return;
+        }
+        answer(send, number, tag, resumeAfter, chance(m_troubles.lostAnswer) ? m_random.fraction() : 1);
+    });
+}
+
+void RelayWorld::answer(
+    Send& send, unsigned number, const std::string& runTag, const std::string& resumeAfter, double brokenPart)
+{
+    const bool isStream = send.kind == Resumable || send.kind == Plain;
+    std::string body = "answer to " + send.id;
+    if (isStream) {
+        body.clear();
+        const unsigned first = send.kind == Resumable && !resumeAfter.empty() ? std::stoul(resumeAfter) + 1 : 1;
+        for (unsigned i = first; i <= pieces; ++i)
+            body += pieceOf(i, runTag);
+    }
+    const auto sent = static_cast<std::size_t>(brokenPart * static_cast<double>(body.size()));
+    TimePoint when = m_now + 5ms;
+    if (brokenPart > 0.1) {
+        at(when, [this, &send, number] { send.flow.head(m_now, number, { 200, send.id, false, false, true, {} }); });
+    }
+    constexpr std::size_t chunk = 17; // Ends in the middle of events.
+    for (std::size_t i = 0; i < sent; i += chunk) {
+        when += Duration(static_cast<Duration::rep>(m_random.below(30'000)));
+        at(when, [this, &send, number, part = body.substr(i, std::min(chunk, sent - i))] {
+            if (send.cancelled != number)
+                send.flow.bytes(m_now, number, part);
+        });
+    }
+    const auto end = brokenPart < 1 ? net::TransferEnd::BrokenAfterSend : net::TransferEnd::Completed;
+    at(when + 1ms, [this, &send, number, end] {
+        send.flow.ended(m_now, number, send.cancelled == number ? net::TransferEnd::Cancelled : end);
+    });
+}
+
+std::set<Breach> RelayWorld::play(unsigned requests)
+{
+    for (unsigned i = 0; i < requests; ++i)
+        at(m_now + i * between, [this] { sendNext(static_cast<unsigned>(m_random.below(RouteCount)), callerRetries); });
+    const TimePoint last = m_now + requests * between + 4 * timeout;
+    for (; m_now < last; m_now += 1ms) {
+        while (!m_events.empty() && m_events.begin()->first <= m_now) {
+            const auto call = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            call();
+        }
+        for (std::size_t i = 0; i < m_sends.size(); ++i) {
+            RequestFlow& flow = m_sends[i]->flow;
+            if (!flow.isDone() && flow.nextWake() <= m_now)
+                flow.wake(m_now);
+        }
+    }
+    checkEnds();
+    return m_breaches;
+}
+
+void RelayWorld::checkEnds()
+{
+    std::map<std::string, unsigned> runs;
+    for (const Run& it : m_runs)
+        ++runs[it.requestId];
+    for (const auto& send : m_sends) {
+        const unsigned ran = runs[send->id];
+        if (!send->hasEnd && !send->hasLeft)
+            m_breaches.insert(Breach::NoEnd);
+        if (!send->mayRepeat() && ran > 1)
+            m_breaches.insert(Breach::RunTwice);
+        if (!send->mayRepeat() && ran > 0 && saysNotRun(send->status))
+            m_breaches.insert(Breach::FalseNotRun);
+        if (ran > m_table->config().routes[send->kind].attempts)
+            m_breaches.insert(Breach::TooManyRuns);
+    }
+}
+
+} // namespace sagechute::relay
