A soak of real processes behind proxies, with faults in overlapping series and promises checked

tools/soak.py: three routers, five workers and a store; connections delayed, reset, cut one way, silenced; routers killed, stopped as planned, paused, hung up; workers paused and harmed; the store refusing, silent, forgetting; keys removed. Callers keep their connections.

--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -89,8 +89,10 @@
 class Fleet:
     """A store, workers and edge routers. Ends all of them by id when it is closed."""
 
-    def __init__(self, build, routers=2, engines=2, applications=2):
+    def __init__(self, build, routers=2, engines=2, applications=2, proxy=None):
+        """proxy: given an address, returns the one by which routers reach it; absent: they reach it directly."""
         self.build = build
+        self.proxy = proxy or (lambda address: address)
         self.directory = tempfile.mkdtemp(prefix="sagechute-edge-")
         self.processes = []
         self.version = 0
@@ -120,7 +122,8 @@
 
     def _add_worker(self, name, port, arguments):
         address = f"127.0.0.1:{port}"
-        command = ["sagechute-standin-worker", "--listen", address, "--id", name, "--store", self.store]
+        command = ["sagechute-standin-worker", "--listen", address, "--advertise", self.proxy(address), "--id", name,
+                   "--store", self.store]
         self.workers[name] = {"address": address, "process": self._start(name, command + arguments)}
 
     def _add_router(self, index, ports, seeds):
@@ -128,7 +131,7 @@
             "vm-id": f"router-{index}", "zone": "a", "callers-listen": f"127.0.0.1:{ports[0]}",
             "readiness-listen": f"127.0.0.1:{ports[1]}", "control-listen": f"127.0.0.1:{ports[2]}",
             "locate-listen": f"127.0.0.1:{ports[3]}", "address": "127.0.0.1",
-            "port-range": f"{ports[4]},{ports[5]}", "seeds": seeds, "store": self.store,
+            "port-range": f"{ports[4]},{ports[5]}", "seeds": seeds, "store": self.proxy(self.store),
             "stop-grace-seconds": "4",
         }
         path = os.path.join(self.directory, f"router-{index}.settings")
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,379 @@
+"""A randomized soak of the edge routers: real processes on loopback, faults from outside, promises checked all the while.
+
+    tools/soak.py --build build --seed 7 --seconds 20     one seed
+    tools/soak.py --build build --seeds 1-50              several, one after the other
+    tools/soak.py --build build --regressions             the seeds that ever failed (tests/soak-seeds.txt)
+
+Ends only processes that it started, by id. Exits with 1 when a promise was broken.
+"""
+
+import argparse
+import http.client
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+from platform_fleet import HOST, KEY, Fleet, events_of
+from soak_proxy import Proxy
+
+ALL_EVENTS = list(range(1, 11))
+NOT_RUN = (408, 421, 429, 503)
+CALLERS = 6
+EXTRA_KEY = "key-that-comes-and-goes"
+REVOKE_SECONDS = 3.0  # After the store's acknowledgement; the platform allows 2 s to routers in touch.
+RECOVERY_SECONDS = 12.0
+HERE = os.path.dirname(os.path.abspath(__file__))
+SEEDS_FILE = os.path.join(HERE, "..", "tests", "soak-seeds.txt")
+
+
+class Request:
+    """One send of a caller and what came of it."""
+
+    KINDS = (("/reads/x", "GET"), ("/posts/x", "POST"), ("/answers/x", "POST"), ("/chats/x", "POST"))
+
+    def __init__(self, request_id, rng):
+        self.id = request_id
+        self.path, self.method = rng.choice(self.KINDS)
+        self.key = EXTRA_KEY if rng.random() < 0.1 else KEY
+        self.status = None
+        self.is_whole = False
+        self.fields = {}
+        self.body = b""
+        self.sent_at = 0.0
+        self.ended_at = 0.0
+
+    def may_repeat(self):
+        return self.path in ("/reads/x", "/answers/x")
+
+    def is_stream(self):
+        return self.path in ("/answers/x", "/chats/x")
+
+    def headers(self):
+        fields = {"Host": HOST, "X-Sagechute-Attempt-Id": self.id, "X-Sagechute-Deadline-Ms": "3000",
+                  "Api-Key": self.key}
+        if self.is_stream():
+            fields.update({"X-Sagechute-Model": "m", "X-Sagechute-Token-Usage": "1000,10",
+                           "X-Sagechute-Prompt-Prefix": "5c1e07a2:800,77:200"})
+        return fields
+
+
+class Caller(threading.Thread):
+    """Keeps its connection for as long as it is open, as the users' callers do."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self._soak = soak
+        self._rng = random.Random(soak.seed * 1000 + number)
+        self._number = number
+        self._connection = None
+        self._address = None
+        self.requests = []
+
+    def run(self):
+        while not self._soak.is_over.is_set():
+            request = Request(f"{self._number:02x}{len(self.requests):014x}", self._rng)
+            self.requests.append(request)
+            self._send(request)
+            time.sleep(self._rng.uniform(0.0, 0.06))
+
+    def _connect(self):
+        self._address = self._rng.choice(self._soak.addresses())
+        host, port = self._address.split(":")
+        self._connection = http.client.HTTPConnection(host, int(port), timeout=4.0)
+
+    def _send(self, request):
+        request.sent_at = time.monotonic()
+        try:
+            if not self._connection:
+                self._connect()
+            self._connection.request(request.method, request.path, body="pay" if request.method == "POST" else None,
+                                     headers=request.headers())
+            answer = self._connection.getresponse()
+            request.fields = {name.lower(): value for name, value in answer.getheaders()}
+            request.status = answer.status
+            request.body = answer.read()
+            request.is_whole = True
+            if answer.will_close:
+                self._drop()
+        except http.client.IncompleteRead as error:
+            request.body = error.partial
+            self._drop()
+        except (OSError, http.client.HTTPException):
+            self._drop()
+        request.ended_at = time.monotonic()
+
+    def _drop(self):
+        self._connection.close()
+        self._connection = None
+
+
+class Soak:
+    """One seed: a fleet behind proxies, callers, and a schedule of overlapping faults."""
+
+    def __init__(self, build, seed, seconds):
+        self.seed = seed
+        self.is_over = threading.Event()
+        self.breaches = []
+        self._seconds = seconds
+        self._rng = random.Random(seed)
+        self._proxies = []
+        self._history = []
+        self._unplanned = []  # Spans in which requests may be lost for no fault of the routers.
+        self._store_away = []  # Spans in which routers may not learn of changes.
+        self._revoked = None  # When the extra key's removal was acknowledged; None while it is there.
+        self._revocations = []
+        self._fleet = Fleet(build, routers=3, engines=3, applications=2, proxy=self._proxied)
+        self._threads = []
+
+    def _proxied(self, address):
+        proxy = Proxy(address)
+        self._proxies.append(proxy)
+        return proxy.address
+
+    def addresses(self):
+        """The routers' addresses; callers may use any, also those of routers that are stopping."""
+        return [router["front"] for router in self._fleet.routers]
+
+    def run(self):
+        try:
+            self._fleet.wait_ready()
+            self._configure(True)
+            self._threads = [Caller(self, i) for i in range(CALLERS)]
+            for thread in self._threads:
+                thread.start()
+            self._disturb()
+            self._heal()
+            self._check_recovery()
+            self.is_over.set()
+            for thread in self._threads:
+                thread.join(timeout=10)
+            self._check()
+        finally:
+            self.is_over.set()
+            self._fleet.__exit__()
+            for proxy in self._proxies:
+                proxy.close()
+        return self.breaches
+
+    # ---- Faults
+
+    def _disturb(self):
+        end = time.monotonic() + self._seconds
+        pending = []
+        while time.monotonic() < end:
+            fault = self._rng.choice(self.FAULTS)
+            lasts = self._rng.uniform(0.3, 2.5)
+            self._history.append(f"{fault.__name__} for {lasts:.1f} s")
+            thread = threading.Thread(target=fault, args=(self, lasts), daemon=True)
+            thread.start()
+            pending.append(thread)
+            time.sleep(self._rng.uniform(0.2, 1.2))
+        for thread in pending:
+            thread.join(timeout=20)
+
+    def _unplanned_for(self, seconds):
+        now = time.monotonic()
+        self._unplanned.append((now - 0.2, now + seconds + 3.0))
+
+    def _kill_router(self, lasts):
+        self._unplanned_for(lasts)
+        process = self._rng.choice(self._fleet.routers)["process"]
+        process.end()
+        time.sleep(lasts)
+        process.start()
+
+    def _stop_router(self, lasts):
+        process = self._rng.choice(self._fleet.routers)["process"]
+        process.send(signal.SIGTERM)
+        try:
+            process.wait()
+        except Exception:  # It outlived its grace period: that is the finding.
+            self.breaches.append("a router outlived its grace period")
+            process.end()
+        time.sleep(lasts / 4)
+        process.start()
+
+    def _pause_router(self, lasts):
+        self._unplanned_for(lasts)
+        process = self._rng.choice(self._fleet.routers)["process"]
+        process.send(signal.SIGSTOP)
+        time.sleep(lasts)
+        process.send(signal.SIGCONT)
+
+    def _hang_up(self, lasts):
+        for router in self._fleet.routers:
+            router["process"].send(signal.SIGHUP)
+        time.sleep(lasts / 4)
+
+    def _harm_connections(self, lasts):
+        self._unplanned_for(lasts)
+        proxy = self._rng.choice(self._proxies)
+        proxy.set_mode(self._rng.choice(("delay", "reset", "silence", "cut-up", "cut-down")))
+        time.sleep(lasts)
+        proxy.set_mode("pass")
+
+    def _harm_store(self, lasts):
+        kind = self._rng.choice(("reset", "busy", "silent", "lost"))
+        now = time.monotonic()
+        self._store_away.append((now, now + lasts + REVOKE_SECONDS))
+        self._fleet.command(self._fleet.store, f"/standin/fault?kind={kind}")
+        time.sleep(lasts)
+        self._fleet.command(self._fleet.store, "/standin/fault?kind=none")
+
+    def _forget_history(self, _lasts):
+        topic = self._rng.choice(("keyed.op", "keyed.servers"))
+        self._fleet.command(self._fleet.store, f"/standin/forget?topic={topic}")
+
+    def _harm_worker(self, lasts):
+        self._unplanned_for(lasts)
+        name = self._rng.choice(sorted(self._fleet.workers))
+        kind = self._rng.choice(("lose", "shed", "break", "foreign", "fail"))
+        self._fleet.fault(name, kind, self._rng.randint(1, 20))
+        time.sleep(lasts)
+        self._fleet.fault(name, "none", 0)
+
+    def _pause_worker(self, lasts):
+        self._unplanned_for(lasts)
+        process = self._fleet.workers[self._rng.choice(sorted(self._fleet.workers))]["process"]
+        process.send(signal.SIGSTOP)
+        time.sleep(lasts)
+        process.send(signal.SIGCONT)
+
+    def _change_configuration(self, _lasts):
+        self._configure(self._rng.random() < 0.5)
+
+    def _configure(self, has_extra):
+        self._fleet.configure(keys=(KEY, EXTRA_KEY) if has_extra else (KEY,))
+        now = time.monotonic()
+        if has_extra and self._revoked is not None:
+            self._revocations.append((self._revoked, now))
+            self._revoked = None
+        elif not has_extra and self._revoked is None:
+            self._revoked = now
+
+    FAULTS = (_kill_router, _stop_router, _pause_router, _hang_up, _harm_connections, _harm_store, _forget_history,
+              _harm_worker, _pause_worker, _change_configuration)
+
+    def _heal(self):
+        for proxy in self._proxies:
+            proxy.set_mode("pass")
+        self._fleet.command(self._fleet.store, "/standin/fault?kind=none")
+        for name in self._fleet.workers:
+            self._fleet.fault(name, "none", 0)
+
+    # ---- Promises
+
+    def _check_recovery(self):
+        end = time.monotonic() + RECOVERY_SECONDS
+        open_checks = [(number, path, method) for number in range(len(self._fleet.routers))
+                       for path, method in Request.KINDS]
+        serial = 0
+        while open_checks and time.monotonic() < end:
+            number, path, method = open_checks[0]
+            serial += 1
+            status, _, _ = self._fleet.send(path, f"ff{serial:014x}", router=number, method=method)
+            if status == 200:
+                open_checks.pop(0)
+            else:
+                time.sleep(0.2)
+        for number, path, _ in open_checks:
+            self.breaches.append(f"router {number} doesn't serve {path} {RECOVERY_SECONDS} s after the last fault")
+
+    def _check(self):
+        runs = {}
+        for name in self._fleet.workers:
+            for request_id, count in self._fleet.ledger(name)["runs"].items():
+                runs[request_id] = runs.get(request_id, 0) + count
+        served = 0
+        for thread in self._threads:
+            for request in thread.requests:
+                self._check_request(request, runs.get(request.id, 0))
+                served += request.status == 200 and request.is_whole
+        total = sum(len(thread.requests) for thread in self._threads)
+        print(f"seed {self.seed}: {total} requests, {served} served, {len(self._history)} faults, "
+              f"{len(self.breaches)} promises broken", flush=True)
+
+    def _check_request(self, request, runs):
+        def breach(what):
+            self.breaches.append(f"{what}: id={request.id} {request.path} status={request.status} runs={runs}")
+
+        if not request.may_repeat() and runs > 1:
+            breach("ran twice")
+        if request.status in NOT_RUN and not request.may_repeat() and runs:
+            breach("said not to have run")
+        if request.status == 200 and request.is_whole:
+            self._check_answer(request, breach)
+        if request.is_stream() and request.status == 200 and not request.is_whole:
+            if events_of(request.body[:request.body.rfind(b"\n\n") + 2]) != ALL_EVENTS[:request.body.count(b"\n\n")]:
+                breach("disorder in a broken stream")
+        if request.key == KEY and request.status in (400, 401, 403, 404):
+            breach("denied")
+        if request.key == EXTRA_KEY and request.status == 200 and self._was_revoked(request):
+            breach("served with a removed key")
+        if not request.is_whole and not self._is_excused(request):
+            breach("lost without an unplanned fault")
+
+    @staticmethod
+    def _check_answer(request, breach):
+        if "x-sagechute-response-signature" not in request.fields:
+            breach("success without a signature")
+        if request.fields.get("x-sagechute-attempt-id") != request.id:
+            breach("another request's answer")
+        if request.is_stream():
+            if events_of(request.body) != ALL_EVENTS:
+                breach("a whole stream with other events")
+        elif request.id.encode() not in request.body:
+            breach("another body")
+
+    def _was_revoked(self, request):
+        """Whether its key had been gone for long enough when it was sent, with nothing that could delay the news."""
+        spans = self._revocations + ([(self._revoked, float("inf"))] if self._revoked is not None else [])
+        return any(begin + REVOKE_SECONDS < request.sent_at and request.ended_at < end for begin, end in spans) \
+            and not overlaps(self._unplanned + self._store_away, request.sent_at - REVOKE_SECONDS, request.ended_at)
+
+    def _is_excused(self, request):
+        return overlaps(self._unplanned, request.sent_at, request.ended_at)
+
+
+def overlaps(spans, begin, end):
+    return any(first < end and begin < last for first, last in spans)
+
+
+def run_seed(build, seed, seconds):
+    soak = Soak(build, seed, seconds)
+    breaches = soak.run()
+    for breach in breaches[:20]:
+        print(f"  {breach}", flush=True)
+    if breaches:
+        print(f"  faults: {', '.join(soak._history)}\n  logs in {soak._fleet.directory}", flush=True)
+    return not breaches
+
+
+def seeds_of(arguments):
+    if arguments.regressions:
+        with open(SEEDS_FILE, encoding="utf-8") as file:
+            return [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
+    if arguments.seeds:
+        first, last = arguments.seeds.split("-")
+        return list(range(int(first), int(last) + 1))
+    return [arguments.seed]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--build", default="build", help="directory with the programs")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", help="FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=15.0, help="how long faults come, for each seed")
+    parser.add_argument("--regressions", action="store_true", help="the seeds that ever failed")
+    arguments = parser.parse_args()
+    failed = [seed for seed in seeds_of(arguments) if not run_seed(arguments.build, seed, arguments.seconds)]
+    print(f"failed seeds: {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
