--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -28,8 +28,8 @@
 
     relay::RequestFacts factsOf(const RelayOrder& order)
     {
-        return { order.facts.id, order.route, order.service, order.customer, order.facts.prompt, order.arrived,
-            dueOf(order) };
+        return { order.facts.id, order.route, order.service, order.customer, order.facts.prompt,
+            order.exchange->request().body.size(), order.arrived, dueOf(order) };
     }
 
     class AttemptSink final : public net::TransferSink {
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -158,8 +158,9 @@
     /// Bonus of the target to which a prompt's first part hashes, while none is known to keep it: routers that decide
     /// at the same moment then choose the same one.
     Duration homeBonus = std::chrono::milliseconds(40);
-    /// Charged to a target in another availability zone.
+    /// Charged to a target in another availability zone: the way there and back, and a part for each KB that crosses.
     Duration zonePenalty = std::chrono::milliseconds(4);
+    Duration zonePenaltyPerKilobyte = std::chrono::milliseconds(3);
     /// A peer's report that is older says nothing any more; a few of the longest intervals between reports.
     Duration reportKept = std::chrono::milliseconds(1500);
     /// A target that could not be reached is left alone for so long before a single request tries it again.
@@ -182,6 +183,7 @@
     ServiceId service;
     const Route* route = nullptr; ///< Valid during the call.
     PromptSize prompt;
+    std::size_t bytes = 0; ///< Of the request; they cross to the target.
     TimePoint arrived;
     TimePoint due; ///< No answer counts later.
     std::set<TargetId> tried; ///< They are chosen only when there is no other.
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -16,6 +16,7 @@
     ServiceId service;
     CustomerId customer;
     dispatch::PromptSize prompt;
+    std::size_t bytes = 0;
     TimePoint arrived;
     TimePoint due; ///< The caller or the route waits no longer.
 };
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -192,7 +192,7 @@
     cost += failureCostMs * model.failureShare();
     cost += activeCostMs * inFlight.active;
     if (model.target().zone != m_ownZone)
-        cost += Milliseconds(m_settings.zonePenalty).count();
+        cost += zoneCostMs(demand);
     if (!model.hasRoom(inFlight, demand.prompt.tokensIn + demand.prompt.tokensOut))
         cost += noRoomCostMs;
     if (prefixes.size() > 1) {
@@ -203,6 +203,17 @@
     return candidate;
 }
 
+double LocalDispatcher::zoneCostMs(const Demand& demand) const
+{
+    constexpr double kilobyte = 1024;
+    // Each event has a frame of its own around some bytes a token.
+    constexpr double answerBytesPerToken = 20;
+    const double bytes
+        = static_cast<double>(demand.bytes) + answerBytesPerToken * static_cast<double>(demand.prompt.tokensOut);
+    return Milliseconds(m_settings.zonePenalty).count()
+        + bytes / kilobyte * Milliseconds(m_settings.zonePenaltyPerKilobyte).count();
+}
+
 double LocalDispatcher::waitLimit(double share) const
 {
     if (share <= 0)
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -45,6 +45,7 @@
     Candidate weigh(TimePoint now, TargetModel&, const Demand&, const std::vector<PrefixKey>&) const;
     std::optional<Refusal> admit(TimePoint now, const Demand&, const Candidate&);
     double waitLimit(double share) const;
+    double zoneCostMs(const Demand&) const;
     Refusal refuse(RefusalReason, Duration comeBack);
     Placement commit(TimePoint now, const Demand&, const Candidate&, const std::vector<PrefixKey>&);
     double windowCapacity() const;
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -93,8 +93,8 @@
         fail(m_mayHaveRun ? gatewayTimeout : unavailable, "no time is left");
         return;
     }
-    const dispatch::Demand demand { m_facts.customer, m_facts.service, m_facts.route, m_facts.prompt, m_facts.arrived,
-        m_facts.due, m_tried };
+    const dispatch::Demand demand { m_facts.customer, m_facts.service, m_facts.route, m_facts.prompt, m_facts.bytes,
+        m_facts.arrived, m_facts.due, m_tried };
     const dispatch::Decision decision = m_port.place(now, demand, round);
     if (const auto* placement = std::get_if<dispatch::Placement>(&decision)) {
         send(now, *placement);
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -50,7 +50,7 @@
 
     Demand demand(const std::string& customer, PromptSize size) const
     {
-        return { { customer }, { "llm" }, &table->config().routes.front(), std::move(size), start, start + 6s, {} };
+        return { { customer }, { "llm" }, &table->config().routes.front(), std::move(size), 0, start, start + 6s, {} };
     }
 
     std::shared_ptr<const RoutingTable> table;
--- a/tests/DispatchWorld.cpp
+++ b/tests/DispatchWorld.cpp
@@ -124,8 +124,8 @@
 void DispatchWorld::ask(TimePoint now, Request request)
 {
     const auto router = static_cast<unsigned>(m_random.below(m_pattern.routers));
-    Demand demand { { request.customer }, { "llm" }, &m_table->config().routes.front(), request.prompt, request.arrived,
-        now + 12s, {} };
+    Demand demand { { request.customer }, { "llm" }, &m_table->config().routes.front(), request.prompt, 0,
+        request.arrived, now + 12s, {} };
     if (!m_policy.isAffine)
         demand.prompt.parts = { { ++m_ownPart, request.prompt.tokensIn } };
     const Decision decision = m_routers[router]->place(now, demand, Round::First);
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -128,7 +128,10 @@
 
 constexpr TimePoint start { 100s };
 
-RequestFacts factsOf(const dispatch::Route& route) { return { "id", &route, { "s" }, { "c" }, {}, start, start + 3s }; }
+RequestFacts factsOf(const dispatch::Route& route)
+{
+    return { "id", &route, { "s" }, { "c" }, {}, 0, start, start + 3s };
+}
 
 } // namespace
 
--- a/tests/RelayWorld.cpp
+++ b/tests/RelayWorld.cpp
@@ -87,7 +87,8 @@
 
     RequestFacts facts() const
     {
-        return { id, &owner.m_table->config().routes[kind], { "s" }, { "c" }, {}, owner.m_now, owner.m_now + timeout };
+        return { id, &owner.m_table->config().routes[kind], { "s" }, { "c" }, {}, 0, owner.m_now,
+            owner.m_now + timeout };
     }
 
     bool mayRepeat() const { return kind == Idempotent || kind == Resumable; }
