Take ports that no outgoing connection can take in the process tests

Cause: PlatformPathTest failed once beside load, and a soak run could not start a router: 'Address already in use'. Ports were found free in the range from which the kernel gives ports to outgoing connections, and one took the port before the program listened. Change: ports below that range.

--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,21 +16,37 @@
 
 HOST = "callers.example"
 KEY = "key-of-teller"
+FIRST_PORT = 12000
 READY_SECONDS = 20
 STOP_SECONDS = 15
 
 
+def first_ephemeral_port():
+    try:
+        with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as file:
+            return int(file.read().split()[0])
+    except OSError:
+        return 32768
+
+
 def free_ports(count):
-    """Ports that are free now; all are held until the last is found, so that none is found twice."""
-    held = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        held.append(probe)
-    ports = [probe.getsockname()[1] for probe in held]
-    for probe in held:
-        probe.close()
-    return ports
+    """Ports that are free now, all different.
+
+    They lie below the ports that the kernel gives to outgoing connections: another process's connection could take one of
+    those between the moment it is found free and the moment a program listens on it.
+    """
+    found = set()
+    drawn = random.SystemRandom()
+    while len(found) < count:
+        port = drawn.randrange(FIRST_PORT, first_ephemeral_port())
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.add(port)
+    return list(found)
 
 
 def call(address, method, path, body=None, headers=None, timeout=5.0):
