--- a/tools/soak.py
+++ b/tools/soak.py
@@ -358,13 +358,14 @@
 
 
 def seeds_of(arguments):
+    seeds = []
     if arguments.regressions:
         with open(SEEDS_FILE, encoding="utf-8") as file:
-            return [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
+            seeds += [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
     if arguments.seeds:
         first, last = arguments.seeds.split("-")
-        return list(range(int(first), int(last) + 1))
-    return [arguments.seed]
+        seeds += range(int(first), int(last) + 1)
+    return seeds or [arguments.seed]
 
 
 def main():
