Keep a missing target no longer than the router that tells of it does

The relay of a zone, cut off before, kept the entry for 2.2 s as it may have lapsed; each time its list changed its routers kept the entry for another 2.2 s. Change: lists say how much longer a missing entry is kept.

--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -34,10 +34,10 @@
     return m_roster.targets();
 }
 
-std::vector<ListedTarget> EdgeState::listedTargets() const
+std::vector<ListedTarget> EdgeState::listedTargets(TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
-    return m_roster.listed();
+    return m_roster.listed(now);
 }
 
 bool EdgeState::canServe() const
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -38,7 +38,7 @@
         targetsMark = m_roster.mark();
     }
     std::vector<dispatch::Target> targets() const;
-    std::vector<ListedTarget> listedTargets() const;
+    std::vector<ListedTarget> listedTargets(TimePoint now) const;
 
     /// Calls @p use with the dispatcher.
     template <typename Use> auto withDispatcher(Use&& use)
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -147,7 +147,7 @@
     const std::string& path = exchange.request().path;
     if (path == peerStatePath) {
         const PeerState state { m_tools.state.configRecord(), m_tools.state.nextTargetOffset,
-            m_tools.state.listedTargets() };
+            m_tools.state.listedTargets(steadyNow()) };
         exchange.respond({ okStatus, { { "Content-Type", "application/cbor" } }, encode(state) });
     } else if (path == "/metrics") {
         exchange.respond(plain(okStatus, m_tools.metrics.exposition()));
--- a/apps/sagechute-edge/PeerState.cpp
+++ b/apps/sagechute-edge/PeerState.cpp
@@ -10,16 +10,23 @@
 
     json encodeTarget(const ListedTarget& listed)
     {
+        json keptFor = nullptr;
+        if (listed.keptFor)
+            keptFor = listed.keptFor->count();
         const dispatch::Target& target = listed.target;
         return { target.id.value, target.service.value, target.address, target.zone.value, target.slots,
-            target.draining, listed.isMissing };
+            target.draining, std::move(keptFor) };
     }
 
     ListedTarget decodeTarget(const json& item)
     {
-        return { { { item.at(0).get<std::string>() }, { item.at(1).get<std::string>() }, item.at(2).get<std::string>(),
-                     { item.at(3).get<std::string>() }, item.at(4).get<unsigned>(), item.at(5).get<bool>() },
-            item.at(6).get<bool>() };
+        ListedTarget listed;
+        listed.target
+            = { { item.at(0).get<std::string>() }, { item.at(1).get<std::string>() }, item.at(2).get<std::string>(),
+                  { item.at(3).get<std::string>() }, item.at(4).get<unsigned>(), item.at(5).get<bool>() };
+        if (const json& keptFor = item.at(6); !keptFor.is_null())
+            listed.keptFor = Duration(keptFor.get<Duration::rep>());
+        return listed;
     }
 
 } // namespace
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -25,9 +25,9 @@
     /// its heartbeats don't show.
     constexpr Duration ownReadInterval = std::chrono::seconds(40);
 
-    /// While the relay is silent or doesn't reach the store its routers read themselves, as it may be refused alone; all
-    /// at once and at the pace of a single reader they would be many calls. A leaving target must get nothing new three
-    /// seconds after the store knows.
+    /// While the relay is silent or doesn't reach the store its routers read themselves, as it may be refused alone;
+    /// all at once and at the pace of a single reader they would be many calls. A leaving target must get nothing new
+    /// three seconds after the store knows.
     constexpr Duration relayAwayInterval = std::chrono::seconds(1);
     constexpr Duration proxyInterval = std::chrono::milliseconds(150);
 
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -174,7 +174,7 @@
 /// A target, and whether it is merely kept though its entry is missing.
 struct ListedTarget {
     dispatch::Target target;
-    bool isMissing = false;
+    std::optional<Duration> keptFor; ///< Its entry is missing, and it is dropped after this time unless it comes back.
 };
 
 /// The targets as this router believes in them.
@@ -201,11 +201,11 @@
     void replace(TimePoint now, const std::vector<TargetChange>& all);
 
     /// Takes over another router's list. What that router merely keeps though its entry is missing is kept here, too,
-    /// for the same time, but not taken up again by one that saw it go.
+    /// until the same moment, but not taken up again by one that saw it go.
     void replaceFromPeer(TimePoint now, const std::vector<ListedTarget>&);
 
     /// @return all entries with what is known of them, for another router.
-    std::vector<ListedTarget> listed() const;
+    std::vector<ListedTarget> listed(TimePoint now) const;
 
     /// @return whether something expired since the last call.
     bool expire(TimePoint now);
@@ -227,6 +227,9 @@
 
     void remove(TimePoint now, const TargetId&);
 
+    /// @return how much longer a missing entry is kept.
+    std::optional<Duration> keptFor(TimePoint now, const Entry&) const;
+
     std::map<TargetId, Entry> m_entries;
     std::optional<TimePoint> m_lostAt;
     std::optional<TimePoint> m_graceUntil;
--- a/src/edge/TargetRoster.cpp
+++ b/src/edge/TargetRoster.cpp
@@ -1,5 +1,7 @@
 #include <sagechute/Edge.h>
 
+#include <algorithm>
+
 namespace sagechute::edge {
 
 void TargetRoster::storeLost(TimePoint now)
@@ -81,24 +83,31 @@
     std::vector<TargetChange> present;
     for (const ListedTarget& it : all) {
         const auto known = m_entries.find(it.target.id);
-        if (it.isMissing && known == m_entries.end())
+        if (it.keptFor && known == m_entries.end())
             continue;
         present.push_back({ it.target.id, it.target });
     }
     replace(now, present);
     for (const ListedTarget& it : all) {
         const auto known = m_entries.find(it.target.id);
-        if (it.isMissing && known != m_entries.end())
-            known->second.goneAt = now + returnGrace;
+        if (it.keptFor && known != m_entries.end())
+            known->second.goneAt = now + *it.keptFor;
     }
 }
 
-std::vector<ListedTarget> TargetRoster::listed() const
+std::optional<Duration> TargetRoster::keptFor(TimePoint now, const Entry& entry) const
+{
+    if (!entry.goneAt)
+        return std::nullopt;
+    return m_lostAt ? returnGrace : std::max(Duration::zero(), Duration(*entry.goneAt - now));
+}
+
+std::vector<ListedTarget> TargetRoster::listed(TimePoint now) const
 {
     std::vector<ListedTarget> result;
     result.reserve(m_entries.size());
     for (const auto& [id, entry] : m_entries)
-        result.push_back({ entry.target, entry.goneAt.has_value() });
+        result.push_back({ entry.target, keptFor(now, entry) });
     return result;
 }
 
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -441,25 +441,45 @@
     cutOff.storeLost(start);
     cutOff.storeRegained(start + 9s, true);
     cutOff.apply(start + 9s, gone("t"));
-    REQUIRE(cutOff.listed().size() == 2);
+    REQUIRE(cutOff.listed(start + 9s).size() == 2);
 
     TargetRoster inTouch;
     inTouch.apply(start, entry("t"));
     inTouch.apply(start, entry("u"));
     inTouch.apply(start + 8s, gone("t"));
-    inTouch.replaceFromPeer(start + 9s, cutOff.listed());
+    inTouch.replaceFromPeer(start + 9s, cutOff.listed(start + 9s));
     REQUIRE(inTouch.size() == 1);
     CHECK(inTouch.targets().front().id.value == "u");
 
     // One that relies on the other's reads keeps the entry as long as the other does.
     TargetRoster follower;
     follower.apply(start, entry("t"));
-    follower.replaceFromPeer(start + 9s, cutOff.listed());
+    follower.replaceFromPeer(start + 9s, cutOff.listed(start + 9s));
     CHECK(follower.size() == 2);
     CHECK(follower.expire(start + 9s + TargetRoster::returnGrace));
     CHECK(follower.size() == 1);
 }
 
+// Symptom: requests reach a target up to four seconds after its entry was removed, by routers that never lost the
+// store. Sequence: the relay of their zone was cut off from the store; after its return the entry is removed; the relay
+// keeps it for two seconds, as it may have lapsed. Meanwhile its list changes several times, and the routers take it
+// over. Cause: with each list they kept the missing entry for another two seconds.
+TEST_CASE("a list that is taken over again does not prolong what its router merely keeps")
+{
+    TargetRoster relay;
+    relay.apply(start, entry("t"));
+    relay.storeLost(start);
+    relay.storeRegained(start + 9s, true);
+    relay.apply(start + 10s, gone("t"));
+    TargetRoster follower;
+    follower.apply(start, entry("t"));
+    for (const Duration after : { Duration(10s), Duration(10500ms), Duration(11s) })
+        follower.replaceFromPeer(start + after, relay.listed(start + after));
+    CHECK_FALSE(follower.expire(start + 11s));
+    CHECK(follower.expire(start + 9s + TargetRoster::returnGrace));
+    CHECK(follower.size() == 0);
+}
+
 // Symptom: a small customer's requests are refused for six seconds on end, while the largest gets all it can take.
 // Sequence: a caller that repeats at once floods the only router of its zone; the router refuses what its cores can't
 // carry. Cause: it refused whoever came next, and the flood came next nearly always.
