--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -167,9 +167,6 @@
     Duration avoidAfterFailure = std::chrono::milliseconds(800);
     /// Part of a stream's goal within which its first event must be predicted to come, or it is refused.
     double admitShare = 1.0;
-    /// In a large fleet, mean age of what is known of other routers' placements: their reports take one to three hops
-    /// over relays. In a small one it is some 35 ms, in which little is sent.
-    Duration relayedReportAge = std::chrono::milliseconds(200);
     /// Window over which customers' shares are compared; the deployments' own.
     Duration shareWindow = std::chrono::seconds(4);
     /// Routers among which the retry budget is divided at least: a router that is cut off or has just started does not
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -238,7 +238,7 @@
     // A large prompt takes longer to read than its goal allows. Refusing it for that would refuse it for good, so it
     // may wait for others like a small one, for a part of its goal.
     const Duration ownRead = best.model->readTime(best.tokensToRead);
-    const Duration wait = best.predictedFirst + unseenWait(now, demand, *best.model) - ownRead;
+    const Duration wait = best.predictedFirst - ownRead;
     const auto onTime = std::chrono::duration_cast<Duration>(limit * goal) - ownRead;
     const auto leastWait = std::chrono::duration_cast<Duration>(limit * lateWaitShare * goal);
     const Duration allowed = std::max(onTime, leastWait);
@@ -251,21 +251,6 @@
     return refusal;
 }
 
-std::size_t LocalDispatcher::targetsOf(const ServiceId& service) const
-{
-    return static_cast<std::size_t>(std::count_if(
-        m_targets.begin(), m_targets.end(), [&](const auto& it) { return it.second->target().service == service; }));
-}
-
-Duration LocalDispatcher::unseenWait(TimePoint now, const Demand& demand, const TargetModel& model)
-{
-    const auto unseen = m_unseen.find(demand.service);
-    if (m_routers <= mostFreshRouters || unseen == m_unseen.end())
-        return Duration::zero();
-    return model.readTime(
-        unseen->second.tokensEach(now, m_settings.relayedReportAge, m_routers - 1, targetsOf(demand.service)));
-}
-
 Refusal LocalDispatcher::refuse(RefusalReason reason, Duration comeBack)
 {
     const double spread = 1 + comeBackSpread * m_random.fraction();
@@ -278,7 +263,6 @@
 {
     const std::uint32_t memoryTokens = demand.prompt.tokensIn + demand.prompt.tokensOut;
     best.model->placed(now, best.tokensToRead, memoryTokens, prefixes, best.predictedFirst);
-    m_unseen[demand.service].placed(now, best.tokensToRead);
     const TargetId& id = best.model->target().id;
     auto& told = m_placed[id];
     told.insert(told.end(), prefixes.begin(), prefixes.end());
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -3,7 +3,6 @@
 #include "dispatch/CustomerShares.h"
 #include "dispatch/RetryWindow.h"
 #include "dispatch/TargetModel.h"
-#include "dispatch/UnseenLoad.h"
 
 namespace sagechute::dispatch {
 
@@ -47,10 +46,6 @@
     std::optional<Refusal> admit(TimePoint now, const Demand&, const Candidate&);
     double waitLimit(double share) const;
     double zoneCostMs(const Demand&) const;
-
-    /// @return how long an engine reads what other routers have sent it since they last told of it.
-    Duration unseenWait(TimePoint now, const Demand&, const TargetModel&);
-    std::size_t targetsOf(const ServiceId&) const;
     Refusal refuse(RefusalReason, Duration comeBack);
     Placement commit(TimePoint now, const Demand&, const Candidate&, const std::vector<PrefixKey>&);
     double windowCapacity() const;
@@ -65,7 +60,6 @@
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::map<ServiceId, RetryWindow> m_retries;
     CustomerShares m_shares;
-    std::map<ServiceId, UnseenLoad> m_unseen;
     std::map<TargetId, std::vector<PrefixKey>> m_placed; ///< Since the last report.
     std::map<TargetId, std::vector<PrefixKey>> m_placedBefore; ///< In the last one; told again, as it may be lost.
     AttemptId m_lastAttempt = 0;
