Wait in the process tests for what they build on: routers that know each other, and written log lines

Once the store was made to fail before the two routers had met by it (their first look came 8 ms too early, the next three seconds later); twice a request's log line was looked for before the logging thread had written it. Both waits end as soon as what they wait for is there.

--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -30,6 +30,15 @@
     def wait_log(self, text, router=0):
         self.fleet.wait_until(f"a line with {text!r}", lambda: text in self.fleet.routers[router]["process"].log())
 
+    def line_of(self, request):
+        """The log line of a request; it is written some moments after the answer."""
+        def lines():
+            return [it for it in self.fleet.routers[0]["process"].log().splitlines(keepends=True)
+                    if f"id={request} " in it and it.endswith("\n")]
+        self.fleet.wait_until(f"the line of request {request}", lines)
+        self.assertEqual(len(lines()), 1)
+        return lines()[0]
+
     def test_each_kind_of_request_is_served_and_the_rest_is_refused(self):
         one = fresh()
         status, fields, body = self.fleet.send("/posts/%2Fa?q=1", one, body="pay")
@@ -216,20 +225,19 @@
         request = fresh()
         self.fleet.fault_all("app", "lose")
         self.fleet.send("/posts/x", request)
-        lines = [line for line in self.fleet.routers[0]["process"].log().splitlines() if f"id={request}" in line]
-        self.assertEqual(len(lines), 1)
+        line = self.line_of(request)
         for part in ("route=posts", "customer=teller", "status=502", ":broken", "config=3"):
-            self.assertIn(part, lines[0])
+            self.assertIn(part, line)
         self.fleet.fault_all("app", "shed", 20)
         turned = fresh()
         self.fleet.send("/posts/x", turned)
-        line = next(it for it in self.fleet.routers[0]["process"].log().splitlines() if f"id={turned}" in it)
+        line = self.line_of(turned)
         for part in ("status=503", ":not-run", "targets-offset="):
             self.assertIn(part, line)
         self.assertNotIn("incarnation=0", line)
         refused = fresh()
         self.fleet.send("/posts/x", refused, headers={"Api-Key": "wrong"})
-        self.assertRegex(self.fleet.routers[0]["process"].log(), f"id={refused} .*outcome=unknown-key")
+        self.assertRegex(self.line_of(refused), f"id={refused} .*outcome=unknown-key")
         status, _, metrics = call(self.fleet.routers[0]["metrics"], "GET", "/metrics")
         self.assertEqual(status, 200)
         for name in (b"sagechute_edge_requests_total", b"sagechute_edge_attempts_total",
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -177,6 +177,9 @@
         for router in self.routers:
             # A router is ready with the first target; a worker that registers a moment later is known with the next read.
             self.wait_until("a router knows all workers", lambda it=router: set(self.workers) <= self.known_to(it))
+        for number in range(len(self.routers)):
+            # They meet by the store; one whose first look there came too early looks again after some seconds.
+            self.wait_until("a router knows the others", lambda it=number: len(self.locate(it)) == len(self.routers))
 
     def is_ready(self, router):
         return call(router["ready"], "GET", "/sagechute/ready", timeout=1.0)[0] == 200
