Look whether the caller is still there just before a request leaves

The caller's end was looked for when the request came in, seconds before the client's thread got to send it. Change: libcurl's call just before a request leaves asks the caller's connection itself; if it has ended the request isn't sent. NetClientTest tests both halves.

--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -41,6 +41,7 @@
         }
 
     private:
+        bool onBeforeRequest() override { return m_relay->isStillWanted(); }
         void onHeaders(int status, const std::vector<net::Field>& fields) override
         {
             m_relay->onHead(m_number, status, fields);
@@ -112,6 +113,14 @@
     });
 }
 
+bool Relay::isStillWanted()
+{
+    if (m_order.exchange->isCallerThere())
+        return true;
+    handle([](relay::RequestFlow& flow, TimePoint now) { flow.callerGone(now); });
+    return false;
+}
+
 void Relay::onHead(unsigned number, int status, const std::vector<net::Field>& fields)
 {
     handle([&](relay::RequestFlow& flow, TimePoint now) {
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -43,6 +43,11 @@
     Relay(const RelayTools&, RelayOrder);
     ~Relay() override;
 
+    /// Just before a request leaves: a router that lags behind for seconds would send on requests whose callers have
+    /// left, and targets would work for nobody.
+    /// @return false when its caller has gone.
+    bool isStillWanted();
+
     // From the attempt's sink.
     void onHead(unsigned number, int status, const std::vector<net::Field>&);
     void onBytes(unsigned number, std::string_view);
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -88,6 +88,11 @@
     /// Closes the connection without a proper end, so that the caller sees a broken answer.
     virtual void abort() = 0;
 
+    /// Asks the connection itself, which costs a system call: on a busy VM a caller's end may wait for seconds until
+    /// onClosed tells of it.
+    /// @return false when the caller has gone for certain.
+    virtual bool isCallerThere() { return true; }
+
     /// @param listener called when the queue has fallen to half of the server's stream buffer setting or below, and
     /// each time it runs empty, so that a writer with a smaller limit of its own is told, too. It is called on a server
     /// thread and must not block. A later listener replaces an earlier one.
@@ -178,11 +183,15 @@
 public:
     virtual ~TransferSink() = default;
 
+    bool beforeRequest() { return onBeforeRequest(); }
     void headers(int status, const std::vector<Field>& fields) { onHeaders(status, fields); }
     bool body(std::string_view bytes) { return onBody(bytes); }
     void end(const TransferResult& result) { onEnd(result); }
 
 private:
+    /// The connection is there, and the request is about to leave.
+    /// @return false when it is not to be sent after all; the transfer then ends as NothingSent.
+    virtual bool onBeforeRequest() { return true; }
     virtual void onHeaders(int status, const std::vector<Field>&) = 0;
 
     /// @return false to be given the same bytes again after HttpClient::resume(); nothing was consumed.
--- a/src/net/ConnectionWatcher.cpp
+++ b/src/net/ConnectionWatcher.cpp
@@ -1,6 +1,7 @@
 #include "net/ConnectionWatcher.h"
 
-#include <poll.h>
+#include "net/ConnectionEnd.h"
+
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -77,10 +78,9 @@
 {
     // The caller may have left long before its request could be read: when the queue of new connections overflows, the
     // kernel lets it in seconds later. Its end is waiting behind the request, and the watcher may not have come to it.
-    pollfd end { connection->fd, POLLRDHUP, 0 };
-    const bool hasEnded = poll(&end, 1, 0) == 1 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR));
+    const bool isOver = hasEnded(connection->fd);
     std::lock_guard lock(m_mutex);
-    if (hasEnded || connection->gone || m_closing)
+    if (isOver || connection->gone || m_closing)
         return false;
     connection->exchange = std::move(exchange);
     return true;
--- a/src/net/CurlTransfer.cpp
+++ b/src/net/CurlTransfer.cpp
@@ -172,6 +172,10 @@
         self.m_problem = "the pooled connection was closed; the request is not sent again";
         return CURL_PREREQFUNC_ABORT;
     }
+    if (!self.m_requestStarted && !self.m_sink->beforeRequest()) {
+        self.m_problem = "the request is not wanted any more";
+        return CURL_PREREQFUNC_ABORT;
+    }
     self.m_requestStarted = true;
     return CURL_PREREQFUNC_OK;
 }
--- a/src/net/Exchange.cpp
+++ b/src/net/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/Exchange.h"
 
+#include "net/ConnectionEnd.h"
+
 #include <algorithm>
 #include <cstring>
 
@@ -90,6 +92,15 @@
     wake();
 }
 
+bool Exchange::isCallerThere()
+{
+    // Under the mutex, so that the connection isn't given back meanwhile.
+    std::lock_guard lock(m_mutex);
+    if (isOver())
+        return false;
+    return !hasEnded(MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+}
+
 void Exchange::onDrained(std::function<void()> listener)
 {
     std::lock_guard lock(m_mutex);
--- a/src/net/Exchange.h
+++ b/src/net/Exchange.h
@@ -34,6 +34,7 @@
     std::size_t write(std::string_view bytes) override;
     void finish() override;
     void abort() override;
+    bool isCallerThere() override;
     void onDrained(std::function<void()> listener) override;
     void onClosed(std::function<void()> listener) override;
 
--- a/tests/NetClientTest.cpp
+++ b/tests/NetClientTest.cpp
@@ -194,6 +194,41 @@
     closed.wait();
 }
 
+// Symptom: requests reach targets up to two seconds after their callers have left, and run for nobody.
+// Sequence: a router of an eighth of a core is flooded; a request waits in it; its caller gives up; the request is
+// sent. Cause: the caller's end was looked for when the request came in, and not again before it left.
+TEST_CASE("A request that is not wanted any more does not leave, on a pooled connection either")
+{
+    std::atomic<int> requests = 0;
+    auto server = makeServer([&](const ExchangePointer& exchange) {
+        ++requests;
+        exchange->respond({});
+    });
+    auto client = makeClient();
+    if (GENERATE(false, true)) {
+        REQUIRE(client->perform(requestTo(server->endpoint())).result.end == TransferEnd::Completed);
+        requests = 0;
+    }
+    GatheringSink::Record record;
+    record.isWanted = false;
+    client->start(requestTo(server->endpoint()), std::make_unique<GatheringSink>(record));
+    REQUIRE(record.ended.wait().end == TransferEnd::NothingSent);
+    REQUIRE(requests == 0);
+    REQUIRE(client->perform(requestTo(server->endpoint())).result.end == TransferEnd::Completed);
+}
+
+TEST_CASE("A server tells at once whether a caller that waits for its answer is still there")
+{
+    Promised<ExchangePointer> arrived;
+    auto server = makeServer([&](const ExchangePointer& exchange) { arrived.set(exchange); });
+    auto caller = std::make_optional(RawConnection::connectTo(server->endpoint()));
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto exchange = arrived.wait();
+    REQUIRE(exchange->isCallerThere());
+    caller.reset();
+    waitUntil([&] { return !exchange->isCallerThere(); });
+}
+
 TEST_CASE("A fresh connection is neither taken from the pool nor left in it")
 {
     std::atomic<HttpServer*> running = nullptr;
--- a/tests/NetFixtures.h
+++ b/tests/NetFixtures.h
@@ -80,6 +80,7 @@
 public:
     struct Record {
         std::function<bool(std::string_view)> accept = [](std::string_view) { return true; };
+        bool isWanted = true; ///< False: the request is not to leave.
         Latch headersArrived;
         Latch bodyArrived;
         Promised<TransferResult> ended;
@@ -92,6 +93,7 @@
     }
 
 private:
+    bool onBeforeRequest() override { return m_record.isWanted; }
     void onHeaders(int, const std::vector<Field>&) override { m_record.headersArrived.set(true); }
     bool onBody(std::string_view bytes) override
     {
