--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,6 +13,7 @@
 import random
 import re
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -122,6 +123,7 @@
         self._rng = random.Random(seed)
         self._proxies = []
         self._history = []
+        self._restarts = {}  # By a router's address: held by the fault that restarts it.
         self._read_ids = set()  # Requests that a router has read, by the logs.
         self._unplanned = []  # Spans in which requests may be lost for no fault of the routers.
         self._store_away = []  # Spans in which routers may not learn of changes.
@@ -180,23 +182,30 @@
         now = time.monotonic()
         self._unplanned.append((now - 0.2, now + seconds + 3.0))
 
+    def _restarting(self):
+        """A router that no other fault restarts just now: two starts of one would fight for its ports."""
+        router = self._rng.choice(self._fleet.routers)
+        return router["process"], self._restarts.setdefault(router["front"], threading.Lock())
+
     def _kill_router(self, lasts):
-        self._unplanned_for(lasts)
-        process = self._rng.choice(self._fleet.routers)["process"]
-        process.end()
-        time.sleep(lasts)
-        process.start()
+        process, restart = self._restarting()
+        with restart:
+            self._unplanned_for(lasts)
+            process.end()
+            time.sleep(lasts)
+            process.start()
 
     def _stop_router(self, lasts):
-        process = self._rng.choice(self._fleet.routers)["process"]
-        process.send(signal.SIGTERM)
-        try:
-            process.wait()
-        except Exception:  # It outlived its grace period: that is the finding.
-            self.breaches.append("a router outlived its grace period")
-            process.end()
-        time.sleep(lasts / 4)
-        process.start()
+        process, restart = self._restarting()
+        with restart:
+            process.send(signal.SIGTERM)
+            try:
+                process.wait()
+            except subprocess.TimeoutExpired:  # It outlived its grace period: that is the finding.
+                self.breaches.append("a router outlived its grace period")
+                process.end()
+            time.sleep(lasts / 4)
+            process.start()
 
     def _pause_router(self, lasts):
         self._unplanned_for(lasts)
