Let a router learn what its work costs from how busy its loop is

Cause: requests were bounded by 1.1 ms of processor time each, written down for one machine and the former request path. Change: EventLoop tells for how long it was at work; CrowdMeter learns seconds per unit of work (request, piece of a stream, refusal), how long streams are, and corrects its rate by how far it is from three quarters of the time. It cuts down at once when it did nothing but work, and forgets by work done, so that a quiet hour teaches nothing wrong.

--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -52,7 +52,9 @@
 
     std::atomic<bool> isStopping { false };
     std::atomic<bool> isRefusing { false }; ///< The planned stop has come so far that a new request might be cut off.
-    std::atomic<std::uint64_t> requestsTaken { 0 };
+    std::atomic<std::uint64_t> requestsTaken { 0 }; ///< See RouterWork, for this and the next two.
+    std::atomic<std::uint64_t> requestsCrowdedOut { 0 };
+    std::atomic<std::uint64_t> piecesRelayed { 0 };
     std::atomic<bool> isCrowded { false }; ///< So many connections that callers are to close theirs.
     std::atomic<std::uint32_t> usePercent { 0 }; ///< See RouterUse.
     bool wantsClose() const { return isStopping || isCrowded; }
--- a/apps/sagechute-edge/Front.cpp
+++ b/apps/sagechute-edge/Front.cpp
@@ -28,7 +28,6 @@
 {
     RelayOrder order;
     order.arrived = steadyNow();
-    ++m_tools.state.requestsTaken;
     if (const std::optional<Verdict> verdict = accept(exchange->request(), order)) {
         reject(*exchange, order, *verdict);
         return;
@@ -63,10 +62,12 @@
     if (request.body.size() > order.table->config().limits.bodyBytes)
         return Verdict { tooLarge, "body-too-large", std::nullopt };
     if (!m_crowd.takes(order.arrived, order.customer)) {
+        ++m_tools.state.requestsCrowdedOut;
         m_tools.state.withDispatcher(
             [&](dispatch::Dispatcher& it) { it.turnedAway(order.arrived, order.customer, order.facts.prompt); });
         return Verdict { unavailable, "router-crowded", crowdComeBack };
     }
+    ++m_tools.state.requestsTaken;
     const ServiceId* service = dispatch::RoutingTable::chooseService(*order.route, pointOf(order.facts.id));
     if (!service)
         return Verdict { unavailable, "route-without-service", startTime };
--- a/apps/sagechute-edge/Housekeeping.cpp
+++ b/apps/sagechute-edge/Housekeeping.cpp
@@ -16,7 +16,8 @@
     /// How often the settings file is compared; it may change without a signal.
     constexpr Duration settingsInterval = std::chrono::seconds(1);
 
-    constexpr Duration crowdInterval = std::chrono::milliseconds(250);
+    /// Some steps within the second over which a router learns what its work costs.
+    constexpr Duration crowdInterval = std::chrono::milliseconds(100);
 
     /// No request for so long: callers have taken up other addresses.
     constexpr Duration quietTime = std::chrono::milliseconds(700);
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -93,8 +93,9 @@
     const auto table = m_tools.state.table();
     if (table)
         m_callers->setIdleTimeout(std::chrono::ceil<std::chrono::seconds>(table->config().limits.idle) + idleMargin);
-    const auto active = static_cast<unsigned>(std::max(0, m_tools.state.activeRequests.load()));
-    m_tools.crowd.measure(steadyNow(), m_tools.state.requestsTaken, active, m_callers->openConnections());
+    const RouterWork work { m_tools.loop.busyTime(), m_tools.state.requestsTaken, m_tools.state.requestsCrowdedOut,
+        m_tools.state.piecesRelayed };
+    m_tools.crowd.measure(steadyNow(), work, m_callers->openConnections());
     m_tools.state.isCrowded = m_tools.crowd.isCrowded();
     m_tools.state.usePercent = m_tools.crowd.usePercent();
 }
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -181,7 +181,11 @@
     m_order.exchange->startStream(status, std::move(fields));
 }
 
-void Relay::write(std::string_view bytes) { m_order.exchange->write(bytes); }
+void Relay::write(std::string_view bytes)
+{
+    ++m_tools.state.piecesRelayed;
+    m_order.exchange->write(bytes);
+}
 
 void Relay::finish() { m_order.exchange->finish(); }
 
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -456,44 +456,96 @@
 
 // ---- A router with too much to do
 
-/// Load pattern: a caller that sends many times its usual keeps using the connections that it has, and all of its
-/// requests come to one router. That router falls behind, and what it holds is late, while its neighbours are idle. A
-/// caller that is told to close its connection chooses among all addresses for the next.
+/// What a router has done since its start.
+struct RouterWork {
+    Duration busy {}; ///< In which nothing more could have been done; see net::EventLoop::busyTime().
+    std::uint64_t taken = 0; ///< Requests that were placed or refused by what targets can do.
+    std::uint64_t refused = 0; ///< Requests that were refused for want of its own cores.
+    std::uint64_t pieces = 0; ///< Of streams that were passed on.
+};
+
+/// How a router learns what it can carry.
+struct CrowdSettings {
+    /// Of the time that the loop is at work. What is left is for heartbeats, look-ups and what comes in bursts.
+    double targetShare = 0.75;
+
+    /// What was seen counts for about so long. Long against bursts, short against a machine that slows down.
+    Duration memory = std::chrono::milliseconds(300);
+
+    /// False: the first guess is kept for good; for tests that show what learning prevents.
+    bool learns = true;
+};
+
+/// Decides how many requests this router takes, by what its own work has cost it lately.
+///
+/// Load pattern: a customer's callers keep using the connections that they have, and all of its requests come to one
+/// router of a fraction of a core. What that router takes beyond its cores makes all that it holds late, and ends at
+/// the callers' deadlines; what it refuses though it could have carried it is lost while its neighbours' targets idle.
+/// What a request costs depends on the machine, on whether its core is shared evenly or by quota, on the streams'
+/// lengths, and changes when the machine slows down; so it is measured, as time at work over work done.
 class CrowdMeter {
 public:
-    /// @param cores that the process may use.
+    /// @param cores that the process may use: for the first guess only.
     /// @param mostConnections of callers at once.
-    CrowdMeter(double cores, unsigned mostConnections);
+    CrowdMeter(double cores, unsigned mostConnections, const CrowdSettings& = {});
 
     /// Any thread. Half of what may come at once is kept for customers with few requests here: otherwise one that
     /// floods this router takes all, and the others' requests are refused with its own.
-    /// @return whether one more request can be carried; false: it is to be refused at once. What a router takes beyond
-    ///         its cores makes all it holds late, and ends at the callers' deadlines.
+    /// @return whether one more request can be carried; false: it is to be refused at once.
     bool takes(TimePoint now, const CustomerId&);
 
-    /// Looks how much there is to do. Call it a few times a second.
-    /// @param requests taken since the start, refused ones included.
-    void measure(TimePoint now, std::uint64_t requests, unsigned active, std::size_t connections);
+    /// Looks what was done and what it cost. Call it some times a second.
+    void measure(TimePoint now, const RouterWork&, std::size_t connections);
 
-    /// @return what the requests of the last measured time need of the cores, in per cent.
+    /// @return what the requests that came in the last time measured need of what it can do, in per cent; above 100
+    ///         more comes than it can take.
     std::uint32_t usePercent() const { return m_usePercent; }
 
-    /// @return whether callers are to be told to close their connections.
+    /// @return whether callers are to be told to close their connections: a caller that is told so chooses among all
+    ///         addresses for the next.
     bool isCrowded() const { return m_isCrowded; }
 
+    /// @return requests a second that it takes.
+    double rate() const;
+
 private:
     bool isHeavy(TimePoint now, const CustomerId&);
+    void learn(Duration passed, const RouterWork& done);
+    void setRate(bool isRefusing, bool isSaturated);
 
-    const double m_fullPerSecond; ///< What all of its cores could carry.
+    /// @return what a request with its whole stream costs, in seconds at work.
+    double secondsPerRequest() const;
+
+    const CrowdSettings m_settings;
     const double m_mostConnections;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
+
+    // Taking.
+    double m_rate; ///< Requests a second.
     double m_tokens = 0;
     TimePoint m_filledAt {};
     std::map<CustomerId, unsigned> m_counts; ///< Requests since m_countedSince.
     unsigned m_total = 0;
     TimePoint m_countedSince {};
+
     std::optional<TimePoint> m_measuredAt;
-    std::uint64_t m_requests = 0;
+    RouterWork m_seen;
+
+    // What work costs: sums that fade as work is done.
+    double m_busySeconds;
+    double m_units;
+
+    // How long streams are: sums that fade with time, the first guess left in.
+    double m_requests;
+    double m_pieces;
+
+    // What there was to do lately: means that follow what is seen.
+    double m_share = 0; ///< Of the time that it was at work.
+    double m_baseShare = 0; ///< As above, with next to no requests.
+    double m_takenRate = 0; ///< Requests a second, for this and the next.
+    double m_refusedRate = 0;
+    double m_unitRate = 0;
+
     std::atomic<std::uint32_t> m_usePercent { 0 };
     std::atomic<bool> m_isCrowded { false };
 };
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -55,6 +55,11 @@
     virtual void postAndWait(const std::function<void()>& task) = 0;
 
     virtual bool isOwnThread() const = 0;
+
+    /// @return for how long it has been at work since its start, what it is doing now included. On a machine that gives
+    ///         its thread a part of a core, or takes it away for a while, that time counts whole: the difference of two
+    ///         calls is the part of the time between them in which nothing more could have been done. Any thread.
+    virtual Duration busyTime() const = 0;
 };
 
 /// A request whose body has been read to its end.
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -139,10 +139,12 @@
 void Loop::run()
 {
     m_threadId = std::this_thread::get_id();
+    beginWork();
     std::array<epoll_event, eventsAtOnce> events {};
     while (!m_isStopping) {
-        const int n = epoll_wait(m_epoll.value(), events.data(), events.size(), waitMs());
-        m_polledAt = steadyNow();
+        const TimePoint now = endWork();
+        const int n = epoll_wait(m_epoll.value(), events.data(), events.size(), waitMs(now));
+        beginWork();
         for (int i = 0; i < n; ++i) {
             auto* handler = static_cast<Handler*>(events[i].data.ptr);
             if (!handler) {
@@ -162,11 +164,32 @@
     m_disposed.clear();
 }
 
-int Loop::waitMs() const
+void Loop::beginWork()
+{
+    m_polledAt = steadyNow();
+    m_busySince = m_polledAt.time_since_epoch().count();
+}
+
+TimePoint Loop::endWork()
+{
+    const TimePoint now = steadyNow();
+    m_busy += (now - m_polledAt).count();
+    m_busySince = 0;
+    return now;
+}
+
+Duration Loop::busyTime() const
+{
+    const TimePoint::rep since = m_busySince;
+    const Duration running = since ? steadyNow() - TimePoint(TimePoint::duration(since)) : Duration::zero();
+    return Duration(m_busy) + running;
+}
+
+int Loop::waitMs(TimePoint now) const
 {
     if (m_timers.empty())
         return longestWaitMs;
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_timers.begin()->first.first - steadyNow());
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_timers.begin()->first.first - now);
     return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, longestWaitMs));
 }
 
--- a/src/net/Loop.h
+++ b/src/net/Loop.h
@@ -43,6 +43,7 @@
 
     void post(std::function<void()> task) override;
     void postAndWait(const std::function<void()>& task) override;
+    Duration busyTime() const override;
     bool isOwnThread() const override { return std::this_thread::get_id() == m_threadId.load(); }
 
     // The loop's thread only.
@@ -76,7 +77,9 @@
     Loop(FileDescriptor epoll, FileDescriptor wakeup);
 
     void run();
-    int waitMs() const;
+    int waitMs(TimePoint now) const;
+    void beginWork();
+    TimePoint endWork();
     void runDeferred();
     void runTimers();
     void runPosted();
@@ -87,6 +90,8 @@
     std::mutex m_mutex;
     std::vector<std::function<void()>> m_posted;
     std::atomic<bool> m_isStopping { false };
+    std::atomic<Duration::rep> m_busy { 0 }; ///< Until the last wait.
+    std::atomic<TimePoint::rep> m_busySince { 0 }; ///< 0 while it waits.
     std::atomic<std::thread::id> m_threadId {}; ///< Set by the thread itself, before it does anything.
 
     // The loop's thread only.
