Make fewer calls to the store when a large fleet starts

Change: after a whole read a router listens to the others for 450 ms; it announces itself when it knows the fleet's size, or after 600 ms alone; followers read for themselves each 120 s.

--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -19,11 +19,22 @@
     constexpr Duration lapseTime = std::chrono::seconds(3);
 
     /// How often a router that knows no other looks into the store for one.
-    constexpr Duration searchInterval = std::chrono::seconds(3);
+    constexpr Duration searchInterval = std::chrono::seconds(1);
 
     /// A router that follows others reads the store itself only so often, in case these stand still in a way that their
     /// heartbeats don't show.
-    constexpr Duration ownReadInterval = std::chrono::seconds(40);
+    constexpr Duration ownReadInterval = std::chrono::seconds(120);
+
+    /// After a router has read all it hears of the others; most then find that two read already. When 65 routers start
+    /// at once each call that isn't made then counts 65 times.
+    constexpr Duration afterWholeRead = std::chrono::milliseconds(450);
+
+    /// A router announces itself when it has been there for so long: by then it knows whether the fleet is large, where
+    /// only relays need to be found.
+    constexpr Duration announceAfter = std::chrono::milliseconds(1500);
+
+    /// One that knows no other by then has seeds that are down, and can only be found in the store.
+    constexpr Duration aloneAfter = std::chrono::milliseconds(600);
 
     /// While those that should read for it are silent or don't reach the store a router reads itself, as they may be
     /// refused alone; all at once and at a reader's pace they would be many calls. A leaving target must get nothing
@@ -78,9 +89,12 @@
     TimePoint lastOwnRead {};
     for (;;) {
         Duration delay {};
+        const bool isWhole = !m_configCursor.next();
         if (followOthers(lastOwnRead, false)) {
             delay = followInterval;
-        } else if (!readConfigOnce()) {
+        } else if (readConfigOnce()) {
+            delay = isWhole ? afterWholeRead : Duration {};
+        } else {
             takeFromAnyPeer(false);
             delay = m_configCursor.retryDelay();
         }
@@ -290,11 +304,13 @@
     const TimePoint now = steadyNow();
     if (!m_state.reachesStore())
         return;
-    if (!m_isAnnounced && m_fleet.isLandmark()) {
+    const bool isAlone = !m_fleet.knowsOthers();
+    const bool isSettled = now >= m_startedAt + (isAlone ? aloneAfter : announceAfter);
+    if (!m_isAnnounced && isSettled && m_fleet.isLandmark()) {
         m_metrics.storeCalls().Increment();
         m_isAnnounced = m_store.announce({ m_state.vm, m_fleet.gossipAddress() }).ok();
     }
-    if (now < m_nextSearch || m_fleet.knowsOthers())
+    if (!isAlone || !isSettled || now < m_nextSearch)
         return;
     m_nextSearch = now + searchInterval;
     m_metrics.storeCalls().Increment();
--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -52,6 +52,7 @@
     std::mutex m_mutex;
     std::condition_variable m_stopped;
     bool m_isStopping = false;
+    const TimePoint m_startedAt = steadyNow();
     bool m_isAnnounced = false;
     TimePoint m_nextSearch {};
     std::uint64_t m_peerTurn = 0;
