Start a large fleet by its seeds' reads, and tell changes of its members in short

Cause: at a start all 295 routers read the store for themselves (281 configurations from it), as the first heartbeats of a life say nothing of ages and what was known then counted as known long ago; each change of members wrote all 295 names: 41 MB of log in 14 s (13,673 lines of 3 KB). Change: a router that knows nothing of a topic fetches it from whom it hears; nobody but a seed reads within the first 0.8 s; the line 'members' has the count, a digest, and at most five names.

--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "Fleet.h"
 
+#include <array>
 #include <chrono>
 #include <random>
 
@@ -34,6 +35,33 @@
     constexpr unsigned drawnBits = 16;
     constexpr Incarnation drawnMask = (1U << drawnBits) - 1;
 
+    /// Names in one line; at a fleet's start hundreds come within a second.
+    constexpr std::size_t mostNamedChanges = 5;
+
+    const char* toString(membership::MemberState state)
+    {
+        constexpr std::array<const char*, 4> names { "alive", "suspect", "dead", "left" };
+        return names.at(static_cast<std::size_t>(state));
+    }
+
+    /// @return the routers whose state differs, the first of them by name: "VM:STATE,... +N".
+    std::string describeChanges(
+        const std::map<VmId, membership::MemberState>& before, const std::map<VmId, membership::MemberState>& after)
+    {
+        std::string text;
+        std::size_t changes = 0;
+        for (const auto& [vm, state] : after) {
+            const auto it = before.find(vm);
+            if (it != before.end() && it->second == state)
+                continue;
+            if (++changes <= mostNamedChanges)
+                text += (text.empty() ? "" : ",") + vm.value + ":" + toString(state);
+        }
+        if (changes > mostNamedChanges)
+            text += " +" + std::to_string(changes - mostNamedChanges);
+        return text;
+    }
+
     /// First step by which a life passes a former one with a larger number; doubled each time. A minute.
     constexpr Incarnation firstStep = Incarnation { 60'000 } << drawnBits;
 
@@ -272,17 +300,29 @@
         return;
     m_loggedView = view.version;
     updatePlan();
-    std::string alive;
     unsigned known = 0;
+    std::size_t alive = 0;
+    std::uint64_t digest = 0;
+    std::map<VmId, membership::MemberState> states;
     for (const membership::Member& it : view.members) {
+        const VmId& vm = it.summary.life.vm;
         const bool isAlive = it.state == membership::MemberState::Alive;
-        if (isAlive)
-            alive += (alive.empty() ? "" : ",") + it.summary.life.vm.value;
+        alive += isAlive ? 1 : 0;
         known += it.state == membership::MemberState::Left ? 0 : 1;
+        if (isAlive)
+            digest = stableHash(vm.value, digest);
+        states.emplace(vm, it.state);
     }
     m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.setRouterCount(known); });
-    process::log(
-        process::LogLevel::Info, "members", { { "version", std::to_string(view.version) }, { "alive", alive } });
+    const std::string changed = describeChanges(m_loggedStates, states);
+    m_loggedStates = std::move(states);
+    process::log(process::LogLevel::Info, "members",
+        { { "version", std::to_string(view.version) }, { "alive", std::to_string(alive) },
+            { "digest", std::to_string(digest) }, { "changed", changed },
+            { "relay",
+                m_plan.isRelay     ? "self"
+                    : m_plan.relay ? m_plan.relay->vm.value
+                                   : "none" } });
 }
 
 void Fleet::addSeed(const std::string& gossipAddress)
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -93,6 +93,7 @@
     ReportPlan m_plan;
     RelayDesk m_desk;
     std::uint64_t m_loggedView = 0;
+    std::map<VmId, membership::MemberState> m_loggedStates;
     TimePoint m_nextHeartbeat {};
     TimePoint m_lastHeartbeat {};
     bool m_hadLoad = false;
--- a/src/news/Knowledge.cpp
+++ b/src/news/Knowledge.cpp
@@ -63,7 +63,7 @@
 Missing learn(Knowledge& mine, const ToldKnowledge& told, TimePoint now)
 {
     Missing missing;
-    missing.config = told.configAge && told.configVersion > mine.configVersion;
+    missing.config = told.configAge && (told.configVersion > mine.configVersion || !mine.configUntil);
     missing.targets = told.targetsAge && (told.targetsNext > mine.targetsNext || !mine.targetsUntil);
     if (told.configAge && !missing.config)
         advance(mine.configUntil, now - *told.configAge);
--- a/src/news/ReadSchedule.cpp
+++ b/src/news/ReadSchedule.cpp
@@ -22,8 +22,8 @@
     /// and after a call that hung, the bound must still be kept.
     constexpr double mostRetryPart = 0.75;
 
-    /// Routers of a fleet that starts hear of a seed's knowledge within some 300 ms.
-    constexpr Duration startDelay = std::chrono::milliseconds(500);
+    /// Routers of a fleet of hundreds that starts hear of a seed's knowledge, and fetch it, within some 500 ms.
+    constexpr Duration startDelay = std::chrono::milliseconds(800);
 
     constexpr unsigned mostDoublings = 6;
 
@@ -67,8 +67,8 @@
 TimePoint readDue(const ReadOccasion& occasion, const NewsTimes& times)
 {
     TimePoint due = occasion.startedAt;
-    const bool waitsForOthers = !occasion.knownUntil && !occasion.isSeed;
-    if (waitsForOthers)
+    const bool knowsNothing = !occasion.knownUntil || *occasion.knownUntil < occasion.startedAt;
+    if (knowsNothing && !occasion.isSeed)
         due += times.startWait + part(times.spread, occasion.place);
     else if (occasion.knownUntil && !occasion.standing.isReader)
         due = *occasion.knownUntil + times.ownRead - times.spread + part(times.spread, occasion.place);
