--- a/src/news/ReadSchedule.cpp
+++ b/src/news/ReadSchedule.cpp
@@ -23,8 +23,8 @@
     constexpr double mostRetryPart = 0.75;
     constexpr double firstRetryPart = 0.4;
 
-    /// In a fleet of hundreds that starts, what a seed has read goes to its zone's relay, to the other relays and to their
-    /// zones: three heartbeats and three fetches, some 900 ms.
+    /// In a fleet of hundreds that starts, what a seed has read goes to its zone's relay, to the other relays and to
+    /// their zones: three heartbeats and three fetches, some 900 ms.
     constexpr Duration startDelay = std::chrono::milliseconds(1200);
 
     constexpr unsigned mostDoublings = 6;
