Bound what five bytes of a datagram may make the router ask for

Cause: heartbeats and load reports were unpacked without limits; a datagram that announces a map of 1.6 thousand million entries made the library ask for that memory, and std::bad_alloc ended the process in the thread that receives datagrams. Tests: the bytes found and two more, for reports and heartbeats, std::bad_alloc before, refused after.

--- a/src/dispatch/LoadReport.cpp
+++ b/src/dispatch/LoadReport.cpp
@@ -1,6 +1,6 @@
-#include <sagechute/Dispatch.h>
+#include "dispatch/UnpackBounded.h"
 
-#include <msgpack.hpp>
+#include <sagechute/Dispatch.h>
 
 #include <algorithm>
 
@@ -93,7 +93,7 @@
     // The library says by exceptions what is wrong with the bytes; whatever it is, they are no report.
     try {
         std::size_t end = 0;
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), end);
+        const msgpack::object_handle handle = unpackBounded(bytes, end);
         if (end != bytes.size())
             return malformed();
         const Rows rows = handle->as<Rows>();
--- a/src/edge/Peers.cpp
+++ b/src/edge/Peers.cpp
@@ -1,6 +1,7 @@
+#include "dispatch/UnpackBounded.h"
+
 #include <sagechute/Edge.h>
 
-#include <msgpack.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -208,8 +209,8 @@
     // The library says by exceptions what is wrong with the bytes; whatever it is, they are no heartbeat.
     try {
         std::size_t end = 0;
-        const auto serial = msgpack::unpack(bytes.data(), bytes.size(), end)->as<std::uint64_t>();
-        const msgpack::object_handle head = msgpack::unpack(bytes.data(), bytes.size(), end);
+        const auto serial = dispatch::unpackBounded(bytes, end)->as<std::uint64_t>();
+        const msgpack::object_handle head = dispatch::unpackBounded(bytes, end);
         if (end != bytes.size())
             return malformed;
         Heartbeat it = fromWire(head->as<WireHead>());
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -156,6 +156,10 @@
     CHECK_FALSE(decodeLoadReport("nonsense").ok());
     CHECK_FALSE(decodeLoadReport(encodeCbor(nlohmann::json { 1, 2, 3, 4 })).ok());
     CHECK_FALSE(decodeLoadReport("").ok());
+    // They announce a map, a list and a text of thousands of millions of entries.
+    CHECK_FALSE(decodeLoadReport("\xDF\x61\x61\x61\x61").ok());
+    CHECK_FALSE(decodeLoadReport("\xDD\xFF\xFF\xFF\xFF").ok());
+    CHECK_FALSE(decodeLoadReport("\xDB\xFF\xFF\xFF\xFF").ok());
 }
 
 TEST_CASE("any bytes are either a load report or an error")
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -77,6 +77,8 @@
     CHECK(read->use == sent.use);
     CHECK(read->isReady);
     CHECK_FALSE(decodeHeartbeat("x").ok());
+    CHECK_FALSE(decodeHeartbeat("\xDF\x61\x61\x61\x61").ok()); // A map of 1.6 thousand million entries.
+    CHECK_FALSE(decodeHeartbeat("\x01\xDD\xFF\xFF\xFF\xFF").ok());
     CHECK_FALSE(decodeHeartbeat(encode(sent) + "x").ok());
     CHECK_FALSE(decodeHeartbeat(encode(sent).substr(1)).ok());
     CHECK_FALSE(decodeHeartbeat(encodeCbor(nlohmann::json { 1 })).ok());
