Hold a flood over hundreds of routers to what it may have as it accrues

Each router let the flood pass until the sum of all grants, a quarter of a second old, said that it had had enough, and by then all had granted as much again. Change: each router keeps to its own part of the limit, the part of the customer's requests that came here, as it accrues, beginning at a phase of its own; a customer that is new here counts as new everywhere for 500 ms. Test: CustomerSharesTest, 295 routers with sums 80 to 400 ms old: 19 to 29 M tokens for the flood in six seconds beside 6 M before, under 11.4 M after.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/CustomerShares.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace sagechute::dispatch {
@@ -18,11 +19,17 @@
     /// Below two large requests a difference is chance.
     constexpr double leastAbove = 60'000;
 
+    /// What other routers were asked for is known by then. Until then a customer that is new here may be new
+    /// everywhere.
+    constexpr Duration heardWithin = std::chrono::milliseconds(500);
+
     constexpr Duration sumKept = std::chrono::milliseconds(25);
 
     /// A peer that has not reported for so long counts as gone; its share of the window has passed to others.
     constexpr Duration peerKept = std::chrono::seconds(2);
 
+    using Seconds = std::chrono::duration<double>;
+
     void addUse(CustomerUse& sum, const CustomerUse& use)
     {
         sum.asked += use.asked;
@@ -53,6 +60,9 @@
 void CustomerShares::granted(TimePoint now, const CustomerId& customer, double tokens)
 {
     add(now, customer, { 0, tokens, 0 });
+    const auto it = m_allowances.find(customer);
+    if (it != m_allowances.end())
+        it->second.tokens -= tokens;
 }
 
 void CustomerShares::turnedAway(TimePoint now, const CustomerId& customer, double tokens)
@@ -63,11 +73,14 @@
 void CustomerShares::add(TimePoint now, const CustomerId& customer, CustomerUse use)
 {
     expire(now);
-    OwnUse& sum = m_own[customer];
+    const auto [it, isNew] = m_own.try_emplace(customer);
+    OwnUse& sum = it->second;
+    if (isNew)
+        sum.since = now;
     addUse(sum, use);
-    for (auto it = m_entries.rbegin(); it != m_entries.rend() && now - it->at < entrySpan; ++it) {
-        if (it->customer == customer) {
-            addUse(it->use, use);
+    for (auto entry = m_entries.rbegin(); entry != m_entries.rend() && now - entry->at < entrySpan; ++entry) {
+        if (entry->customer == customer) {
+            addUse(entry->use, use);
             return;
         }
     }
@@ -137,15 +150,39 @@
     }
 }
 
-bool CustomerShares::isFarAboveOthers(const CustomerId& customer) const
+bool CustomerShares::isFarAboveOthers(TimePoint now, const CustomerId& customer, double tokens, double chance)
 {
     const auto self = m_sum.find(customer);
-    if (self == m_sum.end())
+    const auto own = m_own.find(customer);
+    if (self == m_sum.end() || own == m_own.end())
         return false;
     const double granted = self->second.granted;
-    return std::any_of(m_waiting.begin(), m_waiting.end(), [&](const CustomerUse& it) {
-        return it.asked + it.turnedAway >= granted && granted > mostAbove * it.granted + leastAbove;
-    });
+    double limit = std::numeric_limits<double>::infinity();
+    for (const CustomerUse& it : m_waiting) {
+        if (it.asked + it.turnedAway >= granted)
+            limit = std::min(limit, mostAbove * it.granted + leastAbove);
+    }
+    if (std::isinf(limit)) {
+        m_allowances.erase(customer);
+        return false;
+    }
+    // Not all routers may begin with a request at once: their phases differ.
+    const auto [it, isNew] = m_allowances.try_emplace(customer, Allowance { -chance * tokens, now });
+    Allowance& allowance = it->second;
+    const double perSecond = limit * ownPart(now, own->second, self->second) / Seconds(m_window).count();
+    allowance.tokens = std::min(tokens, allowance.tokens + perSecond * Seconds(now - allowance.at).count());
+    allowance.at = now;
+    return granted > limit || allowance.tokens < 0;
+}
+
+double CustomerShares::ownPart(TimePoint now, const OwnUse& own, const CustomerUse& all) const
+{
+    if (own.asked <= 0)
+        return 1;
+    double total = std::max(all.asked, own.asked);
+    if (now - own.since < heardWithin)
+        total = std::max(total, own.asked * m_routers);
+    return own.asked / total;
 }
 
 } // namespace sagechute::dispatch
