--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -30,10 +30,6 @@
     /// How often what is missing is dropped and ages are looked at when nothing is heard.
     constexpr Duration lookInterval = milliseconds(200);
 
-    /// The kernel accepts a connection in some ms, also for a process that stands still.
-    constexpr milliseconds peerConnectTimeout { 200 };
-    constexpr milliseconds peerTimeout { 400 };
-
     /// A router that did not answer is not asked again for so long: others may know as much.
     constexpr Duration unreachedKept = std::chrono::seconds(2);
     constexpr int okStatus = 200;
@@ -300,14 +296,16 @@
         asked.targetsNext = known.targetsNext;
     net::ClientRequest request;
     request.url = "http://" + peer.controlAddress + pathFor(asked);
-    request.connectTimeout = peerConnectTimeout;
-    request.totalTimeout = peerTimeout;
+    request.connectTimeout = toMs(news::peerPatience(m_peerFailures, m_times));
+    request.totalTimeout = 2 * request.connectTimeout;
     const TimePoint sent = unsuspendedNow();
     const net::ClientResponse response = m_peerClient.perform(std::move(request));
     if (response.result.end != net::TransferEnd::Completed || response.result.httpStatus != okStatus) {
+        ++m_peerFailures;
         noteUnreached(peer, response.result);
         return false;
     }
+    m_peerFailures = 0;
     const absl::StatusOr<PeerState> state = decodePeerState(response.body);
     if (!state.ok()) {
         process::log(process::LogLevel::Warning, "peer-state-unreadable",
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -307,6 +307,9 @@
     Duration firstRetry {};
     Duration mostRetry {};
 
+    /// The longest that one router is waited for; several must fit into what is left of the bound.
+    Duration mostPatience {};
+
     /// A start: routers that are nobody's seed hear of the others first, and then need not read at all.
     Duration startWait {};
 
@@ -362,4 +365,10 @@
 /// @return when to ask; it may have passed.
 TimePoint askDue(const AskOccasion&, const NewsTimes&);
 
+/// Load pattern: callers fill this VM's own link, so that packets wait for some hundred ms. Every connection to another
+/// router then takes longer than it does when only the other one is down, and with one fixed timeout none is ever made.
+/// @param failures in a row, of whichever routers.
+/// @return how long to wait for a connection to another router, and again for its answer.
+Duration peerPatience(unsigned failures, const NewsTimes&);
+
 } // namespace sagechute::news
--- a/src/news/ReadSchedule.cpp
+++ b/src/news/ReadSchedule.cpp
@@ -23,6 +23,10 @@
     constexpr double mostRetryPart = 0.75;
     constexpr double firstRetryPart = 0.4;
 
+    /// The kernel accepts a connection in some ms, also for a process that stands still.
+    constexpr Duration leastPatience = std::chrono::milliseconds(200);
+    constexpr double mostPatiencePart = 0.25;
+
     /// In a fleet of hundreds that starts, what a seed has read goes to its zone's relay, to the other relays and to
     /// their zones: three heartbeats and three fetches, some 900 ms.
     constexpr Duration firstStartDelay = std::chrono::milliseconds(1200);
@@ -54,7 +58,7 @@
 {
     return { bound, part(bound, waitPart), part(bound, readerLostPart), part(bound, ownReadPart),
         part(bound, spreadPart), part(bound, askPart), part(bound, firstRetryPart), part(bound, mostRetryPart),
-        isFirstStart ? firstStartDelay : restartDelay };
+        part(bound, mostPatiencePart), isFirstStart ? firstStartDelay : restartDelay };
 }
 
 ReadStanding standing(
@@ -93,4 +97,9 @@
     return std::max(due, *occasion.askedAt + std::min(pause, part(times.bound, mostAskPausePart)));
 }
 
+Duration peerPatience(unsigned failures, const NewsTimes& times)
+{
+    return std::min(times.mostPatience, leastPatience * (1 << std::min(failures, mostDoublings)));
+}
+
 } // namespace sagechute::news
--- a/tests/NewsTest.cpp
+++ b/tests/NewsTest.cpp
@@ -184,6 +184,20 @@
     CHECK(readDue(it, restart) < readDue(it, times));
 }
 
+// Symptom: a flooded router keeps a list of targets from six seconds ago and sends requests to one that has left.
+// Sequence: callers' requests fill its link of 10 Mbit/s; packets wait there for more than 200 ms. Each of its calls to
+// the other routers ends before the connection is made, however many it tries. Cause: a timeout for the other side's
+// silence, where its own link was slow.
+TEST_CASE("a router that reaches nobody waits longer for each")
+{
+    const NewsTimes slow = NewsTimes::make(4s, false);
+    CHECK(peerPatience(0, slow) == 200ms);
+    CHECK(peerPatience(1, slow) == 400ms);
+    CHECK(peerPatience(2, slow) == 800ms);
+    CHECK(peerPatience(100, slow) == 1s);
+    CHECK(peerPatience(100, NewsTimes::make(2s, false)) == 500ms);
+}
+
 TEST_CASE("a topic whose records are no longer kept is read whole, whatever others told of before")
 {
     ReadCursor cursor;
