Take a heartbeat's fields by an rvalue, as the linter asks

Cause: the linter had not been run over the record of heartbeats: it took the parameter for one that is only read. Change: fromWire() takes WireHead&&.

--- a/src/edge/Peers.cpp
+++ b/src/edge/Peers.cpp
@@ -128,7 +128,7 @@
             { toWire(it.use.zones), toWire(it.use.crowded) }, it.load };
     }
 
-    Heartbeat fromWire(WireHead wire)
+    Heartbeat fromWire(WireHead&& wire)
     {
         auto& [vm, incarnation, callers, control, zone, isReady, known, capacity, use, scope, sentAt, fleetUse, load]
             = wire;
