--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -72,7 +72,8 @@
     bool m_isStopping = false;
     bool m_isAnnounced = false;
     TimePoint m_nextSearch {};
-    std::map<VmId, TimePoint> m_unreached; ///< Routers that did not answer; of the thread that fetches, as the next two.
+    std::map<VmId, TimePoint>
+        m_unreached; ///< Routers that did not answer; of the thread that fetches, as the next two.
     unsigned m_peerFailures = 0; ///< Of requests to other routers, in a row.
     news::AskOccasion m_ask;
     bool m_isLate = false; ///< What is known is older than the bound.
