Hold only those to their allowance that ask for more than their share

Change: the allowance binds customers that ask for more than their max-min share alone, by customers that wait and ask for at least that share, and never below it; for all others the rule by the sums stands as it was. What has accrued for two requests is kept.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -23,6 +23,9 @@
     /// everywhere.
     constexpr Duration heardWithin = std::chrono::milliseconds(500);
 
+    /// Requests of a customer come to a router in clumps; what has accrued for two is kept for the next.
+    constexpr double savedRequests = 2;
+
     constexpr Duration sumKept = std::chrono::milliseconds(25);
 
     /// A peer that has not reported for so long counts as gone; its share of the window has passed to others.
@@ -153,26 +156,42 @@
 bool CustomerShares::isFarAboveOthers(TimePoint now, const CustomerId& customer, double tokens, double chance)
 {
     const auto self = m_sum.find(customer);
-    const auto own = m_own.find(customer);
-    if (self == m_sum.end() || own == m_own.end())
+    if (self == m_sum.end())
         return false;
     const double granted = self->second.granted;
+    const bool isFarAbove = std::any_of(m_waiting.begin(), m_waiting.end(), [&](const CustomerUse& it) {
+        return it.asked + it.turnedAway >= granted && granted > mostAbove * it.granted + leastAbove;
+    });
+    return isFarAbove || !hasAllowance(now, customer, tokens, chance);
+}
+
+double CustomerShares::limitBesideWaiting() const
+{
     double limit = std::numeric_limits<double>::infinity();
     for (const CustomerUse& it : m_waiting) {
-        if (it.asked + it.turnedAway >= granted)
+        if (it.asked + it.turnedAway >= m_level)
             limit = std::min(limit, mostAbove * it.granted + leastAbove);
     }
-    if (std::isinf(limit)) {
+    return std::max(limit, m_level);
+}
+
+bool CustomerShares::hasAllowance(TimePoint now, const CustomerId& customer, double tokens, double chance)
+{
+    const CustomerUse& all = m_sum.at(customer);
+    const double limit = limitBesideWaiting();
+    const auto own = m_own.find(customer);
+    if (own == m_own.end() || all.asked <= m_level || std::isinf(limit)) {
         m_allowances.erase(customer);
-        return false;
+        return true;
     }
     // Not all routers may begin with a request at once: their phases differ.
     const auto [it, isNew] = m_allowances.try_emplace(customer, Allowance { -chance * tokens, now });
     Allowance& allowance = it->second;
-    const double perSecond = limit * ownPart(now, own->second, self->second) / Seconds(m_window).count();
-    allowance.tokens = std::min(tokens, allowance.tokens + perSecond * Seconds(now - allowance.at).count());
+    const double perSecond = limit * ownPart(now, own->second, all) / Seconds(m_window).count();
+    allowance.tokens
+        = std::min(savedRequests * tokens, allowance.tokens + perSecond * Seconds(now - allowance.at).count());
     allowance.at = now;
-    return granted > limit || allowance.tokens < 0;
+    return allowance.tokens >= 0;
 }
 
 double CustomerShares::ownPart(TimePoint now, const OwnUse& own, const CustomerUse& all) const
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -42,8 +42,9 @@
     /// much, whatever the level is.
     ///
     /// What the others have granted is known late: hundreds of routers that stop only when the sum says so have granted
-    /// as much again by then. Each therefore keeps to its own part of what the customer may have, the part of its
-    /// requests that came here, as it accrues.
+    /// as much again by then. Of a customer that asks for more than its share each router therefore keeps to its own
+    /// part of what that one may have, the part of its requests that came here, as it accrues. None is held below its
+    /// share: engines would idle for the sake of a customer that a router's cores hold up.
     /// @param tokens of the request that is to be decided on, which asked() was told of.
     /// @param chance in [0, 1), evenly spread.
     /// @return whether granting it would give the customer far more than another one has that sends as much and is
@@ -83,6 +84,12 @@
     std::map<CustomerId, CustomerUse> total(TimePoint now);
     void noteWaiting();
 
+    /// @return what a customer above its share may have beside those that wait for as much; infinity: none does.
+    double limitBesideWaiting() const;
+
+    /// @return whether this router's part of that has accrued; see isFarAboveOthers().
+    bool hasAllowance(TimePoint now, const CustomerId&, double tokens, double chance);
+
     /// @param all what all routers are known to have been asked for by the customer.
     /// @return the part of that which came to this one.
     double ownPart(TimePoint now, const OwnUse& own, const CustomerUse& all) const;
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    /// A request takes up to a millisecond on a VM of an eighth of a core; so timers, other threads' calls and reports to
-    /// other routers wait for some 50 ms at most, whatever callers send.
+    /// A request takes up to a millisecond on a VM of an eighth of a core; so timers, other threads' calls and reports
+    /// to other routers wait for some 50 ms at most, whatever callers send.
     constexpr int eventsAtOnce = 64;
     constexpr int longestWaitMs = 60'000;
 
