--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -1,7 +1,6 @@
 #include "dispatch/CustomerShares.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace sagechute::dispatch {
@@ -19,20 +18,11 @@
     /// Below two large requests a difference is chance.
     constexpr double leastAbove = 60'000;
 
-    /// What other routers were asked for is known by then. Until then a customer that is new here may be new
-    /// everywhere.
-    constexpr Duration heardWithin = std::chrono::milliseconds(500);
-
-    /// Requests of a customer come to a router in clumps; what has accrued for two is kept for the next.
-    constexpr double savedRequests = 2;
-
     constexpr Duration sumKept = std::chrono::milliseconds(25);
 
     /// A peer that has not reported for so long counts as gone; its share of the window has passed to others.
     constexpr Duration peerKept = std::chrono::seconds(2);
 
-    using Seconds = std::chrono::duration<double>;
-
     void addUse(CustomerUse& sum, const CustomerUse& use)
     {
         sum.asked += use.asked;
@@ -63,9 +53,6 @@
 void CustomerShares::granted(TimePoint now, const CustomerId& customer, double tokens)
 {
     add(now, customer, { 0, tokens, 0 });
-    const auto it = m_allowances.find(customer);
-    if (it != m_allowances.end())
-        it->second.tokens -= tokens;
 }
 
 void CustomerShares::turnedAway(TimePoint now, const CustomerId& customer, double tokens)
@@ -76,14 +63,11 @@
 void CustomerShares::add(TimePoint now, const CustomerId& customer, CustomerUse use)
 {
     expire(now);
-    const auto [it, isNew] = m_own.try_emplace(customer);
-    OwnUse& sum = it->second;
-    if (isNew)
-        sum.since = now;
+    OwnUse& sum = m_own[customer];
     addUse(sum, use);
-    for (auto entry = m_entries.rbegin(); entry != m_entries.rend() && now - entry->at < entrySpan; ++entry) {
-        if (entry->customer == customer) {
-            addUse(entry->use, use);
+    for (auto it = m_entries.rbegin(); it != m_entries.rend() && now - it->at < entrySpan; ++it) {
+        if (it->customer == customer) {
+            addUse(it->use, use);
             return;
         }
     }
@@ -153,55 +137,15 @@
     }
 }
 
-bool CustomerShares::isFarAboveOthers(TimePoint now, const CustomerId& customer, double tokens, double chance)
+bool CustomerShares::isFarAboveOthers(const CustomerId& customer) const
 {
     const auto self = m_sum.find(customer);
     if (self == m_sum.end())
         return false;
     const double granted = self->second.granted;
-    const bool isFarAbove = std::any_of(m_waiting.begin(), m_waiting.end(), [&](const CustomerUse& it) {
+    return std::any_of(m_waiting.begin(), m_waiting.end(), [&](const CustomerUse& it) {
         return it.asked + it.turnedAway >= granted && granted > mostAbove * it.granted + leastAbove;
     });
-    return isFarAbove || !hasAllowance(now, customer, tokens, chance);
-}
-
-double CustomerShares::limitBesideWaiting() const
-{
-    double limit = std::numeric_limits<double>::infinity();
-    for (const CustomerUse& it : m_waiting) {
-        if (it.asked + it.turnedAway >= m_level)
-            limit = std::min(limit, mostAbove * it.granted + leastAbove);
-    }
-    return std::max(limit, m_level);
-}
-
-bool CustomerShares::hasAllowance(TimePoint now, const CustomerId& customer, double tokens, double chance)
-{
-    const CustomerUse& all = m_sum.at(customer);
-    const double limit = limitBesideWaiting();
-    const auto own = m_own.find(customer);
-    if (own == m_own.end() || all.asked <= m_level || std::isinf(limit)) {
-        m_allowances.erase(customer);
-        return true;
-    }
-    // Not all routers may begin with a request at once: their phases differ.
-    const auto [it, isNew] = m_allowances.try_emplace(customer, Allowance { -chance * tokens, now });
-    Allowance& allowance = it->second;
-    const double perSecond = limit * ownPart(now, own->second, all) / Seconds(m_window).count();
-    allowance.tokens
-        = std::min(savedRequests * tokens, allowance.tokens + perSecond * Seconds(now - allowance.at).count());
-    allowance.at = now;
-    return allowance.tokens >= 0;
-}
-
-double CustomerShares::ownPart(TimePoint now, const OwnUse& own, const CustomerUse& all) const
-{
-    if (own.asked <= 0)
-        return 1;
-    double total = std::max(all.asked, own.asked);
-    if (now - own.since < heardWithin)
-        total = std::max(total, own.asked * m_routers);
-    return own.asked / total;
 }
 
 } // namespace sagechute::dispatch
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -40,20 +40,9 @@
     /// Load pattern: a customer's callers all come to one small router, which carries a fraction of what they ask for;
     /// another customer's come to all routers. The engines then have room, and the other one is granted many times as
     /// much, whatever the level is.
-    ///
-    /// What the others have granted is known late: hundreds of routers that stop only when the sum says so have granted
-    /// as much again by then. Of a customer that asks for more than its share each router therefore keeps to its own
-    /// part of what that one may have, the part of its requests that came here, as it accrues. None is held below its
-    /// share: engines would idle for the sake of a customer that a router's cores hold up.
-    /// @param tokens of the request that is to be decided on, which asked() was told of.
-    /// @param chance in [0, 1), evenly spread.
-    /// @return whether granting it would give the customer far more than another one has that sends as much and is
-    /// turned
-    ///         away. By the sums of the last overShare().
-    bool isFarAboveOthers(TimePoint now, const CustomerId&, double tokens, double chance);
-
-    /// @param n routers in the fleet, this one included.
-    void setRouterCount(unsigned n) { m_routers = n; }
+    /// @return whether the customer was granted far more than another one that sends as much and is turned away.
+    ///         By the sums of the last overShare().
+    bool isFarAboveOthers(const CustomerId&) const;
 
 private:
     struct Entry {
@@ -65,13 +54,6 @@
     /// Sums over the entries of a customer; gone with the last of them.
     struct OwnUse : CustomerUse {
         unsigned entries = 0;
-        TimePoint since; ///< The first of these entries.
-    };
-
-    /// What a customer that is bound by another one's waiting may still have here.
-    struct Allowance {
-        double tokens = 0; ///< Below zero: it has to wait until they have accrued.
-        TimePoint at;
     };
 
     struct PeerPart {
@@ -84,22 +66,10 @@
     std::map<CustomerId, CustomerUse> total(TimePoint now);
     void noteWaiting();
 
-    /// @return what a customer above its share may have beside those that wait for as much; infinity: none does.
-    double limitBesideWaiting() const;
-
-    /// @return whether this router's part of that has accrued; see isFarAboveOthers().
-    bool hasAllowance(TimePoint now, const CustomerId&, double tokens, double chance);
-
-    /// @param all what all routers are known to have been asked for by the customer.
-    /// @return the part of that which came to this one.
-    double ownPart(TimePoint now, const OwnUse& own, const CustomerUse& all) const;
-
     const Duration m_window;
-    unsigned m_routers = 1;
     std::deque<Entry> m_entries;
     std::map<CustomerId, OwnUse> m_own;
     std::map<VmId, PeerPart> m_peers;
-    std::map<CustomerId, Allowance> m_allowances;
     std::optional<TimePoint> m_summedAt;
     std::map<CustomerId, CustomerUse> m_sum; ///< Of all routers, at that time.
     double m_level = 0;
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -127,7 +127,6 @@
 {
     m_routers = n;
     m_mostRouters = std::max(m_mostRouters, n);
-    m_shares.setRouterCount(n);
 }
 
 bool LocalDispatcher::hasTargets() const
@@ -289,7 +288,7 @@
     const bool isEngine = !demand.prompt.parts.empty() || demand.prompt.tokensIn > 0;
     const bool isShared = isEngine && windowCapacity() > 0;
     const double share = isShared ? m_shares.overShare(now, demand.customer, windowCapacity()) : 0;
-    if (isShared && m_shares.isFarAboveOthers(now, demand.customer, tokensOf(demand.prompt), m_random.fraction())) {
+    if (isShared && m_shares.isFarAboveOthers(demand.customer)) {
         Refusal refusal = refuse(RefusalReason::OverShare, noTargetComeBack);
         refusal.share = share;
         return refusal;
--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -41,8 +41,6 @@
         , m_random(7)
         , m_routers(fleet.routers, CustomerShares(4s))
     {
-        for (CustomerShares& it : m_routers)
-            it.setRouterCount(static_cast<unsigned>(fleet.routers));
     }
 
     Granted play(unsigned seconds)
@@ -71,7 +69,7 @@
             CustomerShares& it = m_routers[m_random.below(m_routers.size())];
             it.asked(now, flooding, request);
             it.overShare(now, flooding, capacity);
-            if (it.isFarAboveOthers(now, flooding, request, m_random.fraction()))
+            if (it.isFarAboveOthers(flooding))
                 continue;
             it.granted(now, flooding, request);
             granted += request;
