Leave no margin above a customer that is turned away where sums come over relays

The flood is stopped at 1.3 times by sums that come late over relays; what all routers grant meanwhile comes on top. Change: 1.0 times where reports come over relays (more than twelve routers), 1.3 as before where they are told directly.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -15,6 +15,9 @@
     /// router.
     constexpr double mostAbove = 1.3;
 
+    /// The same where reports come over relays: with 1.3 a flood over 295 routers still got 2.1 to 2.5 times as much.
+    constexpr double mostAboveByRelay = 1;
+
     /// Below two large requests a difference is chance.
     constexpr double leastAbove = 60'000;
 
@@ -143,8 +146,9 @@
     if (self == m_sum.end())
         return false;
     const double granted = self->second.granted;
+    const double limit = m_isByRelay ? mostAboveByRelay : mostAbove;
     return std::any_of(m_waiting.begin(), m_waiting.end(), [&](const CustomerUse& it) {
-        return it.asked + it.turnedAway >= granted && granted > mostAbove * it.granted + leastAbove;
+        return it.asked + it.turnedAway >= granted && granted > limit * it.granted + leastAbove;
     });
 }
 
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -44,6 +44,9 @@
     ///         By the sums of the last overShare().
     bool isFarAboveOthers(const CustomerId&) const;
 
+    /// @param isByRelay what other routers say comes over relays, and so later.
+    void setByRelay(bool isByRelay) { m_isByRelay = isByRelay; }
+
 private:
     struct Entry {
         TimePoint at;
@@ -67,6 +70,7 @@
     void noteWaiting();
 
     const Duration m_window;
+    bool m_isByRelay = false;
     std::deque<Entry> m_entries;
     std::map<CustomerId, OwnUse> m_own;
     std::map<VmId, PeerPart> m_peers;
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -127,6 +127,7 @@
 {
     m_routers = n;
     m_mostRouters = std::max(m_mostRouters, n);
+    m_shares.setByRelay(n > mostFreshRouters);
 }
 
 bool LocalDispatcher::hasTargets() const
