Say once which run of a prompt others may share

Cause: read again, LocalDispatcher picked the run before the last by its index, as HomeOrder did in a function of its own; the opening comment of CustomerSharesTest still told of engines that have room. Change: sharedRun() in HomeOrder.h serves both; the comment says what is played.

--- a/src/dispatch/HomeOrder.cpp
+++ b/src/dispatch/HomeOrder.cpp
@@ -16,16 +16,13 @@
 
     bool isBefore(const Place& one, const Place& other) { return one.hash > other.hash; }
 
-    /// @return the longest run that others may share; the whole prompt belongs to the request alone.
-    std::uint64_t sharedKey(const std::vector<PrefixKey>& prefixes) { return prefixes[prefixes.size() - 2].key; }
-
 } // namespace
 
 HomeOrder::HomeOrder(const std::vector<TargetModel*>& usable, const std::vector<PrefixKey>& prefixes)
 {
     if (prefixes.size() < 2)
         return;
-    const std::uint64_t key = sharedKey(prefixes);
+    const std::uint64_t key = sharedRun(prefixes).key;
     std::vector<Place> places;
     places.reserve(usable.size());
     for (const TargetModel* it : usable)
--- a/src/dispatch/HomeOrder.h
+++ b/src/dispatch/HomeOrder.h
@@ -9,6 +9,10 @@
 
 namespace sagechute::dispatch {
 
+/// @param prefixes two or more. @return the longest run that others may share; the whole prompt belongs to the request
+///        alone.
+inline const PrefixKey& sharedRun(const std::vector<PrefixKey>& prefixes) { return prefixes[prefixes.size() - 2]; }
+
 /// The first targets in a prompt's order. It is the same order in every router, and when a target goes it stays so for
 /// the others, so that routers which have not heard of each other's placements yet send a prompt to the same few.
 ///
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -260,7 +260,7 @@
 
 bool LocalDispatcher::isTrusted(TimePoint now, const std::vector<PrefixKey>& prefixes) const
 {
-    return isTrusting(now) && !m_heardOf.contains(prefixes[prefixes.size() - 2].key);
+    return isTrusting(now) && !m_heardOf.contains(sharedRun(prefixes).key);
 }
 
 void LocalDispatcher::heardOf(TimePoint now, std::uint64_t prefix)
--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -19,7 +19,7 @@
 const CustomerId flooding { "flooding" };
 const CustomerId pinned { "pinned" };
 
-/// A large fleet before engines that could take all of the flood, and what its routers are told of each other, late.
+/// A fleet before engines that have less than its two customers ask for; its routers hear of each other late.
 struct Fleet {
     std::size_t routers = 0;
     Duration reportAge {};
