Tell how near what a router knows came to its bound, whom it asked in vain, and what it keeps

Reports of late configurations could not be told apart by what was logged: a router that stays under the bound leaves no trace of how near it came, one over it does not say how many others it had asked, and nothing says that a router keeps entries that are missing. A histogram of the age as a part of the bound, two fields of knowledge-late, and the line missing-targets-kept do. No logic is changed.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -11,9 +11,13 @@
     /// Seconds; from a plain application's answer to the longest stream.
     const Histogram::BucketBoundaries latencyBounds { 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5, 10, 20 };
 
-    Histogram& histogram(prometheus::Registry& registry, const char* name, const char* help)
+    /// Parts of the bound: above a half of it routers read for themselves, above 0.55 they ask any other.
+    const Histogram::BucketBoundaries agePartBounds { 0.25, 0.4, 0.5, 0.55, 0.7, 0.85, 1, 1.25, 1.5, 2, 4 };
+
+    Histogram& histogram(prometheus::Registry& registry, const char* name, const char* help,
+        const Histogram::BucketBoundaries& bounds = latencyBounds)
     {
-        return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, latencyBounds);
+        return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, bounds);
     }
 
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
@@ -53,7 +57,16 @@
                          .Help("Since when a change of the configuration or of targets in the store may be unknown")
                          .Register(metrics.registry())
                          .Add({}))
+    , m_knowledgeAgeParts(histogram(metrics.registry(), "sagechute_edge_knowledge_age_of_bound",
+          "The same as a part of the bound, looked at some times a second: how near it came between two scrapes",
+          agePartBounds))
+{
+}
+
+void EdgeMetrics::knowledgeAge(Duration age, Duration bound)
 {
+    m_knowledgeAge.Set(seconds(age));
+    m_knowledgeAgeParts.Observe(seconds(age) / seconds(bound));
 }
 
 void EdgeMetrics::request(std::string_view route, int status, Duration lasted)
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -21,7 +21,9 @@
 
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
-    prometheus::Gauge& knowledgeAge() { return m_knowledgeAge; }
+
+    /// @param age since when something in the store may be unknown. @param bound at which that is too long.
+    void knowledgeAge(Duration age, Duration bound);
 
 private:
     prometheus::Family<prometheus::Counter>& m_requests;
@@ -33,6 +35,7 @@
     prometheus::Counter& m_storeCalls;
     prometheus::Counter& m_unreadableRecords;
     prometheus::Gauge& m_knowledgeAge;
+    prometheus::Histogram& m_knowledgeAgeParts;
 };
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -251,6 +251,7 @@
             askAnyone();
         const TimePoint now = unsuspendedNow();
         m_state.changeTargets([&](news::TargetRoster& roster) { roster.expire(now); });
+        noteKept();
         noteAge();
     }
 }
@@ -302,10 +303,12 @@
     const net::ClientResponse response = m_peerClient.perform(std::move(request));
     if (response.result.end != net::TransferEnd::Completed || response.result.httpStatus != okStatus) {
         ++m_peerFailures;
+        ++peerTries().unanswered;
         noteUnreached(peer, response.result);
         return false;
     }
     m_peerFailures = 0;
+    ++peerTries().answered;
     const absl::StatusOr<PeerState> state = decodePeerState(response.body);
     if (!state.ok()) {
         process::log(process::LogLevel::Warning, "peer-state-unreadable",
@@ -336,13 +339,33 @@
     return true;
 }
 
+StoreFollower::PeerTries& StoreFollower::peerTries()
+{
+    const std::optional<TimePoint> until = news::knownUntil(m_state.knowledge());
+    if (until != m_tries.since)
+        m_tries = { until };
+    return m_tries;
+}
+
+void StoreFollower::noteKept()
+{
+    const auto [until, size] = m_state.withTargets(
+        [](const news::TargetRoster& it) { return std::pair(it.keepsMissingUntil(), it.size()); });
+    if (until == m_keptUntil)
+        return;
+    m_keptUntil = until;
+    process::log(process::LogLevel::Info, "missing-targets-kept",
+        { { "for-ms", msText(*until - unsuspendedNow()) }, { "targets", std::to_string(size) },
+            { "reason", "nothing was known of the store for a while; entries may have lapsed" } });
+}
+
 void StoreFollower::noteAge()
 {
     const news::Knowledge known = m_state.knowledge();
     const TimePoint now = unsuspendedNow();
     const std::optional<TimePoint> until = news::knownUntil(known);
     const Duration age = now - until.value_or(m_startedAt);
-    m_metrics.knowledgeAge().Set(std::chrono::duration<double>(age).count());
+    m_metrics.knowledgeAge(age, m_times.bound);
     const bool isLate = age > m_times.bound;
     if (isLate == m_isLate)
         return;
@@ -353,7 +376,9 @@
         { { "config", std::to_string(known.configVersion) }, { "config-age-ms", ageText(known.configUntil, now) },
             { "targets-offset", std::to_string(known.targetsNext) },
             { "targets-age-ms", ageText(known.targetsUntil, now) }, { "bound-ms", msText(m_times.bound) },
-            { "reader", standing.isReader ? "yes" : "no" }, { "rank", std::to_string(standing.rank) } });
+            { "reader", standing.isReader ? "yes" : "no" }, { "rank", std::to_string(standing.rank) },
+            { "peers-answered", std::to_string(peerTries().answered) },
+            { "peers-unanswered", std::to_string(peerTries().unanswered) } });
 }
 
 void StoreFollower::findOthers()
--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -24,6 +24,13 @@
     void start();
 
 private:
+    /// Requests to other routers since what is known last grew newer.
+    struct PeerTries {
+        std::optional<TimePoint> since; ///< Until when all was known then.
+        unsigned answered = 0;
+        unsigned unanswered = 0;
+    };
+
     /// One of the topics, and how its reads went; of the thread that reads it.
     struct Topic {
         const char* name;
@@ -50,6 +57,10 @@
     void noteUnreached(const RouterContact&, const net::TransferResult&);
     bool isUnreached(const VmId&) const;
     void noteAge();
+
+    /// @return the count since what is known last grew newer.
+    PeerTries& peerTries();
+    void noteKept();
     void findOthers();
     bool pause(Duration);
 
@@ -76,6 +87,8 @@
         m_unreached; ///< Routers that did not answer; of the thread that fetches, as the next two.
     unsigned m_peerFailures = 0; ///< Of requests to other routers, in a row.
     news::AskOccasion m_ask;
+    PeerTries m_tries;
+    std::optional<TimePoint> m_keptUntil; ///< Missing entries of targets are kept until then, as logged.
     bool m_isLate = false; ///< What is known is older than the bound.
     std::vector<std::thread> m_threads;
 };
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -127,6 +127,9 @@
 
     std::vector<dispatch::Target> targets() const;
 
+    /// @return until when missing entries are kept, as they may have lapsed; absent before the first absence.
+    std::optional<TimePoint> keepsMissingUntil() const { return m_graceUntil; }
+
     /// @return a number that differs when the list does.
     std::uint64_t revision() const { return m_revision; }
     std::size_t size() const { return m_entries.size(); }
