Ask other routers side by side, so that those that stand still cost no time

Callers were served by a configuration that had been replaced 3.1 to 3.8 s before, of 3 s that a change may take, by routers to which the store kept silent while a third of the fleet stood still.

Cause: a router that has to ask others asked one at a time and waited for each until a timeout, 0.4 s at first and up to 1.5 s after failures in a row; gossip takes 3.6 s to tell who stands still.

Now the next router is asked after 4 % of the bound whether the one before has answered or not (news::PeerRequests); each may take its time from the first try on, which a router with a full link needs. The thread that asks became a class of its own, PeerFollower, and takes answers as they come.

--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -76,9 +76,9 @@
 }
 
 absl::StatusOr<std::unique_ptr<Fleet>> Fleet::make(
-    EdgeState& state, NewsBox& news, const Options& options, Incarnation incarnation)
+    EdgeState& state, PeerInbox& inbox, const Options& options, Incarnation incarnation)
 {
-    std::unique_ptr<Fleet> fleet(new Fleet(state, news, options));
+    std::unique_ptr<Fleet> fleet(new Fleet(state, inbox, options));
     fleet->startGossip(incarnation);
     auto socket = peer::DatagramSocket::make(fleet->m_gossipAddress,
         [raw = fleet.get()](const std::string& from, std::string_view bytes) { raw->receive(from, bytes); });
@@ -89,9 +89,9 @@
     return fleet;
 }
 
-Fleet::Fleet(EdgeState& state, NewsBox& news, const Options& options)
+Fleet::Fleet(EdgeState& state, PeerInbox& inbox, const Options& options)
     : m_state(state)
-    , m_news(news)
+    , m_inbox(inbox)
     , m_options(options)
     , m_gossipAddress(options.at(options.gossipPort()))
     , m_step(firstStep)
@@ -273,7 +273,7 @@
     std::lock_guard lock(m_mutex);
     heartbeat->knowledge = news::delayed(heartbeat->knowledge, transitDelay(*heartbeat));
     if (m_state.learn(heartbeat->knowledge).any())
-        m_news.put({ heartbeat->vm, heartbeat->controlAddress });
+        m_inbox.heard({ heartbeat->vm, heartbeat->controlAddress });
     m_board.heard(now, *heartbeat);
     if (!load.ok())
         return;
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -4,8 +4,8 @@
 /// The other routers: gossip says who is there, heartbeats what they have in flight.
 
 #include "EdgeState.h"
-#include "NewsBox.h"
 #include "Options.h"
+#include "PeerInbox.h"
 
 #include <sagechute/Peer.h>
 
@@ -19,7 +19,7 @@
 class Fleet {
 public:
     /// @param incarnation see drawIncarnation(). The box is told of routers that know more of the store.
-    static absl::StatusOr<std::unique_ptr<Fleet>> make(EdgeState&, NewsBox&, const Options&, Incarnation incarnation);
+    static absl::StatusOr<std::unique_ptr<Fleet>> make(EdgeState&, PeerInbox&, const Options&, Incarnation incarnation);
 
     /// Sends what has come due. Call it about every 25 ms.
     void tick(TimePoint now);
@@ -54,7 +54,7 @@
     void leave();
 
 private:
-    Fleet(EdgeState&, NewsBox&, const Options&);
+    Fleet(EdgeState&, PeerInbox&, const Options&);
 
     void startGossip(Incarnation);
     void receive(const std::string& from, std::string_view bytes);
@@ -78,7 +78,7 @@
     void logChanges();
 
     EdgeState& m_state;
-    NewsBox& m_news;
+    PeerInbox& m_inbox;
     const Options m_options;
     const std::string m_gossipAddress;
     mutable std::mutex m_mutex;
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -5,6 +5,7 @@
 #include "Housekeeping.h"
 #include "Listeners.h"
 #include "Options.h"
+#include "PeerFollower.h"
 #include "StoreFollower.h"
 
 #include <Platform.h>
@@ -41,7 +42,7 @@
         process::Metrics metrics;
         EdgeMetrics edgeMetrics(metrics);
         DueTimers timers;
-        NewsBox news;
+        PeerInbox inbox;
 
         // One loop carries all: a request and its answer pass from the caller's connection to the target's without a
         // lock or a thread switch between them. No call on it waits; the store's and the peers' calls wait on threads
@@ -61,7 +62,7 @@
         const auto targetProtocol = platform::makeTargetProtocol();
         const auto entryProtocol = platform::makeEntryProtocol();
 
-        auto fleet = Fleet::make(state, news, options, incarnation);
+        auto fleet = Fleet::make(state, inbox, options, incarnation);
         if (!fleet.ok())
             return failStart(fleet.status());
         CrowdMeter crowd(options.cores(), options.mostCallerConnections());
@@ -69,8 +70,11 @@
         auto listeners = Listeners::make(options, { state, **fleet, front, crowd, *entryProtocol, metrics, **loop });
         if (!listeners.ok())
             return failStart(listeners.status());
-        StoreFollower follower(state, **fleet, *store, **peerClient, news, edgeMetrics, options);
-        follower.start();
+        ConfigIntake intake(state, *store);
+        StoreFollower storeFollower(state, **fleet, *store, intake, edgeMetrics, options);
+        PeerFollower peerFollower(state, **fleet, intake, **peerClient, inbox, edgeMetrics, options);
+        storeFollower.start();
+        peerFollower.start();
         process::log(process::LogLevel::Info, "started",
             { { "callers", options.callersListen }, { "gossip", (*fleet)->gossipAddress() }, { "store", options.store },
                 { "version", std::string(process::version()) } });
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -226,13 +226,16 @@
 /// Names a running transfer.
 using TransferId = std::uint64_t;
 
-/// A whole answer, for callers that wait.
+/// A whole answer.
 struct ClientResponse {
     TransferResult result;
     std::vector<Field> headers;
     std::string body;
 };
 
+/// Takes a whole answer, on a client thread.
+using AnswerHandler = std::function<void(ClientResponse)>;
+
 /// Settings of a client.
 struct ClientOptions {
     EventLoop* loop = nullptr; ///< Drives the client, and outlives it; null: threads of its own do.
@@ -259,7 +262,10 @@
     /// Goes on with a transfer whose sink returned false from onBody.
     virtual void resume(TransferId) = 0;
 
-    /// Sends a request and waits for the whole answer, of at most 64 MiB. Not to be called from a sink.
+    /// Starts a transfer whose whole answer, of at most 64 MiB, is handed over at its end; returns at once.
+    TransferId collect(ClientRequest, AnswerHandler);
+
+    /// Sends a request and waits for the whole answer, as above. Not to be called from a sink.
     ClientResponse perform(ClientRequest);
 };
 
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -310,8 +310,15 @@
     Duration firstRetry {};
     Duration mostRetry {};
 
-    /// The longest that one router is waited for; several must fit into what is left of the bound.
-    Duration mostPatience {};
+    /// While the answer of one router is due, the next is asked after so long.
+    Duration askNext {};
+
+    /// Shortest and longest pause after an answer of a router that was asked for want of a source.
+    Duration leastAskPause {};
+    Duration mostAskPause {};
+
+    /// How long another router is waited for until it is connected, and again for its answer.
+    Duration patience {};
 
     /// A start: routers that are nobody's seed hear of the others first, and then need not read at all.
     Duration startWait {};
@@ -355,23 +362,50 @@
 /// @return when to read; it may have passed.
 TimePoint readDue(const ReadOccasion&, const NewsTimes&);
 
-/// When a router asks another one, whichever it is, for what it knows.
-struct AskOccasion {
-    TimePoint startedAt; ///< Of this router's life.
-    std::optional<TimePoint> knownUntil; ///< Of the older topic.
-    std::optional<TimePoint> askedAt; ///< The last such request was answered then; after one that was not, at once.
-    unsigned asked = 0; ///< Answers in a row that brought nothing, since knownUntil moved on.
-};
+/// Requests to other routers for what they know: whom to ask, and when. At most once a router at a time.
+///
+/// Load pattern: the store turns this router away, and many others stand still or are cut off, as after a fault of
+/// their hosts; nobody has noticed yet. A router that waits for one answer at a time, each until a timeout, finds one
+/// that knows only after seconds; callers then meet revoked keys that serve and targets that have left. So nobody is
+/// waited for alone: while an answer is due the next router is asked, at a fixed pace that keeps the number bounded.
+/// This leaves time for patience with each, which a router needs whose own link is full, where each packet waits for
+/// some hundred ms.
+class PeerRequests {
+public:
+    enum class Whom { Nobody, Source, Anyone };
+
+    /// @param startedAt of this router's life.
+    PeerRequests(const NewsTimes&, TimePoint startedAt);
+
+    /// @param knownUntil of the older topic. @param source a router that was heard to know more, if one was.
+    /// @return who is to be asked now: anyone when what is known has grown old, as a router whose own read is refused
+    /// or
+    ///         hangs, and whose sources are lost, would else know nothing new until they are back.
+    Whom due(TimePoint now, std::optional<TimePoint> knownUntil, const std::optional<VmId>& source) const;
 
-/// A router whose own read is refused, or hangs, and whose sources are lost would know nothing new until they are back;
-/// one that was cut off alone finds somebody who knows more.
-/// @return when to ask; it may have passed.
-TimePoint askDue(const AskOccasion&, const NewsTimes&);
+    /// @return when anyone is to be asked if nothing is heard until then; it may have passed.
+    TimePoint anyoneDue(TimePoint now, std::optional<TimePoint> knownUntil) const;
 
-/// Load pattern: callers fill this VM's own link, so that packets wait for some hundred ms. Every connection to another
-/// router then takes longer than it does when only the other one is down, and with one fixed timeout none is ever made.
-/// @param failures in a row, of whichever routers.
-/// @return how long to wait for a connection to another router, and again for its answer.
-Duration peerPatience(unsigned failures, const NewsTimes&);
+    /// @return whether it can be asked: it isn't being asked, and did answer when it was asked last.
+    bool canAsk(const VmId&, TimePoint now) const;
+
+    void sent(const VmId&, TimePoint now, Whom);
+
+    /// @param isAnswered false: it gave no answer in time, or none that can be read.
+    void ended(const VmId&, TimePoint now, bool isAnswered);
+
+    /// Nobody was there to be asked; looked for again after the usual pause.
+    void nobodyThere(TimePoint now) { m_lastSent = now; }
+
+    std::size_t pending() const { return m_pending.size(); }
+
+private:
+    NewsTimes m_times;
+    TimePoint m_startedAt;
+    std::map<VmId, Whom> m_pending;
+    std::map<VmId, TimePoint> m_failedAt;
+    std::optional<TimePoint> m_lastSent;
+    std::optional<TimePoint> m_lastAnswered; ///< Of those that were asked for want of a source.
+};
 
 } // namespace sagechute::news
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <optional>
 
 namespace sagechute::net {
 
@@ -47,55 +48,58 @@
         std::atomic<TransferId> m_lastId = 0;
     };
 
-    /// Where perform() waits.
-    struct Waiter {
-        std::mutex mutex;
-        std::condition_variable changed;
-        bool ended = false;
-        bool tooLarge = false;
-        ClientResponse response;
-    };
-
-    class WaitingSink final : public TransferSink {
+    /// Collects a whole answer and hands it over once: at the transfer's end, or when it has grown too large, after
+    /// which the rest is dropped as it comes.
+    class CollectingSink final : public TransferSink {
     public:
-        explicit WaitingSink(Waiter& waiter)
-            : m_waiter(waiter)
+        explicit CollectingSink(AnswerHandler handler)
+            : m_handler(std::move(handler))
         {
         }
 
     private:
-        void onHeaders(int, const std::vector<Field>& fields) override
+        void onHeaders(int status, const std::vector<Field>& fields) override
         {
-            std::lock_guard lock(m_waiter.mutex);
-            m_waiter.response.headers = fields;
+            m_response.result.httpStatus = status;
+            m_response.headers = fields;
         }
 
         bool onBody(std::string_view bytes) override
         {
-            std::lock_guard lock(m_waiter.mutex);
-            auto& body = m_waiter.response.body;
-            if (m_waiter.tooLarge)
+            if (m_isHandedOver)
                 return true;
-            if (body.size() + bytes.size() > maxWholeAnswerBytes) {
-                m_waiter.tooLarge = true;
-                m_waiter.changed.notify_all();
+            if (m_response.body.size() + bytes.size() <= maxWholeAnswerBytes) {
+                m_response.body += bytes;
                 return true;
             }
-            body += bytes;
+            auto detail = concat("the answer is larger than ", maxWholeAnswerBytes, " bytes");
+            handOver({ TransferEnd::BrokenAfterSend, m_response.result.httpStatus, std::move(detail) });
             return true;
         }
 
         void onEnd(const TransferResult& result) override
         {
-            // Notified under the mutex: the waiter lives on the stack of perform(), which may return once it is
-            // unlocked.
-            std::lock_guard lock(m_waiter.mutex);
-            m_waiter.response.result = result;
-            m_waiter.ended = true;
-            m_waiter.changed.notify_all();
+            if (!m_isHandedOver)
+                handOver(result);
         }
 
-        Waiter& m_waiter;
+        void handOver(TransferResult result)
+        {
+            m_isHandedOver = true;
+            m_response.result = std::move(result);
+            m_handler(std::move(m_response));
+        }
+
+        const AnswerHandler m_handler;
+        ClientResponse m_response;
+        bool m_isHandedOver = false;
+    };
+
+    /// Where perform() waits.
+    struct Waiter {
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::optional<ClientResponse> response;
     };
 
 } // namespace
@@ -118,19 +122,26 @@
     return std::make_unique<ClientOverLoops>(std::move(own), loops, options);
 }
 
+TransferId HttpClient::collect(ClientRequest request, AnswerHandler handler)
+{
+    return start(std::move(request), std::make_unique<CollectingSink>(std::move(handler)));
+}
+
 ClientResponse HttpClient::perform(ClientRequest request)
 {
     Waiter waiter;
-    auto id = start(std::move(request), std::make_unique<WaitingSink>(waiter));
+    const TransferId id = collect(std::move(request), [&waiter](ClientResponse response) {
+        // Notified under the mutex: the waiter lives on the stack of perform(), which may return once it is unlocked.
+        std::lock_guard lock(waiter.mutex);
+        waiter.response = std::move(response);
+        waiter.changed.notify_all();
+    });
     std::unique_lock lock(waiter.mutex);
-    waiter.changed.wait(lock, [&] { return waiter.ended || waiter.tooLarge; });
-    if (waiter.tooLarge) {
+    waiter.changed.wait(lock, [&] { return waiter.response.has_value(); });
+    // One that is too large has not ended yet.
+    if (waiter.response->result.end != TransferEnd::Completed)
         cancel(id);
-        waiter.changed.wait(lock, [&] { return waiter.ended; });
-        auto detail = concat("the answer is larger than ", maxWholeAnswerBytes, " bytes");
-        waiter.response.result = { TransferEnd::BrokenAfterSend, waiter.response.result.httpStatus, std::move(detail) };
-    }
-    return std::move(waiter.response);
+    return std::move(*waiter.response);
 }
 
 } // namespace sagechute::net
--- a/src/news/ReadSchedule.cpp
+++ b/src/news/ReadSchedule.cpp
@@ -14,8 +14,11 @@
     constexpr double spreadPart = 0.04;
     constexpr double askPart = 0.55;
 
-    /// Between two requests to other routers, and the longest: when the store is away they all know no more.
-    constexpr double askPausePart = 0.1;
+    /// What is left of the bound when a router begins to ask lets it ask eleven others.
+    constexpr double askNextPart = 0.04;
+
+    /// When the store is away the other routers know no more, so that after an answer there is time.
+    constexpr double leastAskPausePart = 0.1;
     constexpr double mostAskPausePart = 0.5;
 
     /// A store that answers nobody is asked by all of a large fleet, so that each asks seldom; but after its return,
@@ -23,9 +26,8 @@
     constexpr double mostRetryPart = 0.75;
     constexpr double firstRetryPart = 0.4;
 
-    /// The kernel accepts a connection in some ms, also for a process that stands still.
-    constexpr Duration leastPatience = std::chrono::milliseconds(200);
-    constexpr double mostPatiencePart = 0.25;
+    /// Where this VM's own link is full each packet waits for some hundred ms.
+    constexpr double patiencePart = 0.25;
 
     /// In a fleet of hundreds that starts, what a seed has read goes to its zone's relay, to the other relays and to
     /// their zones: three heartbeats and three fetches, some 900 ms.
@@ -56,9 +58,21 @@
 
 NewsTimes NewsTimes::make(Duration bound, bool isFirstStart)
 {
-    return { bound, part(bound, waitPart), part(bound, readerLostPart), part(bound, ownReadPart),
-        part(bound, spreadPart), part(bound, askPart), part(bound, firstRetryPart), part(bound, mostRetryPart),
-        part(bound, mostPatiencePart), isFirstStart ? firstStartDelay : restartDelay };
+    return {
+        .bound = bound,
+        .wait = part(bound, waitPart),
+        .readerLost = part(bound, readerLostPart),
+        .ownRead = part(bound, ownReadPart),
+        .spread = part(bound, spreadPart),
+        .ask = part(bound, askPart),
+        .firstRetry = part(bound, firstRetryPart),
+        .mostRetry = part(bound, mostRetryPart),
+        .askNext = part(bound, askNextPart),
+        .leastAskPause = part(bound, leastAskPausePart),
+        .mostAskPause = part(bound, mostAskPausePart),
+        .patience = part(bound, patiencePart),
+        .startWait = isFirstStart ? firstStartDelay : restartDelay,
+    };
 }
 
 ReadStanding standing(
@@ -88,18 +102,4 @@
     return due;
 }
 
-TimePoint askDue(const AskOccasion& occasion, const NewsTimes& times)
-{
-    const TimePoint due = occasion.knownUntil ? *occasion.knownUntil + times.ask : occasion.startedAt + times.startWait;
-    if (!occasion.askedAt || occasion.asked == 0)
-        return due;
-    const Duration pause = part(times.bound, askPausePart) * (1 << std::min(occasion.asked - 1, mostDoublings));
-    return std::max(due, *occasion.askedAt + std::min(pause, part(times.bound, mostAskPausePart)));
-}
-
-Duration peerPatience(unsigned failures, const NewsTimes& times)
-{
-    return std::min(times.mostPatience, leastPatience * (1 << std::min(failures, mostDoublings)));
-}
-
 } // namespace sagechute::news
