Let no list that comes late bring a target back

A router went on sending requests to a target that had left before the router started, for as long as the router lived.

Cause: a router that starts asks another one for all targets and reads the store meanwhile. When the answer of the other is the older of the two and comes last, a target that left in between is in it, and was taken for new; the record of its leaving lies before all that the router will ever read.

A record from before the last whole list, of a target that this list was without, is now passed over.

--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -168,6 +168,10 @@
     /// @return whether a later record of that target was applied already.
     bool isOutdated(const TargetChange&) const;
 
+    /// @return whether a later list was without that target. An answer to an earlier question may still have it, and the
+    ///         record that it has left would never be read again.
+    bool isLeftOut(const TargetChange&) const;
+
     std::map<TargetId, Entry> m_entries;
     std::map<TargetId, LifeMemory> m_lives;
     std::optional<LogOffset> m_next;
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -50,8 +50,15 @@
     return it != m_lives.end() && change.offset < it->second.offset;
 }
 
+bool TargetRoster::isLeftOut(const TargetChange& change) const
+{
+    return change.offset < m_completeFrom && !m_lives.contains(change.id);
+}
+
 void TargetRoster::apply(TimePoint now, const TargetChange& change)
 {
+    if (isLeftOut(change))
+        return;
     if (!change.target) {
         if (!isOutdated(change))
             remove(now, change.id, change.offset);
@@ -91,6 +98,8 @@
 {
     std::map<TargetId, TargetChange> last;
     for (TargetChange it : changes) {
+        if (isLeftOut(it))
+            continue;
         if (!it.target || noteLife(now, *it.target))
             last[it.id] = std::move(it);
     }
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -303,6 +303,26 @@
     CHECK(learn(mine, { 1, 0ms, 16, 0ms, 0ms }, start + 1s).targets);
 }
 
+// Requests went to a target for as long as the router lived, though it had left before the router started. A router
+// that starts asks another one for all that it knows and reads the store meanwhile; the target leaves in between. The
+// answer of the other, one record older than what the store said (next=34 and 35), came last, and the target was taken
+// for new: the record that says it left lay before all that would ever be read.
+TEST_CASE("a whole list that comes after a newer one brings no target back")
+{
+    TargetRoster roster;
+    roster.known(35, start);
+    roster.replace(start, { entry("stays", false, 0, 10) }, 35);
+    const std::vector<TargetChange> older { entry("left", false, 0, 20), entry("stays", false, 0, 10) };
+    roster.known(34, start + 10ms);
+    SECTION("as a list") { roster.replace(start + 10ms, older, 34); }
+    SECTION("as changes") { roster.applyAll(start + 10ms, older); }
+    REQUIRE(roster.size() == 1);
+    CHECK(roster.targets().front().id.value == "stays");
+    // One that came later is taken, whoever tells of it.
+    roster.applyAll(start + 20ms, { entry("new", false, 0, 36) });
+    CHECK(roster.size() == 2);
+}
+
 TEST_CASE("an entry that is missing again while the store was away a second time is kept from its second return on")
 {
     TargetRoster roster;
