Give a missing target up only by what is known of the time in which it had to come back

Routers gave up targets that lived, and refused requests for want of them: an entry that had lapsed while the store was away was back within the two seconds that it may take, but the router that reads for all was turned away in the last of these, and the others, which had not heard of it, dropped the target by the clock.

Now the time counts by what is known of the store (knownUntil), not by the clock alone; the margin for the way of news is told apart from the platform's two seconds.

--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -134,7 +134,10 @@
     std::uint64_t revision() const { return m_revision; }
     std::size_t size() const { return m_entries.size(); }
 
-    /// How long after the store's return a missing entry is kept: the platform promises about two seconds.
+    /// How long after the store's return an entry that lapsed is back.
+    static constexpr Duration returnTime = std::chrono::milliseconds(2000);
+
+    /// How long a missing entry is kept: as above, and until the news of its return has come.
     static constexpr Duration returnGrace = std::chrono::milliseconds(2200);
 
     /// With nothing known for so long entries may have lapsed: targets write theirs each 1.2 s, and three that fail in
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -185,11 +185,13 @@
 bool TargetRoster::expire(TimePoint now)
 {
     forgetOld(now);
-    // While nobody reaches the store nothing is dropped: who could not write itself again is no sign of death.
-    if (m_knownUntil && now - *m_knownUntil > awayTime)
-        return false;
-    const auto n
-        = std::erase_if(m_entries, [&](const auto& it) { return it.second.goneAt && now >= *it.second.goneAt; });
+    // A target may have written itself again without this router having heard of it yet; what is not known of the time
+    // in which it had to is no sign of its end.
+    const auto hasEnded = [&](const Entry& it) {
+        return it.goneAt && now >= *it.goneAt && m_knownUntil
+            && *m_knownUntil >= *it.goneAt - (returnGrace - returnTime);
+    };
+    const auto n = std::erase_if(m_entries, [&](const auto& it) { return hasEnded(it.second); });
     m_revision += n;
     return n > 0;
 }
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -323,6 +323,36 @@
     CHECK(roster.size() == 2);
 }
 
+// Routers gave up targets that lived. Their entries had lapsed while the store was away; half a second before the last
+// of them was back the one router that read for all was turned away, and all others gave it up when the time was over,
+// though they knew of nothing that had happened in the end of it:
+//   23.190 known until  23.357 the entry is back, record 38  23.740 given up, next=38
+TEST_CASE("a missing entry is given up only by what is known of the time in which it had to come back")
+{
+    TargetRoster roster;
+    roster.apply(start, entry("t"));
+    roster.known(1, start);
+    const TimePoint back = start + 10s;
+    roster.known(2, back);
+    roster.applyAll(back, { gone("t", 1) });
+    roster.known(2, back + 1500ms);
+    CHECK_FALSE(roster.expire(back + TargetRoster::returnGrace));
+    CHECK(roster.size() == 1);
+    SECTION("it was back all the while")
+    {
+        roster.known(3, back + 3s);
+        roster.applyAll(back + 3s, { entry("t", false, 0, 2) });
+        CHECK_FALSE(roster.expire(back + 3s));
+        CHECK(roster.size() == 1);
+    }
+    SECTION("it never came")
+    {
+        roster.known(2, back + 2s);
+        CHECK(roster.expire(back + 3s));
+        CHECK(roster.size() == 0);
+    }
+}
+
 TEST_CASE("an entry that is missing again while the store was away a second time is kept from its second return on")
 {
     TargetRoster roster;
