Tell routers since when the store is read, so that their own absence is not taken for its

Cause: a router whose knowledge jumped by more than 2 s concluded that nobody had reached the store in between and that entries may have lapsed. One that had been cut off, that had stood still, or that the store had turned away, kept each target whose removal it then learned for 2.2 s more, past the bound of 2 s of small fleets. In the model: a target left at 3.640 s, the router's knowledge jumped from 1.990 to 4.260 at 4.270, and the target was used until 6.460.

Change: routers tell each other, beside the age of what they know, for how long the store has been read without such a break (ReadSpan). A break of a router's own is closed by the first that tells of a span over it, and what was kept for it goes at once.

Ruled out: a shorter grace (entries that lapsed while the store was away return within 2 s, and would be lost).

The model was wrong in three ways that its traces showed, and is as strict for the rest: - A leaving that is acknowledged before the store has been undisturbed for the bound was held to the bound from its acknowledgement; it counts from when the store is stable. - A router that stood still got, on waking, what the store or another router knew then; each now answers when it is asked. - A second, slow disturbance of an absent store ended the absence, but entries lapsed all the same; an absence now lasts until the last disturbance ends.

--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -38,7 +38,8 @@
 news::Knowledge EdgeState::knowledgeLocked() const
 {
     // Known, if only that there is no target yet, from the first time on that all of the topic was read.
-    return { m_configVersion.load(), m_configUntil, m_roster.next().value_or(0), m_roster.knownUntil() };
+    return { m_configVersion.load(), m_configUntil, m_roster.next().value_or(0), m_roster.knownUntil(),
+        m_roster.readSince() };
 }
 
 news::Knowledge EdgeState::knowledge() const
@@ -58,10 +59,12 @@
 {
     std::lock_guard lock(m_mutex);
     news::Knowledge mine = knowledgeLocked();
-    const news::Missing missing = news::learn(mine, told, unsuspendedNow());
+    const TimePoint now = unsuspendedNow();
+    const news::Missing missing = news::learn(mine, told, now);
     m_configUntil = mine.configUntil;
-    if (mine.targetsUntil)
-        m_roster.known(mine.targetsNext, *mine.targetsUntil);
+    const std::optional<news::ReadSpan> read = news::toldRead(told, now, now);
+    if (read && !missing.targets)
+        m_roster.known(mine.targetsNext, *read);
     return missing;
 }
 
--- a/apps/sagechute-edge/PeerFollower.cpp
+++ b/apps/sagechute-edge/PeerFollower.cpp
@@ -137,7 +137,7 @@
     const news::ToldKnowledge& told = state.knowledge;
     const TimePoint now = unsuspendedNow();
     m_state.changeTargets([&](news::TargetRoster& roster) {
-        roster.known(told.targetsNext, answer.sent - *told.targetsAge);
+        roster.known(told.targetsNext, *news::toldRead(told, answer.sent, now));
         if (state.hasAllTargets)
             roster.replace(now, state.targets, told.targetsNext);
         else
@@ -165,6 +165,8 @@
     if (until == m_keptUntil)
         return;
     m_keptUntil = until;
+    if (!until)
+        return;
     process::log(process::LogLevel::Info, "missing-targets-kept",
         { { "for-ms", msText(*until - unsuspendedNow()) }, { "targets", std::to_string(size) },
             { "reason", "nothing was known of the store for a while; entries may have lapsed" } });
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -171,7 +171,7 @@
     const TimePoint until = news::knownByRead(sent, now, wait, isEmpty);
     m_state.changeTargets([&](news::TargetRoster& roster) {
         // Known first: a long absence decides whether what is missing now has lapsed.
-        roster.known(found->next, until);
+        roster.known(found->next, news::ReadSpan { sent, until });
         if (from)
             roster.applyAll(now, found->changes);
         else
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -84,26 +84,38 @@
 
 // ---- The list of targets
 
+/// A time in which the store answered somebody, again and again, without a break of TargetRoster::awayTime.
+struct ReadSpan {
+    TimePoint from;
+    TimePoint until;
+};
+
 /// The targets as this router believes in them.
 ///
 /// Entries lapse while the store is away, though their targets live; these write themselves again within two seconds of
-/// its return. An entry that goes missing in that time is therefore kept until it has passed. A life of a target that
-/// was ever seen draining stays so, whatever an older record or another router says; the target's next life is not
-/// bound by that, and once it is known nothing that is told of an earlier one counts.
+/// its return. An entry that goes missing in that time is therefore kept until it has passed. That the store was away
+/// is not concluded from this router having heard nothing: others may have read it all the while, and an entry that is
+/// missing has then gone. Routers tell each other for how long they know the store to have been read. A life of a
+/// target that was ever seen draining stays so, whatever an older record or another router says; the target's next life
+/// is not bound by that, and once it is known nothing that is told of an earlier one counts.
 ///
 /// Routers tell each other changes with the offsets of their records, not lists: which of two lists is newer can't be
 /// seen where one router keeps what another has dropped, and each decides by itself what it keeps.
 class TargetRoster {
 public:
-    /// All that the store acknowledged before @p until has been applied, up to the record before @p next. A long step
-    /// from the last such moment means that nobody reached the store in between, and that entries may have lapsed.
-    void known(LogOffset next, TimePoint until);
+    /// All that the store acknowledged in and before this time has been applied, up to the record before @p next. A
+    /// break before it means that nobody is known to have reached the store, and that entries may have lapsed.
+    void known(LogOffset next, ReadSpan);
+    void known(LogOffset next, TimePoint at) { known(next, ReadSpan { at, at }); }
 
     /// @return the first record that is not applied yet; absent before the first known().
     std::optional<LogOffset> next() const { return m_next; }
 
     /// @return see known(); absent before its first call.
-    std::optional<TimePoint> knownUntil() const { return m_knownUntil; }
+    std::optional<TimePoint> knownUntil() const { return m_read ? std::optional(m_read->until) : std::nullopt; }
+
+    /// @return since when the store is known to have been read without a break; absent before the first known().
+    std::optional<TimePoint> readSince() const { return m_read ? std::optional(m_read->from) : std::nullopt; }
 
     void apply(TimePoint now, const TargetChange&);
 
@@ -127,7 +139,7 @@
 
     std::vector<dispatch::Target> targets() const;
 
-    /// @return until when missing entries are kept, as they may have lapsed; absent before the first absence.
+    /// @return until when missing entries are kept, as they may have lapsed; absent while the store was never away.
     std::optional<TimePoint> keepsMissingUntil() const { return m_graceUntil; }
 
     /// @return a number that differs when the list does.
@@ -163,6 +175,14 @@
     void set(TimePoint now, const TargetChange&);
     void remove(TimePoint now, const TargetId&, LogOffset);
     void forgetOld(TimePoint now);
+    void noteBreak(ReadSpan after);
+
+    /// Others read the store in what had seemed a break: what is missing has gone.
+    void closeBreak();
+
+    /// @return whether what is missing had its time to come back. A target may have written itself again without this
+    ///         router having heard of it yet; what is not known of the time in which it had to is no sign of its end.
+    bool isOver(TimePoint graceUntil, TimePoint now) const;
 
     /// Notes the life of a target that was told of, and marks it as leaving if it ever was.
     /// @return false for an earlier life than the newest that is known.
@@ -171,15 +191,16 @@
     /// @return whether a later record of that target was applied already.
     bool isOutdated(const TargetChange&) const;
 
-    /// @return whether a later list was without that target. An answer to an earlier question may still have it, and the
-    ///         record that it has left would never be read again.
+    /// @return whether a later list was without that target. An answer to an earlier question may still have it, and
+    ///         the record that it has left would never be read again.
     bool isLeftOut(const TargetChange&) const;
 
     std::map<TargetId, Entry> m_entries;
     std::map<TargetId, LifeMemory> m_lives;
     std::optional<LogOffset> m_next;
     LogOffset m_completeFrom = 0; ///< All changes from here on are remembered.
-    std::optional<TimePoint> m_knownUntil;
+    std::optional<ReadSpan> m_read;
+    std::optional<TimePoint> m_readBefore; ///< The end of what was read before the last break.
     std::optional<TimePoint> m_graceUntil;
     std::uint64_t m_revision = 0;
 };
@@ -231,6 +252,7 @@
     std::optional<TimePoint> configUntil; ///< Every configuration that was acknowledged before is known.
     LogOffset targetsNext = 0; ///< Records of targets before this one are known.
     std::optional<TimePoint> targetsUntil; ///< As above, of the targets.
+    std::optional<TimePoint> targetsFrom; ///< The store was read without a break since then; see ReadSpan.
 };
 
 /// The same as told to other routers, whose clocks differ: with ages in place of moments.
@@ -240,6 +262,7 @@
     LogOffset targetsNext = 0;
     std::optional<Duration> targetsAge;
     std::optional<Duration> readAge; ///< Since its last answered read of the store of its own, of both topics.
+    std::optional<Duration> targetsFromAge; ///< For so long the store was read without a break.
 };
 
 /// How much longer than usual a message took, by the sender's clock and the receiver's.
@@ -264,7 +287,8 @@
 };
 
 /// @return the same, told by a message that took so long, and the shortest way, which no meter sees. Without the latter
-///         two routers that tell each other their ages would grow younger with each message.
+///         two routers that tell each other their ages would grow younger with each message. For how long the store was
+///         read without a break stays as it was told: that grows less true with more, not with less.
 ToldKnowledge delayed(const ToldKnowledge&, Duration delay);
 
 /// What another router has that is missing here.
@@ -281,6 +305,10 @@
 /// @return the topics of which it knows more; they have to be fetched from it first.
 Missing learn(Knowledge&, const ToldKnowledge&, TimePoint now);
 
+/// @param asOf when the ages were true. @param heard when they were heard.
+/// @return in which time another router knows the store to have been read; absent if it knows no targets.
+std::optional<ReadSpan> toldRead(const ToldKnowledge&, TimePoint asOf, TimePoint heard);
+
 /// @return the older of the two topics' moments; absent while one is not known at all.
 std::optional<TimePoint> knownUntil(const Knowledge&);
 
--- a/src/edge/Peers.cpp
+++ b/src/edge/Peers.cpp
@@ -90,7 +90,8 @@
     constexpr unsigned lastScope = static_cast<unsigned>(HeartbeatScope::All);
 
     // A heartbeat as it is written. Ages and times are in microseconds; an age that is not known is -1.
-    using WireKnowledge = std::tuple<std::uint64_t, std::int64_t, std::uint64_t, std::int64_t, std::int64_t>;
+    using WireKnowledge
+        = std::tuple<std::uint64_t, std::int64_t, std::uint64_t, std::int64_t, std::int64_t, std::int64_t>;
     using WireUse = std::tuple<std::map<std::string, std::uint32_t>, std::map<std::string, std::uint32_t>>;
     using WireHead = std::tuple<std::string, Incarnation, std::string, std::string, std::string, bool, WireKnowledge,
         std::uint32_t, std::uint32_t, unsigned, std::int64_t, WireUse, std::string>;
@@ -123,7 +124,7 @@
         const news::ToldKnowledge& known = it.knowledge;
         return { it.vm.value, it.incarnation, it.callerAddress, it.controlAddress, it.zone.value, it.isReady,
             { known.configVersion, toWire(known.configAge), known.targetsNext, toWire(known.targetsAge),
-                toWire(known.readAge) },
+                toWire(known.readAge), toWire(known.targetsFromAge) },
             it.capacity, it.usePercent, static_cast<unsigned>(it.scope), it.sentAt.time_since_epoch().count(),
             { toWire(it.use.zones), toWire(it.use.crowded) }, it.load };
     }
@@ -140,7 +141,7 @@
         it.zone = { std::move(zone) };
         it.isReady = isReady;
         it.knowledge = { std::get<0>(known), ageFromWire(std::get<1>(known)), std::get<2>(known),
-            ageFromWire(std::get<3>(known)), ageFromWire(std::get<4>(known)) };
+            ageFromWire(std::get<3>(known)), ageFromWire(std::get<4>(known)), ageFromWire(std::get<5>(known)) };
         it.capacity = capacity;
         it.usePercent = use;
         it.scope = static_cast<HeartbeatScope>(std::min(scope, lastScope));
@@ -175,13 +176,13 @@
 nlohmann::json encodeKnowledge(const news::ToldKnowledge& told)
 {
     return json::array({ told.configVersion, encodeAge(told.configAge), told.targetsNext, encodeAge(told.targetsAge),
-        encodeAge(told.readAge) });
+        encodeAge(told.readAge), encodeAge(told.targetsFromAge) });
 }
 
 news::ToldKnowledge decodeKnowledge(const json& item)
 {
     return { item.at(0).get<std::uint64_t>(), decodeAge(item.at(1)), item.at(2).get<LogOffset>(), decodeAge(item.at(3)),
-        decodeAge(item.at(4)) };
+        decodeAge(item.at(4)), decodeAge(item.at(5)) };
 }
 
 std::string encodeShared(const Heartbeat& heartbeat)
--- a/src/news/Knowledge.cpp
+++ b/src/news/Knowledge.cpp
@@ -37,7 +37,7 @@
 ToldKnowledge tell(const Knowledge& known, std::optional<TimePoint> readAt, TimePoint now)
 {
     return { known.configVersion, ageOf(known.configUntil, now), known.targetsNext, ageOf(known.targetsUntil, now),
-        ageOf(readAt, now) };
+        ageOf(readAt, now), ageOf(known.targetsFrom, now) };
 }
 
 Duration TransitMeter::delay(TimePoint sent, TimePoint received)
@@ -72,6 +72,15 @@
     return missing;
 }
 
+std::optional<ReadSpan> toldRead(const ToldKnowledge& told, TimePoint asOf, TimePoint heard)
+{
+    if (!told.targetsAge)
+        return std::nullopt;
+    const TimePoint until = asOf - *told.targetsAge;
+    const TimePoint from = told.targetsFromAge ? heard - *told.targetsFromAge : until;
+    return ReadSpan { std::min(from, until), until };
+}
+
 std::optional<TimePoint> knownUntil(const Knowledge& known)
 {
     if (!known.configUntil || !known.targetsUntil)
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -12,23 +12,49 @@
 
 } // namespace
 
-void TargetRoster::known(LogOffset next, TimePoint until)
+void TargetRoster::known(LogOffset next, ReadSpan told)
 {
     m_next = std::max(m_next.value_or(0), next);
-    if (m_knownUntil && until <= *m_knownUntil)
+    if (!m_read) {
+        m_read = told;
         return;
-    const bool mayHaveLapsed = m_knownUntil && until - *m_knownUntil > awayTime;
-    m_knownUntil = until;
-    if (!mayHaveLapsed)
-        return;
-    m_graceUntil = until + returnGrace;
-    // An absence during the grace of the one before: what is missing had no chance to come back.
+    }
+    const bool isJoined = told.from - m_read->until <= awayTime && m_read->from - told.until <= awayTime;
+    if (isJoined)
+        m_read = { std::min(m_read->from, told.from), std::max(m_read->until, told.until) };
+    else if (told.until > m_read->until)
+        noteBreak(told);
+    if (m_readBefore && m_read->from - *m_readBefore <= awayTime)
+        closeBreak();
+}
+
+void TargetRoster::noteBreak(ReadSpan after)
+{
+    m_readBefore = m_read->until;
+    m_read = after;
+    m_graceUntil = after.from + returnGrace;
+    // A break during the grace of the one before: what is missing had no chance to come back.
     for (auto& [id, entry] : m_entries) {
         if (entry.goneAt)
             entry.goneAt = *m_graceUntil;
     }
 }
 
+void TargetRoster::closeBreak()
+{
+    for (auto& [id, entry] : m_entries) {
+        if (entry.goneAt)
+            entry.goneAt = *m_readBefore;
+    }
+    m_readBefore.reset();
+    m_graceUntil.reset();
+}
+
+bool TargetRoster::isOver(TimePoint graceUntil, TimePoint now) const
+{
+    return now >= graceUntil && m_read && m_read->until >= graceUntil - (returnGrace - returnTime);
+}
+
 bool TargetRoster::noteLife(TimePoint now, dispatch::Target& target)
 {
     LifeMemory& newest = m_lives[target.id];
@@ -185,13 +211,8 @@
 bool TargetRoster::expire(TimePoint now)
 {
     forgetOld(now);
-    // A target may have written itself again without this router having heard of it yet; what is not known of the time
-    // in which it had to is no sign of its end.
-    const auto hasEnded = [&](const Entry& it) {
-        return it.goneAt && now >= *it.goneAt && m_knownUntil
-            && *m_knownUntil >= *it.goneAt - (returnGrace - returnTime);
-    };
-    const auto n = std::erase_if(m_entries, [&](const auto& it) { return hasEnded(it.second); });
+    const auto n
+        = std::erase_if(m_entries, [&](const auto& it) { return it.second.goneAt && isOver(*it.second.goneAt, now); });
     m_revision += n;
     return n > 0;
 }
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -58,7 +58,7 @@
 TEST_CASE("a heartbeat survives its encoding, and other bytes are refused")
 {
     const Heartbeat sent { { { "vm" }, 5, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true,
-                               { 9, 1500ms, 77, 250ms, std::nullopt }, 500, 70, HeartbeatScope::Zone },
+                               { 9, 1500ms, 77, 250ms, std::nullopt, 90s }, 500, 70, HeartbeatScope::Zone },
         start, { { { { "z" }, 55 } }, { { { "vm" }, 70 } } }, std::string("\0\xFF", 2), 41 };
     const auto read = decodeHeartbeat(encode(sent));
     REQUIRE(read.ok());
@@ -69,6 +69,7 @@
     CHECK(read->knowledge.targetsNext == 77);
     CHECK(read->knowledge.targetsAge == Duration(250ms));
     CHECK_FALSE(read->knowledge.readAge);
+    CHECK(read->knowledge.targetsFromAge == Duration(90s));
     CHECK(read->sentAt == start);
     CHECK(read->includedSerial == 41);
     CHECK(read->scope == HeartbeatScope::Zone);
--- a/tests/NewsStore.cpp
+++ b/tests/NewsStore.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-NewsStore::NewsStore(TimePoint start)
-    : m_configAcknowledged { start }
+NewsStore::NewsStore(TimePoint start, Duration stableTime)
+    : m_stableTime(stableTime)
+    , m_configAcknowledged { start }
 {
     for (std::size_t i = 0; i < usualTargets; ++i)
         come(start);
@@ -61,21 +62,29 @@
         m_lives.begin(), m_lives.end(), [](const Life& it) { return !it.left && it.isListed && !it.returns; });
     if (oldest == m_lives.end())
         return;
-    oldest->left = now;
+    oldest->left = std::max(now, stableAt());
     oldest->isListed = false;
     write(oldest->id, false, now);
 }
 
 void NewsStore::treatAll(TimePoint now, Treatment treatment, TimePoint until, SeededRandom& random)
 {
+    const Treatment before = this->treatment(now);
+    const bool wasAway = before == Treatment::Busy || before == Treatment::Silent;
+    // A store that is away stays so until the last of its faults ends; only then can entries be written again.
+    if (wasAway && (treatment == Treatment::Slow || until <= m_treatedUntil))
+        return;
+    if (!wasAway)
+        m_awaySince = now;
     m_treatment = treatment;
     m_treatedUntil = until;
-    if (treatment == Treatment::Slow)
-        return;
     for (Life& it : m_lives) {
-        if (it.left)
+        // Not counted yet when the store is disturbed again: that begins anew.
+        if (it.left && *it.left > now)
+            it.left = stableAt();
+        if (it.left || treatment == Treatment::Slow)
             continue;
-        const TimePoint lapses = now + firstLapse + part(lapseSpread, random.fraction());
+        const TimePoint lapses = m_awaySince + firstLapse + part(lapseSpread, random.fraction());
         it.returns = until + part(longestReturn, random.fraction());
         it.lapses = lapses < until ? std::optional(lapses) : std::nullopt;
     }
--- a/tests/NewsStore.h
+++ b/tests/NewsStore.h
@@ -22,7 +22,9 @@
 /// targets lapse while the store answers nobody, and are back within two seconds of its return.
 class NewsStore {
 public:
-    explicit NewsStore(TimePoint start);
+    /// @param stableTime for so long after the store's return its acknowledgements don't count for a promise yet: which
+    ///        entries have lapsed can't be known until then.
+    NewsStore(TimePoint start, Duration stableTime);
 
     /// The operator changes the configuration, or a target comes or leaves. Nothing happens while the store is away.
     void change(TimePoint now, SeededRandom&);
@@ -52,9 +54,12 @@
     /// @return the same of changes of targets; entries that lapse or come back don't count.
     std::optional<TimePoint> targetsMissingSince(LogOffset next) const;
 
-    /// @return when the leaving of a target was acknowledged; absent for one that lives.
+    /// @return from when on the leaving of a target counts; absent for one that lives.
     std::optional<TimePoint> leftAt(const TargetId&) const;
 
+    /// @return when the store has been without disturbance for the stable time.
+    TimePoint stableAt() const { return m_treatedUntil + m_stableTime; }
+
 private:
     /// A target of which the entry may lapse; the moments are those at which that happens.
     struct Life {
@@ -68,12 +73,14 @@
     void come(TimePoint now);
     void write(const TargetId&, bool isListed, std::optional<TimePoint> acknowledged);
 
+    const Duration m_stableTime;
     std::vector<TimePoint> m_configAcknowledged;
     std::vector<TargetChange> m_records;
     std::vector<std::optional<TimePoint>> m_acknowledged; ///< By record; absent where no promise counts from it.
     std::vector<Life> m_lives;
     Treatment m_treatment = Treatment::Serves;
     TimePoint m_treatedUntil {};
+    TimePoint m_awaySince {}; ///< The begin of the last time in which it answered nobody.
 };
 
 } // namespace sagechute::news::test
--- a/tests/NewsTest.cpp
+++ b/tests/NewsTest.cpp
@@ -102,6 +102,22 @@
     CHECK_FALSE(knownUntil({ 3, start, 9, std::nullopt }));
 }
 
+TEST_CASE("in which time another knows the store to have been read is told by ages")
+{
+    const Knowledge known { 3, start, 9, start + 1s, start - 5s };
+    const ToldKnowledge told = tell(known, std::nullopt, start + 2s);
+    CHECK(told.targetsFromAge == Duration(7s));
+    // The way makes what is known older; for how long the store was read doesn't grow by it.
+    CHECK(delayed(told, 300ms).targetsFromAge == Duration(7s));
+    const auto read = toldRead(told, start + 10s, start + 11s);
+    REQUIRE(read);
+    CHECK(read->until == start + 9s);
+    CHECK(read->from == start + 4s);
+    CHECK_FALSE(toldRead(tell({ 3, start, 0, std::nullopt }, std::nullopt, start), start, start));
+    // Known, but not since when: no more than that moment.
+    CHECK(toldRead({ 3, 0ms, 9, 200ms, std::nullopt }, start, start)->from == start - 200ms);
+}
+
 TEST_CASE("a call that the store kept and answered empty covers the time that it was kept")
 {
     CHECK(knownByRead(start, start + 510ms, 500ms, true) == start + 500ms);
--- a/tests/NewsWorld.cpp
+++ b/tests/NewsWorld.cpp
@@ -33,6 +33,7 @@
     , m_random(options.seed)
     , m_routers(options.routers)
     , m_relays(zones, 0)
+    , m_store(m_now, options.bound + stableMargin)
 {
     for (std::size_t i = 0; i < m_routers.size(); ++i) {
         Router& it = m_routers[i];
@@ -70,7 +71,6 @@
     if (m_options.isStoreShared && drawn < 0.08) {
         const std::array<Treatment, 3> all { Treatment::Busy, Treatment::Silent, Treatment::Slow };
         m_store.treatAll(m_now, all[static_cast<std::size_t>(m_random.fraction() * 3)], m_now + length, m_random);
-        m_storeUnstableUntil = std::max(m_storeUnstableUntil, m_store.treatedUntil() + m_times.bound + stableMargin);
         return;
     }
     const auto kind = [&] {
@@ -140,7 +140,8 @@
 
 Knowledge NewsWorld::knowledge(const Router& it)
 {
-    return { it.configVersion, it.configUntil, it.roster.next().value_or(0), it.roster.knownUntil() };
+    return { it.configVersion, it.configUntil, it.roster.next().value_or(0), it.roster.knownUntil(),
+        it.roster.readSince() };
 }
 
 std::optional<TimePoint> NewsWorld::knownUntil(const Router& it, std::size_t topic)
@@ -252,8 +253,11 @@
             mine.targetsUntil = m_now - *told.targetsAge;
     }
     self.configUntil = mine.configUntil;
-    if (mine.targetsUntil)
+    const std::optional<ReadSpan> read = toldRead(told, m_now, m_now);
+    if (m_options.fault == DeliberateFault::TakesAgeUnseen && mine.targetsUntil)
         self.roster.known(mine.targetsNext, *mine.targetsUntil);
+    else if (read && !missing.targets)
+        self.roster.known(mine.targetsNext, *read);
     if (missing.any())
         self.news = from;
 }
@@ -307,39 +311,42 @@
     return m_now < std::max(it.frozenUntil, it.muteUntil) && m_now - it.silentSince >= lossSeen;
 }
 
+void NewsWorld::answerFetch(Fetch& fetch) const
+{
+    if (fetch.answer || m_now < fetch.end)
+        return;
+    fetch.answer = Answer { m_now, fetch.end - fetch.sent > fetchTime };
+    if (fetch.answer->hasFailed)
+        return;
+    const Router& other = m_routers[fetch.from];
+    const auto changes = fetch.targetsNext ? other.roster.changesSince(*fetch.targetsNext) : std::nullopt;
+    fetch.answer->told = tell(knowledge(other), std::nullopt, m_now);
+    fetch.answer->hasAllTargets = !changes;
+    fetch.answer->targets = changes ? *changes : other.roster.all();
+}
+
 void NewsWorld::finishFetches(std::size_t i)
 {
     Router& self = m_routers[i];
-    std::vector<Fetch> ended;
-    std::erase_if(self.fetches, [&](const Fetch& it) {
-        if (m_now < it.end)
-            return false;
-        ended.push_back(it);
-        return true;
-    });
-    for (const Fetch& it : ended) {
-        const bool isAnswered = it.end - it.sent <= fetchTime;
-        self.requests->ended(m_routers[it.from].vm, m_now, isAnswered);
-        if (isAnswered)
+    const auto ended = std::stable_partition(
+        self.fetches.begin(), self.fetches.end(), [](const Fetch& it) { return !it.answer.has_value(); });
+    const std::vector<Fetch> answered(ended, self.fetches.end());
+    self.fetches.erase(ended, self.fetches.end());
+    for (const Fetch& it : answered) {
+        self.requests->ended(m_routers[it.from].vm, m_now, !it.answer->hasFailed);
+        if (!it.answer->hasFailed)
             takeFrom(self, it);
     }
 }
 
 void NewsWorld::takeFrom(Router& self, const Fetch& fetch)
 {
-    const Router& other = m_routers[fetch.from];
-    const ToldKnowledge told = tell(knowledge(other), std::nullopt, m_now);
-    self.configVersion = std::max(self.configVersion, other.configVersion);
+    const ToldKnowledge& told = fetch.answer->told;
+    self.configVersion = std::max(self.configVersion, told.configVersion);
     if (told.configAge && self.configVersion <= told.configVersion)
         self.configUntil = std::max(self.configUntil.value_or(TimePoint {}), fetch.sent - *told.configAge);
-    if (!told.targetsAge)
-        return;
-    const auto changes = fetch.targetsNext ? other.roster.changesSince(*fetch.targetsNext) : std::nullopt;
-    self.roster.known(told.targetsNext, fetch.sent - *told.targetsAge);
-    if (changes)
-        self.roster.applyAll(m_now, *changes);
-    else
-        self.roster.replace(m_now, other.roster.all(), told.targetsNext);
+    if (told.targetsAge)
+        takeTargets(self, *fetch.answer, told.targetsNext, *toldRead(told, fetch.sent, m_now));
 }
 
 void NewsWorld::startCall(Router& self, std::size_t topic, Duration wait)
@@ -368,53 +375,66 @@
     ++m_report.storeCalls;
 }
 
-void NewsWorld::takeTargets(Router& self, std::optional<LogOffset> from, TimePoint until)
+void NewsWorld::takeTargets(Router& self, const Answer& answer, LogOffset next, ReadSpan read)
 {
-    self.roster.known(m_store.targetsEnd(), until);
-    if (from)
-        self.roster.applyAll(m_now, m_store.targetsSince(*from));
+    self.roster.known(next, read);
+    if (answer.hasAllTargets)
+        self.roster.replace(m_now, answer.targets, next);
     else
-        self.roster.replace(m_now, m_store.targets(), m_store.targetsEnd());
+        self.roster.applyAll(m_now, answer.targets);
+}
+
+void NewsWorld::answerCall(Router& self, std::size_t topic)
+{
+    std::optional<Call>& call = self.calls[topic];
+    if (!call || call->answer)
+        return;
+    // A call that waits at a store which falls silent is never answered.
+    const bool isServed = m_now >= m_store.treatedUntil() && m_now >= self.treatedUntil;
+    if (!isServed && !call->willFail && !call->isSlow) {
+        call->willFail = true;
+        call->end = call->sent + call->wait + answerTimeout;
+    }
+    const std::uint64_t newest = topic ? m_store.targetsEnd() : m_store.configVersions();
+    const bool isOver = newest > call->from.value_or(0) || m_now - call->sent >= call->wait;
+    if (m_now < call->end || (!call->willFail && !isOver))
+        return;
+    call->answer = Answer { m_now, call->willFail, newest };
+    call->answer->hasAllTargets = !call->from;
+    if (topic && !call->willFail)
+        call->answer->targets = call->from ? m_store.targetsSince(*call->from) : m_store.targets();
 }
 
 void NewsWorld::finishCalls(std::size_t i)
 {
     Router& self = m_routers[i];
     for (std::size_t topic = 0; topic < topics; ++topic) {
-        std::optional<Call>& call = self.calls[topic];
-        if (!call)
-            continue;
-        // A call that waits at a store which falls silent is never answered.
-        const bool isServed = m_now >= m_store.treatedUntil() && m_now >= self.treatedUntil;
-        if (!isServed && !call->willFail && !call->isSlow) {
-            call->willFail = true;
-            call->end = call->sent + call->wait + answerTimeout;
+        if (m_options.fault == DeliberateFault::ReaderLags && self.calls[topic] && knownUntil(self, topic)) {
+            if (topic)
+                self.roster.known(*self.roster.next(), m_now);
+            else
+                self.configUntil = m_now;
         }
-        const std::uint64_t newest = topic ? m_store.targetsEnd() : m_store.configVersions();
-        if (m_options.fault == DeliberateFault::ReaderLags && topic && self.roster.knownUntil())
-            self.roster.known(*self.roster.next(), m_now);
-        if (m_options.fault == DeliberateFault::ReaderLags && !topic && self.configUntil)
-            self.configUntil = m_now;
-        const bool hasNews = newest > call->from.value_or(0);
-        const bool isOver = hasNews || m_now - call->sent >= call->wait;
-        if (m_now < call->end || (!call->willFail && !isOver))
+        if (!self.calls[topic] || !self.calls[topic]->answer)
             continue;
-        if (call->willFail) {
+        const Call call = *std::exchange(self.calls[topic], std::nullopt);
+        if (call.answer->hasFailed) {
             self.cursors[topic].readFailed(m_now);
-            self.failedAt[topic] = call->sent;
+            self.failedAt[topic] = call.sent;
+            continue;
+        }
+        const std::uint64_t newest = call.answer->newest;
+        self.cursors[topic].readDone(m_now, newest);
+        self.failedAt[topic].reset();
+        self.readAt[topic] = m_now;
+        const bool isEmpty = newest <= call.from.value_or(0);
+        const TimePoint until = knownByRead(call.sent, m_now, call.wait, isEmpty);
+        if (topic) {
+            takeTargets(self, *call.answer, newest, { call.sent, until });
         } else {
-            self.cursors[topic].readDone(m_now, newest);
-            self.failedAt[topic].reset();
-            self.readAt[topic] = m_now;
-            const TimePoint until = knownByRead(call->sent, m_now, call->wait, !hasNews);
-            if (topic) {
-                takeTargets(self, call->from, until);
-            } else {
-                self.configVersion = std::max(self.configVersion, newest);
-                self.configUntil = std::max(self.configUntil.value_or(until), until);
-            }
+            self.configVersion = std::max(self.configVersion, newest);
+            self.configUntil = std::max(self.configUntil.value_or(until), until);
         }
-        call.reset();
     }
 }
 
@@ -454,7 +474,7 @@
 void NewsWorld::check(std::size_t i)
 {
     const Router& self = m_routers[i];
-    if (!isCalm(self) || m_now < m_storeUnstableUntil)
+    if (!isCalm(self) || m_now < m_store.stableAt())
         return;
     // One that the store turns away has to hear it from another, if there is one that all goes well with.
     const auto isWell = [&](const Router& it) { return isCalm(it) && m_now >= it.treatedUntil + m_times.bound; };
@@ -491,6 +511,10 @@
 void NewsWorld::step(std::size_t i)
 {
     Router& self = m_routers[i];
+    for (std::size_t topic = 0; topic < topics; ++topic)
+        answerCall(self, topic);
+    for (Fetch& it : self.fetches)
+        answerFetch(it);
     if (isFrozen(self)) {
         self.disturbedUntil = std::max(self.disturbedUntil, m_now);
         return;
--- a/tests/NewsWorld.h
+++ b/tests/NewsWorld.h
@@ -75,6 +75,16 @@
 private:
     static constexpr std::size_t topics = 2; ///< Configuration and targets.
 
+    /// What the store, or another router, said; a router that stands still finds it later.
+    struct Answer {
+        TimePoint at;
+        bool hasFailed = false;
+        std::uint64_t newest = 0; ///< Of the topic that was read.
+        ToldKnowledge told; ///< Of another router.
+        bool hasAllTargets = false;
+        std::vector<TargetChange> targets;
+    };
+
     struct Call {
         TimePoint sent;
         TimePoint end;
@@ -82,6 +92,7 @@
         std::optional<LogOffset> from; ///< Absent: it reads all.
         bool willFail = false;
         bool isSlow = false;
+        std::optional<Answer> answer;
     };
 
     struct Message {
@@ -96,6 +107,7 @@
         TimePoint sent;
         TimePoint end;
         std::optional<LogOffset> targetsNext; ///< Known when it was sent.
+        std::optional<Answer> answer;
     };
 
     struct Router {
@@ -142,6 +154,8 @@
     void step(std::size_t i);
     void receive(std::size_t i);
     void heartbeat(std::size_t i);
+    void answerCall(Router&, std::size_t topic);
+    void answerFetch(Fetch&) const;
     void finishCalls(std::size_t i);
     void finishFetches(std::size_t i);
     void startReads(std::size_t i);
@@ -149,7 +163,7 @@
     std::optional<std::size_t> anyone(std::size_t i);
     void startFetch(std::size_t i, std::size_t from, PeerRequests::Whom);
     void startCall(Router&, std::size_t topic, Duration wait);
-    void takeTargets(Router&, std::optional<LogOffset> from, TimePoint until);
+    void takeTargets(Router&, const Answer&, LogOffset next, ReadSpan);
     void takeFrom(Router&, const Fetch&);
     void check(std::size_t i);
     void checkTargets(Router&);
@@ -173,8 +187,7 @@
     std::vector<std::size_t> m_relays;
     std::vector<PlannedFault> m_plan;
     TimePoint m_nextElection {};
-    NewsStore m_store { m_now };
-    TimePoint m_storeUnstableUntil {};
+    NewsStore m_store;
     NewsReport m_report;
 };
 
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -368,6 +368,67 @@
     CHECK(roster.expire(start + 10s + TargetRoster::returnGrace));
 }
 
+// A router that had heard nothing for 2.3 s learned that a target had left 0.6 s before, and used it for 2.2 s more. It
+// took the time in which it knew nothing new for an absence of the store, in which entries lapse; the others had read
+// the store all the while. In the model:
+//   3.640 a target leaves  4.270 known until 4.260, before 1.990; missing targets kept until 6.460
+//   5.980 it is still used  next=13 known until 5.890
+TEST_CASE("a router that heard nothing for seconds keeps nothing that others have seen go while the store was read")
+{
+    TargetRoster roster;
+    roster.known(1, start);
+    roster.apply(start, entry("t"));
+    const TimePoint back = start + 5s;
+    SECTION("it hears it from another, which knows since when the store is read")
+    {
+        roster.known(3, ReadSpan { start - 10s, back });
+        roster.apply(back, gone("t", 2));
+        CHECK(roster.size() == 0);
+        CHECK_FALSE(roster.keepsMissingUntil());
+        CHECK(roster.readSince() == start - 10s);
+    }
+    SECTION("it reads the store itself first: the entry may have lapsed, until another tells that it can't have")
+    {
+        roster.known(3, back);
+        roster.apply(back, gone("t", 2));
+        roster.expire(back);
+        CHECK(roster.size() == 1);
+        roster.known(3, ReadSpan { start - 10s, back + 100ms });
+        roster.expire(back + 100ms);
+        CHECK(roster.size() == 0);
+        CHECK_FALSE(roster.keepsMissingUntil());
+    }
+    SECTION("the other was away as well: nothing is known of that time")
+    {
+        roster.known(3, back);
+        roster.apply(back, gone("t", 2));
+        roster.known(3, ReadSpan { start + 3s, back + 100ms });
+        roster.expire(back + 100ms);
+        CHECK(roster.size() == 1);
+        CHECK(roster.readSince() == start + 3s);
+    }
+    SECTION("it hears from one that has been without news for longer: that says nothing of now")
+    {
+        roster.known(3, back);
+        roster.known(1, ReadSpan { start - 10s, start + 1s });
+        CHECK(roster.readSince() == back);
+        CHECK(roster.knownUntil() == back);
+    }
+}
+
+TEST_CASE("since when the store was read joins what several saw of it")
+{
+    TargetRoster roster;
+    roster.known(1, ReadSpan { start, start + 1s });
+    roster.known(1, ReadSpan { start + 2s, start + 4s });
+    CHECK(roster.readSince() == start);
+    roster.known(1, ReadSpan { start - 3s, start - 1s });
+    CHECK(roster.readSince() == start - 3s);
+    CHECK(roster.knownUntil() == start + 4s);
+    roster.known(1, start + 4s + TargetRoster::awayTime + 1ms);
+    CHECK(roster.readSince() == start + 4s + TargetRoster::awayTime + 1ms);
+}
+
 TEST_CASE("of two records for one target the later counts, in whatever order they are told")
 {
     TargetRoster roster;
