Keep an entry that is found missing late until its return could have been known

Cause: whether a missing entry may still come back was asked of the clock when it was found missing, and of what is known of the store when it was given up. With the store away a second time during the return, entries that lapsed in the first absence were found missing when the time for their return had passed by the clock, and were dropped at once: store back at 11.040, away again at 11.140 s, list read at 13.580 and known until 11.080.

Change: both ask what is known of the time in which the entry had to return (isOver).

Tried beside it and taken back: prolonging the return by each break of over 1 s in what a router knows.

--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -142,8 +142,8 @@
     const auto it = m_entries.find(id);
     if (it == m_entries.end() || it->second.goneAt)
         return;
-    const bool mayHaveLapsed = m_graceUntil && now < *m_graceUntil && !it->second.target.draining;
-    if (mayHaveLapsed) {
+    const bool mayReturn = m_graceUntil && !isOver(*m_graceUntil, now);
+    if (mayReturn && !it->second.target.draining) {
         it->second.goneAt = *m_graceUntil;
         return;
     }
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -353,6 +353,36 @@
     }
 }
 
+// The store was away twice. A router learned after the second absence that entries had lapsed in the first, and gave
+// them up at once, as their time to come back had passed by its clock; they could not come back while the store was
+// away, and nobody knew anything of that time. In the model:
+//   11.040 the store is back  11.140 away again  13.580 known until 11.080, kept until 13.240: given up
+TEST_CASE("an entry found missing late is given up only by what is known of the time in which it had to come back")
+{
+    TargetRoster roster;
+    roster.apply(start, entry("t"));
+    roster.known(1, start);
+    const TimePoint back = start + 5s;
+    roster.known(2, back);
+    const TimePoint late = back + TargetRoster::returnGrace + 300ms;
+    roster.apply(late, gone("t", 1));
+    CHECK_FALSE(roster.expire(late));
+    CHECK(roster.size() == 1);
+    SECTION("it is back")
+    {
+        roster.known(3, late + 1s);
+        roster.apply(late + 1s, entry("t", false, 0, 2));
+        CHECK_FALSE(roster.expire(late + 2s));
+        CHECK(roster.size() == 1);
+    }
+    SECTION("it is not, and the store was read")
+    {
+        roster.known(2, back + 2s);
+        CHECK(roster.expire(late + 1s));
+        CHECK(roster.size() == 0);
+    }
+}
+
 TEST_CASE("an entry that is missing again while the store was away a second time is kept from its second return on")
 {
     TargetRoster roster;
