Announce and search in a thread apart from the one that reads targets

Cause, of the same kind as the waits for other routers: calls for another purpose shared the thread that reads targets. A router that announces itself, 4 s after its start, or that knows no other and looks for some each second, waits up to 1.2 s for each such call when the store is silent to it; what the store said of targets waited, too.

The stand-in store can misbehave for one topic.

--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -8,19 +8,6 @@
 
 namespace {
 
-    using std::chrono::milliseconds;
-
-    /// How often a router that knows no other looks into the store for one, and one that could not announce itself
-    /// tries again.
-    constexpr Duration searchInterval = std::chrono::seconds(1);
-
-    /// A router announces itself when it has been there for so long: by then it knows whether the fleet is large, where
-    /// only relays need to be found.
-    constexpr Duration announceAfter = milliseconds(4000);
-
-    /// One that knows no other by then has seeds that are down, and can only be found in the store.
-    constexpr Duration aloneAfter = milliseconds(1500);
-
     /// A reader whose calls are all answered with news at once, as while many targets leave, lets some of them gather.
     constexpr int leastPauseParts = 5; ///< Of the time that the store may keep a call.
 
@@ -49,7 +36,7 @@
     , m_config { "configuration", &StoreFollower::readConfig, [](const news::Knowledge& it) { return it.configUntil; },
         &state.configReadAt }
     , m_targets { "targets", &StoreFollower::readTargets, [](const news::Knowledge& it) { return it.targetsUntil; },
-        &state.targetsReadAt, true }
+        &state.targetsReadAt }
 {
 }
 
@@ -112,8 +99,6 @@
             topic.failedAt = isRead ? std::nullopt : topic.sentAt;
             delay = Duration::zero();
         }
-        if (topic.isTargets)
-            findOthers();
     }
 }
 
@@ -199,28 +184,4 @@
             { "reason", first.reason } });
 }
 
-void StoreFollower::findOthers()
-{
-    const TimePoint now = unsuspendedNow();
-    const bool isAlone = !m_fleet.knowsOthers();
-    if (now < m_startedAt + (isAlone ? aloneAfter : announceAfter) || now < m_nextSearch)
-        return;
-    const bool wantsToAnnounce = !m_isAnnounced && m_fleet.isLandmark();
-    if (!wantsToAnnounce && !isAlone)
-        return;
-    m_nextSearch = now + searchInterval;
-    if (wantsToAnnounce) {
-        m_metrics.storeCalls().Increment();
-        m_isAnnounced = m_store.announce({ m_state.vm, m_fleet.gossipAddress() }).ok();
-    }
-    if (!isAlone)
-        return;
-    m_metrics.storeCalls().Increment();
-    const auto found = m_store.announcements();
-    if (!found.ok())
-        return;
-    for (const news::RouterAnnouncement& it : *found)
-        m_fleet.addSeed(it.gossipAddress);
-}
-
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -29,7 +29,6 @@
         bool (StoreFollower::*read)(Topic&, Duration wait);
         std::optional<TimePoint> (*knownUntil)(const news::Knowledge&);
         std::atomic<TimePoint>* readAt;
-        bool isTargets = false;
         news::ReadCursor cursor;
         std::optional<TimePoint> sentAt;
         std::optional<TimePoint> failedAt;
@@ -42,7 +41,6 @@
     bool noteRead(Topic&, const absl::Status&, LogOffset next);
     void noteUnreadable(const char* topic, const std::vector<news::UnreadableRecord>&);
 
-    void findOthers();
     bool pause(Duration);
 
     EdgeState& m_state;
@@ -59,8 +57,6 @@
     std::mutex m_mutex;
     std::condition_variable m_stopped;
     bool m_isStopping = false;
-    bool m_isAnnounced = false;
-    TimePoint m_nextSearch {};
     std::vector<std::thread> m_threads;
 };
 
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// The edge router: takes callers' requests on the users' platform and shares targets fairly.
 
+#include "FleetSearch.h"
 #include "Front.h"
 #include "Housekeeping.h"
 #include "Listeners.h"
@@ -73,8 +74,10 @@
         ConfigIntake intake(state, *store);
         StoreFollower storeFollower(state, **fleet, *store, intake, edgeMetrics, options);
         PeerFollower peerFollower(state, **fleet, intake, **peerClient, inbox, edgeMetrics, options);
+        FleetSearch search(state, **fleet, *store, edgeMetrics);
         storeFollower.start();
         peerFollower.start();
+        search.start();
         process::log(process::LogLevel::Info, "started",
             { { "callers", options.callersListen }, { "gossip", (*fleet)->gossipAddress() }, { "store", options.store },
                 { "version", std::string(process::version()) } });
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -245,19 +245,40 @@
         process.end()
         self.fleet.wait_until("the killed one is left out", lambda: address not in self.fleet.locate(), 3)
 
+    def restart_with_stale_seeds(self, router):
+        router["process"].end()
+        with open(router["settings"]) as file:
+            text = file.read()
+        with open(router["settings"], "w") as file:
+            file.writelines(line if not line.startswith("seeds=") else "seeds=127.0.0.9:1\n"
+                            for line in text.splitlines(keepends=True))
+        router["process"].start()
+
     def test_routers_whose_seeds_are_all_stale_meet_by_the_store(self):
         """Symptom: a router never meets the others and gives only itself to callers. All addresses in its settings are
         those of routers that have gone."""
         for router in self.fleet.routers:
-            router["process"].end()
-            with open(router["settings"]) as file:
-                text = file.read()
-            with open(router["settings"], "w") as file:
-                file.writelines(line if not line.startswith("seeds=") else "seeds=127.0.0.9:1\n"
-                                for line in text.splitlines(keepends=True))
-            router["process"].start()
+            self.restart_with_stale_seeds(router)
         self.fleet.wait_until("they know each other", lambda: len(self.fleet.locate()) == 2, 12)
 
+    def test_a_router_that_waits_to_be_found_learns_of_leaving_workers_meanwhile(self):
+        """A router that was new, or knew no other, used workers for seconds after they had said that they leave. It
+        announced itself in the store, and looked there for others, in the thread that reads the workers; while the
+        store did not answer those calls, the router's log had `target-draining target=app-0` 1.4 s after the worker
+        drained."""
+        self.fleet.command(self.fleet.store, "/standin/fault?kind=silent&topic=keyed.status")
+        router = self.fleet.routers[0]
+        self.fleet.routers[1]["process"].end()
+        self.restart_with_stale_seeds(router)
+        self.fleet.wait_until("it is ready", lambda: self.fleet.is_ready(router), 6)
+        time.sleep(4.5)  # By then it announces itself, too.
+        for worker in ("app-0", "engine-0", "engine-1"):
+            self.fleet.command(self.fleet.workers[worker]["address"], "/standin/drain")
+            drained = time.monotonic()
+            self.wait_log(f"target-draining target={worker}")
+            self.assertLess(time.monotonic() - drained, 0.8, worker)
+            time.sleep(0.5)
+
     def test_changed_settings_are_read_with_and_without_a_signal_and_bad_ones_refused(self):
         path = self.fleet.routers[0]["settings"]
         process = self.fleet.routers[0]["process"]
