--- a/apps/sagechute-edge/AgeText.h
+++ b/apps/sagechute-edge/AgeText.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// @file
+/// Durations and ages as log lines have them.
+
 #include <sagechute/Core.h>
 
 #include <optional>
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -31,8 +31,7 @@
     std::vector<Peer> peers(TimePoint now) const;
 
     /// @return routers that can be asked for what they know: those heard of, in a large fleet all that gossip knows to
-    /// be
-    ///         there.
+    ///         be there.
     std::vector<RouterContact> contacts(TimePoint now) const;
 
     /// @return whether any other router is known to gossip.
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -288,7 +288,7 @@
 
 /// @return the same, told by a message that took so long, and the shortest way, which no meter sees. Without the latter
 ///         two routers that tell each other their ages would grow younger with each message. For how long the store was
-///         read without a break stays as it was told: that grows less true with more, not with less.
+///         read without a break stays as told: it may be understated, but not overstated.
 ToldKnowledge delayed(const ToldKnowledge&, Duration delay);
 
 /// What another router has that is missing here.
@@ -413,9 +413,8 @@
     PeerRequests(const NewsTimes&, TimePoint startedAt);
 
     /// @param knownUntil of the older topic. @param source a router that was heard to know more, if one was.
-    /// @return who is to be asked now: anyone when what is known has grown old, as a router whose own read is refused
-    /// or
-    ///         hangs, and whose sources are lost, would else know nothing new until they are back.
+    /// @return who is to be asked now: anyone when what is known has grown old, as a router whose own read is refused,
+    ///         or hangs, and whose sources are lost, would else know nothing new until they are back.
     Whom due(TimePoint now, std::optional<TimePoint> knownUntil, const std::optional<VmId>& source) const;
 
     /// @return when anyone is to be asked if nothing is heard until then; it may have passed.
