See a short second absence of the store while entries come back

Cause: only a break of 2 s in what is known counted as an absence. Entries that had lapsed in one absence can't come back in the next, however short it is; they were given up 2.2 s after the first while their targets lived, and no router sent them anything until they were listed again. In the model: known until 27.340 after an absence, store away again from 27.750 to 28.530, known until 28.700 and on, given up at 29.550, back by 30.530.

Change: TargetRoster keeps the breaks of what is known, from 0.55 of the bound on (NewsTimes:: storeBreak; a router that the store answers has read by then), 2 s at most. Lapses are looked for after breaks of 2 s as before; each further break prolongs the return. What another router read takes time out of a break, or closes it, and what was kept for it alone goes at once.

--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -2,8 +2,10 @@
 
 namespace sagechute::edge {
 
-EdgeState::EdgeState(const dispatch::DispatchSettings& settings, VmId self, ZoneId zone, std::uint64_t seed)
+EdgeState::EdgeState(const dispatch::DispatchSettings& settings, const news::NewsTimes& times, VmId self, ZoneId zone,
+    std::uint64_t seed)
     : vm(std::move(self))
+    , m_roster(times.storeBreak)
     , m_dispatcher(dispatch::Dispatcher::make(settings, std::move(zone), seed))
 {
 }
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -16,7 +16,7 @@
 /// never over input or output; at the few hundred requests a second that a VM of a quarter core takes, no one waits.
 class EdgeState {
 public:
-    EdgeState(const dispatch::DispatchSettings&, VmId self, ZoneId zone, std::uint64_t seed);
+    EdgeState(const dispatch::DispatchSettings&, const news::NewsTimes&, VmId self, ZoneId zone, std::uint64_t seed);
 
     const VmId vm; ///< This router's.
 
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -39,7 +39,8 @@
 
     int serve(const Options& options, Incarnation incarnation, SettingsWatch& watch, process::StopSignal& stop)
     {
-        EdgeState state(options.dispatchSettings(), { options.vm }, { options.zone }, std::random_device {}());
+        EdgeState state(
+            options.dispatchSettings(), options.newsTimes(), { options.vm }, { options.zone }, std::random_device {}());
         process::Metrics metrics;
         EdgeMetrics edgeMetrics(metrics);
         DueTimers timers;
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -84,7 +84,7 @@
 
 // ---- The list of targets
 
-/// A time in which the store answered somebody, again and again, without a break of TargetRoster::awayTime.
+/// A time in which the store answered somebody, again and again, without a break; see NewsTimes::storeBreak.
 struct ReadSpan {
     TimePoint from;
     TimePoint until;
@@ -103,6 +103,12 @@
 /// seen where one router keeps what another has dropped, and each decides by itself what it keeps.
 class TargetRoster {
 public:
+    /// @param storeBreak see NewsTimes.
+    explicit TargetRoster(Duration storeBreak = awayTime)
+        : m_storeBreak(storeBreak)
+    {
+    }
+
     /// All that the store acknowledged in and before this time has been applied, up to the record before @p next. A
     /// break before it means that nobody is known to have reached the store, and that entries may have lapsed.
     void known(LogOffset next, ReadSpan);
@@ -160,7 +166,7 @@
     struct Entry {
         dispatch::Target target;
         LogOffset offset = 0;
-        std::optional<TimePoint> goneAt; ///< Its entry is missing; it is dropped at this moment unless it comes back.
+        bool isMissing = false; ///< It may have lapsed, and is kept for a while.
     };
 
     /// What is remembered of a target's newest life, also when its entry has gone.
@@ -175,14 +181,22 @@
     void set(TimePoint now, const TargetChange&);
     void remove(TimePoint now, const TargetId&, LogOffset);
     void forgetOld(TimePoint now);
-    void noteBreak(ReadSpan after);
+    /// A time of which nothing is known: maybe the store answered nobody.
+    struct Break {
+        TimePoint before; ///< The end of what is known.
+        TimePoint after;
+    };
 
-    /// Others read the store in what had seemed a break: what is missing has gone.
-    void closeBreak();
+    /// Takes what another knows out of the breaks.
+    void closeBreaks(ReadSpan told);
+
+    /// Finds until when missing entries are kept: until those that lapsed in a break had time to come back, which they
+    /// can't in a further break, however short.
+    void updateGrace();
 
     /// @return whether what is missing had its time to come back. A target may have written itself again without this
     ///         router having heard of it yet; what is not known of the time in which it had to is no sign of its end.
-    bool isOver(TimePoint graceUntil, TimePoint now) const;
+    bool isOver(TimePoint now) const;
 
     /// Notes the life of a target that was told of, and marks it as leaving if it ever was.
     /// @return false for an earlier life than the newest that is known.
@@ -195,12 +209,13 @@
     ///         the record that it has left would never be read again.
     bool isLeftOut(const TargetChange&) const;
 
+    Duration m_storeBreak;
     std::map<TargetId, Entry> m_entries;
     std::map<TargetId, LifeMemory> m_lives;
     std::optional<LogOffset> m_next;
     LogOffset m_completeFrom = 0; ///< All changes from here on are remembered.
     std::optional<ReadSpan> m_read;
-    std::optional<TimePoint> m_readBefore; ///< The end of what was read before the last break.
+    std::vector<Break> m_breaks; ///< The oldest first; those for which nothing is kept any more are forgotten.
     std::optional<TimePoint> m_graceUntil;
     std::uint64_t m_revision = 0;
 };
@@ -340,6 +355,9 @@
     /// At this age it asks any other router, too: by then its own read has been answered, if it is at all.
     Duration ask {};
 
+    /// With nothing known for so long the store may be away: a router that it answers has read by then.
+    Duration storeBreak {};
+
     /// First and longest pause between tries of a router that the store does not answer, and that does not read for
     /// others.
     Duration firstRetry {};
--- a/src/news/ReadSchedule.cpp
+++ b/src/news/ReadSchedule.cpp
@@ -65,6 +65,7 @@
         .ownRead = part(bound, ownReadPart),
         .spread = part(bound, spreadPart),
         .ask = part(bound, askPart),
+        .storeBreak = std::min(part(bound, askPart), TargetRoster::awayTime),
         .firstRetry = part(bound, firstRetryPart),
         .mostRetry = part(bound, mostRetryPart),
         .askNext = part(bound, askNextPart),
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -19,40 +19,47 @@
         m_read = told;
         return;
     }
-    const bool isJoined = told.from - m_read->until <= awayTime && m_read->from - told.until <= awayTime;
-    if (isJoined)
+    closeBreaks(told);
+    if (told.from - m_read->until > m_storeBreak) {
+        m_breaks.push_back({ m_read->until, told.from });
+        m_read = told;
+    } else if (m_read->from - told.until <= m_storeBreak) {
         m_read = { std::min(m_read->from, told.from), std::max(m_read->until, told.until) };
-    else if (told.until > m_read->until)
-        noteBreak(told);
-    if (m_readBefore && m_read->from - *m_readBefore <= awayTime)
-        closeBreak();
+    }
+    updateGrace();
 }
 
-void TargetRoster::noteBreak(ReadSpan after)
+void TargetRoster::closeBreaks(ReadSpan told)
 {
-    m_readBefore = m_read->until;
-    m_read = after;
-    m_graceUntil = after.from + returnGrace;
-    // A break during the grace of the one before: what is missing had no chance to come back.
-    for (auto& [id, entry] : m_entries) {
-        if (entry.goneAt)
-            entry.goneAt = *m_graceUntil;
-    }
+    std::erase_if(m_breaks, [&](Break& it) {
+        const bool reachesBegin = told.from - it.before <= m_storeBreak && told.until > it.before;
+        const bool reachesEnd = it.after - told.until <= m_storeBreak && told.from < it.after;
+        if (reachesBegin && !reachesEnd)
+            it.before = told.until;
+        else if (reachesEnd && !reachesBegin)
+            it.after = told.from;
+        return reachesBegin && reachesEnd;
+    });
 }
 
-void TargetRoster::closeBreak()
+void TargetRoster::updateGrace()
 {
-    for (auto& [id, entry] : m_entries) {
-        if (entry.goneAt)
-            entry.goneAt = *m_readBefore;
-    }
-    m_readBefore.reset();
     m_graceUntil.reset();
+    for (const Break& it : m_breaks) {
+        const bool mayHaveLapsed = it.after - it.before > awayTime;
+        const bool hindersReturn = m_graceUntil && it.before < *m_graceUntil;
+        if (mayHaveLapsed || hindersReturn)
+            m_graceUntil = it.after + returnGrace;
+    }
+    if (!m_graceUntil || m_read->until >= *m_graceUntil) {
+        m_graceUntil.reset();
+        m_breaks.clear();
+    }
 }
 
-bool TargetRoster::isOver(TimePoint graceUntil, TimePoint now) const
+bool TargetRoster::isOver(TimePoint now) const
 {
-    return now >= graceUntil && m_read && m_read->until >= graceUntil - (returnGrace - returnTime);
+    return !m_graceUntil || (now >= *m_graceUntil && m_read->until >= *m_graceUntil - (returnGrace - returnTime));
 }
 
 bool TargetRoster::noteLife(TimePoint now, dispatch::Target& target)
@@ -115,7 +122,7 @@
     life.isGone = false;
     Entry& entry = m_entries[change.id];
     const bool isSame = entry.target == *change.target;
-    entry = { *change.target, change.offset, std::nullopt };
+    entry = { *change.target, change.offset, false };
     if (!isSame)
         ++m_revision;
 }
@@ -140,11 +147,10 @@
     life.offset = std::max(life.offset, offset);
     life.isGone = true;
     const auto it = m_entries.find(id);
-    if (it == m_entries.end() || it->second.goneAt)
+    if (it == m_entries.end() || it->second.isMissing)
         return;
-    const bool mayReturn = m_graceUntil && !isOver(*m_graceUntil, now);
-    if (mayReturn && !it->second.target.draining) {
-        it->second.goneAt = *m_graceUntil;
+    if (!isOver(now) && !it->second.target.draining) {
+        it->second.isMissing = true;
         return;
     }
     m_entries.erase(it);
@@ -192,7 +198,7 @@
     std::vector<TargetChange> result;
     result.reserve(m_entries.size());
     for (const auto& [id, entry] : m_entries) {
-        if (!entry.goneAt)
+        if (!entry.isMissing)
             result.push_back({ id, entry.target, entry.offset });
     }
     return result;
@@ -211,8 +217,7 @@
 bool TargetRoster::expire(TimePoint now)
 {
     forgetOld(now);
-    const auto n
-        = std::erase_if(m_entries, [&](const auto& it) { return it.second.goneAt && isOver(*it.second.goneAt, now); });
+    const auto n = isOver(now) ? std::erase_if(m_entries, [](const auto& it) { return it.second.isMissing; }) : 0;
     m_revision += n;
     return n > 0;
 }
--- a/tests/NewsWorld.cpp
+++ b/tests/NewsWorld.cpp
@@ -42,6 +42,7 @@
         it.zone = i % zones;
         it.startedAt = m_now;
         it.requests.emplace(m_times, m_now);
+        it.roster = TargetRoster(m_times.storeBreak);
         it.nextHeartbeat = m_now + tick * static_cast<int>(i % 8);
         it.disturbedUntil = m_now;
     }
@@ -133,6 +134,7 @@
     it.zone = before.zone;
     it.life = before.life + 1;
     it.requests.emplace(m_times, it.startedAt);
+    it.roster = TargetRoster(m_times.storeBreak);
     it.frozenUntil = it.startedAt;
     it.nextHeartbeat = it.startedAt;
     m_routers[i] = std::move(it);
--- a/tests/NewsWorld.h
+++ b/tests/NewsWorld.h
@@ -116,7 +116,7 @@
         TimePoint startedAt;
         std::uint64_t configVersion = 0;
         std::optional<TimePoint> configUntil;
-        TargetRoster roster;
+        TargetRoster roster { TargetRoster::awayTime };
         std::array<ReadCursor, topics> cursors;
         std::array<std::optional<Call>, topics> calls;
         std::array<std::optional<TimePoint>, topics> failedAt;
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -459,6 +459,47 @@
     CHECK(roster.readSince() == start + 4s + TargetRoster::awayTime + 1ms);
 }
 
+// The store was away, came back for 0.4 s, and was away again for 0.8 s. Targets whose entries had lapsed could not
+// come back in time, and were given up while they lived: a second absence that is too short for entries to lapse was
+// not seen. In the model:
+//   27.470 known until 27.340, before 21.310; kept until 29.550  27.750 to 28.530 the store is away
+//   28.930 known until 28.700, before 27.470  29.550 given up; back by 30.530
+TEST_CASE("a missing entry is kept longer where the store was away again while it had to come back")
+{
+    TargetRoster roster(1100ms);
+    roster.known(1, start);
+    roster.apply(start, entry("t"));
+    const TimePoint back = start + 6s;
+    roster.known(2, back);
+    roster.apply(back, gone("t", 1));
+    const TimePoint backAgain = back + 1400ms;
+    SECTION("nobody knows of anything in between")
+    {
+        roster.known(2, backAgain);
+        CHECK(roster.keepsMissingUntil() == backAgain + TargetRoster::returnGrace);
+        roster.known(2, back + TargetRoster::returnGrace);
+        CHECK_FALSE(roster.expire(back + TargetRoster::returnGrace));
+        roster.known(2, backAgain + TargetRoster::returnTime / 2);
+        roster.known(2, backAgain + TargetRoster::returnTime);
+        CHECK(roster.expire(backAgain + TargetRoster::returnGrace));
+    }
+    SECTION("another read the store in between: only the first absence counts")
+    {
+        roster.known(2, backAgain);
+        roster.known(2, ReadSpan { back, backAgain });
+        CHECK(roster.keepsMissingUntil() == back + TargetRoster::returnGrace);
+        CHECK(roster.readSince() == back);
+    }
+    SECTION("a short break while nothing is missing")
+    {
+        TargetRoster well(1100ms);
+        well.known(1, start);
+        well.known(1, start + 1500ms);
+        CHECK_FALSE(well.keepsMissingUntil());
+        CHECK(well.readSince() == start + 1500ms);
+    }
+}
+
 TEST_CASE("of two records for one target the later counts, in whatever order they are told")
 {
     TargetRoster roster;
