--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -169,6 +169,12 @@
         bool isMissing = false; ///< It may have lapsed, and is kept for a while.
     };
 
+    /// A time of which nothing is known: maybe the store answered nobody.
+    struct Break {
+        TimePoint before; ///< The end of what is known.
+        TimePoint after;
+    };
+
     /// What is remembered of a target's newest life, also when its entry has gone.
     struct LifeMemory {
         std::int64_t born = 0;
@@ -181,13 +187,8 @@
     void set(TimePoint now, const TargetChange&);
     void remove(TimePoint now, const TargetId&, LogOffset);
     void forgetOld(TimePoint now);
-    /// A time of which nothing is known: maybe the store answered nobody.
-    struct Break {
-        TimePoint before; ///< The end of what is known.
-        TimePoint after;
-    };
 
-    /// Takes what another knows out of the breaks.
+    /// Takes what another knows out of the breaks: in that time the store was read, by whomever.
     void closeBreaks(ReadSpan told);
 
     /// Finds until when missing entries are kept: until those that lapsed in a break had time to come back, which they
