Sleep and stop by one piece of code in the edge router's threads

Cause: the thread that announces and searches had a copy of the reading threads' pause, stop flag, mutex and condition. The thread that asks other routers kept a flag of its own beside the inbox, which already knows that it is closed.

Change: StopGate serves both; the closed inbox ends the third. A default value is not repeated.

--- a/apps/sagechute-edge/FleetSearch.cpp
+++ b/apps/sagechute-edge/FleetSearch.cpp
@@ -29,11 +29,7 @@
 
 FleetSearch::~FleetSearch()
 {
-    {
-        std::lock_guard lock(m_mutex);
-        m_isStopping = true;
-    }
-    m_stopped.notify_all();
+    m_gate.stop();
     if (m_thread.joinable())
         m_thread.join();
 }
@@ -43,16 +39,10 @@
     m_thread = std::thread([this] { run(); });
 }
 
-bool FleetSearch::pause(Duration duration)
-{
-    std::unique_lock lock(m_mutex);
-    return !m_stopped.wait_for(lock, duration, [this] { return m_isStopping; });
-}
-
 void FleetSearch::run()
 {
     Duration delay = aloneAfter;
-    while (pause(delay)) {
+    while (m_gate.pause(delay)) {
         delay = searchInterval;
         const bool isAlone = !m_fleet.knowsOthers();
         if (!isAlone && unsuspendedNow() - m_startedAt < announceAfter)
--- a/apps/sagechute-edge/FleetSearch.h
+++ b/apps/sagechute-edge/FleetSearch.h
@@ -5,11 +5,10 @@
 
 #include "EdgeMetrics.h"
 #include "Fleet.h"
+#include "StopGate.h"
 
 #include <sagechute/News.h>
 
-#include <condition_variable>
-#include <mutex>
 #include <thread>
 
 namespace sagechute::edge {
@@ -28,7 +27,6 @@
 
 private:
     void run();
-    bool pause(Duration);
     void announce();
     void search();
 
@@ -38,9 +36,7 @@
     EdgeMetrics& m_metrics;
     const TimePoint m_startedAt = unsuspendedNow();
     bool m_isAnnounced = false;
-    std::mutex m_mutex;
-    std::condition_variable m_stopped;
-    bool m_isStopping = false;
+    StopGate m_gate;
     std::thread m_thread;
 };
 
--- a/apps/sagechute-edge/PeerFollower.cpp
+++ b/apps/sagechute-edge/PeerFollower.cpp
@@ -33,7 +33,6 @@
 
 PeerFollower::~PeerFollower()
 {
-    m_isStopping = true;
     m_inbox.close();
     if (m_thread.joinable())
         m_thread.join();
@@ -46,11 +45,10 @@
 
 void PeerFollower::run()
 {
-    while (!m_isStopping) {
-        const PeerInbox::Content content = m_inbox.take(untilLook());
-        for (const PeerAnswer& it : content.answers)
+    while (const std::optional<PeerInbox::Content> content = m_inbox.take(untilLook())) {
+        for (const PeerAnswer& it : content->answers)
             take(it);
-        askOthers(content.source);
+        askOthers(content->source);
         m_state.changeTargets([&](news::TargetRoster& roster) { roster.expire(unsuspendedNow()); });
         noteKept();
         noteAge();
--- a/apps/sagechute-edge/PeerFollower.h
+++ b/apps/sagechute-edge/PeerFollower.h
@@ -56,7 +56,6 @@
     Tries m_tries;
     std::optional<TimePoint> m_keptUntil; ///< Missing entries of targets are kept until then, as logged.
     bool m_isLate = false; ///< What is known is older than the bound.
-    std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
 };
 
--- a/apps/sagechute-edge/PeerInbox.h
+++ b/apps/sagechute-edge/PeerInbox.h
@@ -44,12 +44,12 @@
         m_changed.notify_one();
     }
 
-    /// @return all that has come; nothing after @p wait, or at once when closed.
-    Content take(Duration wait)
+    /// @return all that has come; nothing after @p wait, and nullopt, at once, when closed.
+    std::optional<Content> take(Duration wait)
     {
         std::unique_lock lock(m_mutex);
         m_changed.wait_for(lock, wait, [this] { return m_content.source || !m_content.answers.empty() || m_isClosed; });
-        return std::exchange(m_content, {});
+        return m_isClosed ? std::nullopt : std::optional(std::exchange(m_content, {}));
     }
 
     void close()
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -48,21 +48,11 @@
 
 StoreFollower::~StoreFollower()
 {
-    {
-        std::lock_guard lock(m_mutex);
-        m_isStopping = true;
-    }
-    m_stopped.notify_all();
+    m_gate.stop();
     for (std::thread& it : m_threads)
         it.join();
 }
 
-bool StoreFollower::pause(Duration duration)
-{
-    std::unique_lock lock(m_mutex);
-    return !m_stopped.wait_for(lock, duration, [this] { return m_isStopping; });
-}
-
 news::ReadOccasion StoreFollower::occasion(const Topic& topic) const
 {
     news::ReadOccasion it;
@@ -80,7 +70,7 @@
 void StoreFollower::follow(Topic& topic)
 {
     Duration delay {};
-    while (pause(delay)) {
+    while (m_gate.pause(delay)) {
         const std::optional<TimePoint> until = topic.knownUntil(m_state.knowledge());
         if (topic.failedAt && until && *until > *topic.failedAt) {
             topic.cursor.renewed();
--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -6,8 +6,8 @@
 #include "ConfigIntake.h"
 #include "EdgeMetrics.h"
 #include "Fleet.h"
+#include "StopGate.h"
 
-#include <condition_variable>
 #include <thread>
 
 namespace sagechute::edge {
@@ -41,8 +41,6 @@
     bool noteRead(Topic&, const absl::Status&, LogOffset next);
     void noteUnreadable(const char* topic, const std::vector<news::UnreadableRecord>&);
 
-    bool pause(Duration);
-
     EdgeState& m_state;
     Fleet& m_fleet;
     news::FleetStore& m_store;
@@ -54,9 +52,7 @@
     const TimePoint m_startedAt = unsuspendedNow();
     Topic m_config;
     Topic m_targets;
-    std::mutex m_mutex;
-    std::condition_variable m_stopped;
-    bool m_isStopping = false;
+    StopGate m_gate;
     std::vector<std::thread> m_threads;
 };
 
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -122,7 +122,7 @@
     life.isGone = false;
     Entry& entry = m_entries[change.id];
     const bool isSame = entry.target == *change.target;
-    entry = { *change.target, change.offset, false };
+    entry = { *change.target, change.offset };
     if (!isSame)
         ++m_revision;
 }
