Tell by what a request was let in, how old the sums are, and who comes off best and worst

The hypotheses on unequal shares could not be told apart: a request that was let in said nothing of its customer's share, and nothing told how old the sums over all routers are. Now each request line has the share, the wait, what was allowed, whether a starved size was helped, and the age of the oldest report in the sums; reports carry that age over relays; a line a second tells level, capacity, and who has most and least; relays tell whose reports they leave out for their age.

Before: none of this could be seen.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -14,6 +14,9 @@
     /// Parts of the bound: above a half of it routers read for themselves, above 0.55 they ask any other.
     const Histogram::BucketBoundaries agePartBounds { 0.25, 0.4, 0.5, 0.55, 0.7, 0.85, 1, 1.25, 1.5, 2, 4 };
 
+    /// Seconds; sums are told several times a second and are dropped after two.
+    const Histogram::BucketBoundaries sumsAgeBounds { 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5 };
+
     Histogram& histogram(prometheus::Registry& registry, const char* name, const char* help,
         const Histogram::BucketBoundaries& bounds = latencyBounds)
     {
@@ -60,6 +63,18 @@
     , m_knowledgeAgeParts(histogram(metrics.registry(), "sagechute_edge_knowledge_age_of_bound",
           "The same as a part of the bound, looked at some times a second: how near it came between two scrapes",
           agePartBounds))
+    , m_shareLevel(prometheus::BuildGauge()
+                       .Name("sagechute_edge_share_level_tokens")
+                       .Help("Tokens in the window up to which all customers can be served alike; +Inf: enough for all")
+                       .Register(metrics.registry())
+                       .Add({}))
+    , m_grantedTokens(prometheus::BuildGauge()
+                          .Name("sagechute_edge_granted_tokens")
+                          .Help("Tokens granted to all customers in the window, by the sums over all routers")
+                          .Register(metrics.registry())
+                          .Add({}))
+    , m_sumsAge(histogram(metrics.registry(), "sagechute_edge_share_sums_age_seconds",
+          "Age of the oldest report in the sums over all routers, looked at once a second", sumsAgeBounds))
 {
 }
 
@@ -69,6 +84,17 @@
     m_knowledgeAgeParts.Observe(seconds(age) / seconds(bound));
 }
 
+void EdgeMetrics::shares(const dispatch::SharesView& view)
+{
+    double granted = 0;
+    for (const auto& [id, use] : view.customers)
+        granted += use.granted;
+    m_shareLevel.Set(view.level);
+    m_grantedTokens.Set(granted);
+    if (view.sumsAge)
+        m_sumsAge.Observe(seconds(*view.sumsAge));
+}
+
 void EdgeMetrics::request(std::string_view route, int status, Duration lasted)
 {
     m_requests.Add({ { "route", std::string(route) }, { "status", std::to_string(status) } }).Increment();
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -22,6 +22,9 @@
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
 
+    /// Shares of the engines as this router sees them.
+    void shares(const dispatch::SharesView&);
+
     /// @param age since when something in the store may be unknown. @param bound at which that is too long.
     void knowledgeAge(Duration age, Duration bound);
 
@@ -36,6 +39,9 @@
     prometheus::Counter& m_unreadableRecords;
     prometheus::Gauge& m_knowledgeAge;
     prometheus::Histogram& m_knowledgeAgeParts;
+    prometheus::Gauge& m_shareLevel;
+    prometheus::Gauge& m_grantedTokens;
+    prometheus::Histogram& m_sumsAge;
 };
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -210,6 +210,32 @@
     subtract(all, own);
     m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.peerReported(now, sumOfOthers, all); });
     m_desk.passedOn();
+    logLateReports(now);
+}
+
+void Fleet::logLateReports(TimePoint now)
+{
+    std::set<std::string> late = m_desk.late(now);
+    if (late == m_lateReports)
+        return;
+    std::map<std::string, bool> changed;
+    for (const std::string& it : late) {
+        if (!m_lateReports.contains(it))
+            changed.emplace(it, true);
+    }
+    for (const std::string& it : m_lateReports) {
+        if (!late.contains(it))
+            changed.emplace(it, false);
+    }
+    std::string text;
+    std::size_t named = 0;
+    for (const auto& [name, isLate] : changed) {
+        if (named++ < mostNamedChanges)
+            text += (text.empty() ? "" : ",") + name + (isLate ? ":late" : ":in-time");
+    }
+    m_lateReports = std::move(late);
+    process::log(process::LogLevel::Info, "reports-left-out",
+        { { "count", std::to_string(m_lateReports.size()) }, { "changed", text } });
 }
 
 FleetUse Fleet::ownZoneUse(TimePoint now) const
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -75,6 +75,7 @@
     void sendGossip(const std::vector<membership::Datagram>&);
     void sendHeartbeats(TimePoint now);
     void logChanges();
+    void logLateReports(TimePoint now);
 
     EdgeState& m_state;
     PeerInbox& m_inbox;
@@ -94,6 +95,7 @@
     std::map<VmId, Transit> m_transit;
     ReportPlan m_plan;
     RelayDesk m_desk;
+    std::set<std::string> m_lateReports; ///< See RelayDesk::late(); as logged.
     OwnReports m_ownReports;
     std::uint64_t m_loggedView = 0;
     std::map<VmId, membership::MemberState> m_loggedStates;
--- a/apps/sagechute-edge/Front.cpp
+++ b/apps/sagechute-edge/Front.cpp
@@ -86,7 +86,9 @@
     process::log(process::LogLevel::Info, "request",
         { { "id", order.facts.id }, { "route", order.route ? order.route->name : "none" },
             { "customer", order.customer.value }, { "config", version }, { "status", std::to_string(verdict.status) },
-            { "outcome", std::string(verdict.reason) }, { "caller", exchange.request().peerAddress } });
+            { "outcome", std::string(verdict.reason) }, { "caller", exchange.request().peerAddress },
+            { "prompt-tokens", std::to_string(order.facts.prompt.tokensIn) },
+            { "answer-tokens", std::to_string(order.facts.prompt.tokensOut) } });
 }
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/Housekeeping.cpp
+++ b/apps/sagechute-edge/Housekeeping.cpp
@@ -13,7 +13,7 @@
     /// Gossip wants a call each 50 ms, and time limits are kept to within it.
     constexpr Duration tickInterval = std::chrono::milliseconds(25);
 
-    /// How often the settings file is compared; it may change without a signal.
+    /// How often the settings file is compared, which may change without a signal, and shares are looked at.
     constexpr Duration settingsInterval = std::chrono::seconds(1);
 
     /// Some steps within the second over which a router learns what its work costs.
@@ -48,11 +48,12 @@
     return path && readFile(path) != m_content;
 }
 
-Housekeeping::Housekeeping(
-    EdgeState& state, Fleet& fleet, Listeners& listeners, DueTimers& timers, SettingsWatch& watch)
+Housekeeping::Housekeeping(EdgeState& state, Fleet& fleet, Listeners& listeners, ShareWatch& shareWatch,
+    DueTimers& timers, SettingsWatch& watch)
     : m_state(state)
     , m_fleet(fleet)
     , m_listeners(listeners)
+    , m_shareWatch(shareWatch)
     , m_timers(timers)
     , m_watch(watch)
 {
@@ -74,6 +75,7 @@
         if (!isAsked && now < nextCheck)
             continue;
         nextCheck = now + settingsInterval;
+        m_shareWatch.look(now);
         if (isAsked)
             process::log(process::LogLevel::Info, "reload-asked", { { "by", "SIGHUP" } });
         if (m_watch.hasChanged())
--- a/apps/sagechute-edge/Housekeeping.h
+++ b/apps/sagechute-edge/Housekeeping.h
@@ -3,6 +3,7 @@
 #include "DueTimers.h"
 #include "Fleet.h"
 #include "Listeners.h"
+#include "ShareWatch.h"
 
 namespace sagechute::edge {
 
@@ -30,7 +31,7 @@
 /// The thread that does what comes due, until the process is asked to stop.
 class Housekeeping {
 public:
-    Housekeeping(EdgeState&, Fleet&, Listeners&, DueTimers&, SettingsWatch&);
+    Housekeeping(EdgeState&, Fleet&, Listeners&, ShareWatch&, DueTimers&, SettingsWatch&);
     void run(process::StopSignal&);
 
 private:
@@ -39,6 +40,7 @@
     EdgeState& m_state;
     Fleet& m_fleet;
     Listeners& m_listeners;
+    ShareWatch& m_shareWatch;
     DueTimers& m_timers;
     SettingsWatch& m_watch;
 };
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -15,6 +15,12 @@
 
     constexpr double percent = 100;
 
+    /// What was last decided on a request: the refusal, where there is one after the last placement.
+    const dispatch::Admission& admissionOf(const relay::FlowRecord& record)
+    {
+        return record.isRefused ? record.refusal.admission : record.placement.admission;
+    }
+
     std::string milliseconds(Duration duration)
     {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -218,6 +224,7 @@
     const relay::FlowRecord& record = m_flow.record();
     const Duration lasted = steadyNow() - m_order.arrived;
     const news::Knowledge known = m_tools.state.knowledge();
+    const dispatch::Admission& admission = admissionOf(record);
     m_tools.metrics.request(m_order.route->name, record.status, lasted);
     process::log(process::LogLevel::Info, "request",
         { { "id", m_order.facts.id }, { "route", m_order.route->name }, { "customer", m_order.customer.value },
@@ -228,8 +235,12 @@
             { "predicted-ms", milliseconds(record.placement.predictedFirst) },
             { "read-tokens", std::to_string(record.placement.tokensToRead) },
             { "prompt-tokens", std::to_string(m_order.facts.prompt.tokensIn) },
-            { "wait-ms", milliseconds(record.refusal.wait) }, { "allowed-ms", milliseconds(record.refusal.allowed) },
-            { "share-percent", std::to_string(static_cast<int>(record.refusal.share * percent)) },
+            { "answer-tokens", std::to_string(m_order.facts.prompt.tokensOut) },
+            { "wait-ms", milliseconds(admission.wait) }, { "allowed-ms", milliseconds(admission.allowed) },
+            { "share-percent", std::to_string(static_cast<int>(admission.share * percent)) },
+            { "far-above", admission.isFarAbove ? "yes" : "no" },
+            { "size-helped", admission.isSizeHelped ? "yes" : "no" },
+            { "sums-age-ms", admission.sumsAge ? milliseconds(*admission.sumsAge) : "none" },
             { "come-back-ms", milliseconds(record.refusal.comeBack) },
             { "targets-offset", std::to_string(known.targetsNext) },
             { "known-ms", milliseconds(unsuspendedNow() - news::knownUntil(known).value_or(TimePoint {})) } });
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -83,7 +83,8 @@
             { { "callers", options.callersListen }, { "gossip", (*fleet)->gossipAddress() }, { "store", options.store },
                 { "version", std::string(process::version()) } });
 
-        Housekeeping(state, **fleet, **listeners, timers, watch).run(stop);
+        ShareWatch shareWatch(state, edgeMetrics);
+        Housekeeping(state, **fleet, **listeners, shareWatch, timers, watch).run(stop);
         planStop(state, **fleet, **listeners, timers, options);
         process::log(
             process::LogLevel::Info, "stopped", { { "cut-off", std::to_string(state.activeRequests.load()) } });
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -215,12 +215,23 @@
 /// Names a placed attempt until it ended.
 using AttemptId = std::uint64_t;
 
+/// By what a request was let in or turned away.
+struct Admission {
+    Duration wait {}; ///< What the best target was predicted to let it wait for others.
+    Duration allowed {}; ///< What it was allowed to wait.
+    double share = 0; ///< Its customer's use, as a multiple of what all can have; 0: there is enough for all.
+    bool isFarAbove = false; ///< Its customer was granted far more than one that is turned away.
+    bool isSizeHelped = false; ///< It was allowed more than its customer's share allows, as its size is starved.
+    std::optional<Duration> sumsAge; ///< Age of the oldest report in the sums over all routers; absent: there is none.
+};
+
 /// Go to this target.
 struct Placement {
     AttemptId attempt = 0;
     Target target;
     std::uint32_t tokensToRead = 0; ///< Of the prompt, not kept there as far as known.
     Duration predictedFirst {}; ///< Until the first event.
+    Admission admission;
 };
 
 /// Why a request is turned away without having run.
@@ -231,9 +242,7 @@
 struct Refusal {
     RefusalReason reason = RefusalReason::NoTarget;
     Duration comeBack {}; ///< By then the same request is expected to be served.
-    Duration wait {}; ///< What the best target was predicted to let it wait.
-    Duration allowed {}; ///< What it would have been allowed to wait.
-    double share = 0; ///< Its customer's use, as a multiple of what all can have; 0: there is enough for all.
+    Admission admission;
 };
 
 using Decision = std::variant<Placement, Refusal>;
@@ -266,6 +275,14 @@
     double turnedAway = 0; ///< Before a decision, for want of the router's cores; not in asked.
 };
 
+/// Shares of the engines as one router sees them, by the sums of its last decision.
+struct SharesView {
+    double capacity = 0; ///< Tokens in the window that customers may share.
+    double level = 0; ///< Tokens up to which all can be served alike; infinity: there is enough for all.
+    std::map<CustomerId, CustomerUse> customers; ///< Of all routers.
+    std::optional<Duration> sumsAge; ///< See Admission.
+};
+
 /// What one router has sent to one target.
 struct TargetUse {
     std::uint32_t tokensToRead = 0; ///< Of requests whose first event has not come yet.
@@ -290,6 +307,7 @@
 /// mended by the next.
 struct LoadReport {
     std::uint64_t serial = 0;
+    Duration age {}; ///< Of the oldest report in a sum, when the sum was sent.
     std::map<TargetKey, TargetUse> targets;
     std::map<CustomerId, CustomerUse> customers;
     std::map<TargetKey, PlacedPrompts> placed; ///< Since the report before the last: each is told twice.
@@ -363,6 +381,9 @@
 
     /// @return whether any target is known that takes requests.
     virtual bool hasTargets() const = 0;
+
+    /// @return who has how much of the engines.
+    virtual SharesView shares(TimePoint now) const = 0;
 };
 
 } // namespace sagechute::dispatch
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -274,12 +274,17 @@
     /// Prefixes are told once; this forgets those that have been passed on.
     void passedOn();
 
+    /// @return names of the routers and availability zones whose last report is too old to be in the sums.
+    std::set<std::string> late(TimePoint now) const;
+
 private:
     struct Part {
         dispatch::LoadReport report;
         TimePoint at;
     };
 
+    static void addPart(TimePoint now, dispatch::LoadReport& sum, const Part&);
+
     std::map<VmId, Part> m_members;
     std::map<ZoneId, Part> m_zones;
 };
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -82,6 +82,7 @@
     Duration firstEventError {}; ///< Seen against predicted.
     dispatch::Placement placement; ///< The last one.
     dispatch::Refusal refusal; ///< The last one.
+    bool isRefused = false; ///< The last decision was a refusal.
 };
 
 /// The flow of one request. Not thread-safe.
--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -92,11 +92,24 @@
     }
 }
 
-void CustomerShares::peerUse(TimePoint now, const VmId& peer, const std::map<CustomerId, CustomerUse>& use)
+void CustomerShares::peerUse(
+    TimePoint now, const VmId& peer, const std::map<CustomerId, CustomerUse>& use, Duration age)
 {
-    m_peers[peer] = { now, use };
+    m_peers[peer] = { now, age, use };
 }
 
+std::optional<Duration> CustomerShares::sumsAge(TimePoint now) const
+{
+    std::optional<Duration> oldest;
+    for (const auto& [peer, part] : m_peers) {
+        if (now - part.at <= peerKept)
+            oldest = std::max(oldest.value_or(Duration::zero()), now - part.at + part.age);
+    }
+    return oldest;
+}
+
+SharesView CustomerShares::view(TimePoint now) const { return { 0, m_level, m_sum, sumsAge(now) }; }
+
 std::map<CustomerId, CustomerUse> CustomerShares::own(TimePoint now)
 {
     expire(now);
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -25,8 +25,8 @@
     void granted(TimePoint now, const CustomerId&, double tokens);
     void turnedAway(TimePoint now, const CustomerId&, double tokens);
 
-    /// Replaces what a peer said before.
-    void peerUse(TimePoint now, const VmId& peer, const std::map<CustomerId, CustomerUse>&);
+    /// Replaces what a peer said before. @param age of the oldest report in it.
+    void peerUse(TimePoint now, const VmId& peer, const std::map<CustomerId, CustomerUse>&, Duration age = {});
 
     /// @return what this router alone has counted in the window.
     std::map<CustomerId, CustomerUse> own(TimePoint now);
@@ -44,6 +44,12 @@
     ///         By the sums of the last overShare().
     bool isFarAboveOthers(const CustomerId&) const;
 
+    /// @return age of the oldest report in the sums; absent: no other router has reported lately.
+    std::optional<Duration> sumsAge(TimePoint now) const;
+
+    /// @return the sums of the last overShare(); the capacity is not filled in.
+    SharesView view(TimePoint now) const;
+
     /// @param isByRelay what other routers say comes over relays, and so later.
     void setByRelay(bool isByRelay) { m_isByRelay = isByRelay; }
 
@@ -61,6 +67,7 @@
 
     struct PeerPart {
         TimePoint at;
+        Duration age {}; ///< When it came.
         std::map<CustomerId, CustomerUse> use;
     };
 
--- a/src/dispatch/LoadReport.cpp
+++ b/src/dispatch/LoadReport.cpp
@@ -12,7 +12,10 @@
     using UseRow = std::tuple<TargetKey, std::uint32_t, std::uint32_t, std::uint32_t>;
     using CustomerRow = std::tuple<std::string, std::uint64_t, std::uint64_t, std::uint64_t>;
     using PlacedRow = std::tuple<TargetKey, std::uint64_t, std::map<std::uint64_t, std::uint32_t>>;
-    using Rows = std::tuple<std::uint64_t, std::vector<UseRow>, std::vector<CustomerRow>, std::vector<PlacedRow>>;
+    using Rows = std::tuple<std::uint64_t, std::uint32_t, std::vector<UseRow>, std::vector<CustomerRow>,
+        std::vector<PlacedRow>>;
+
+    using WireAge = std::chrono::duration<std::uint32_t, std::milli>;
 
     absl::Status malformed()
     {
@@ -30,6 +33,7 @@
 
 void add(LoadReport& sum, const LoadReport& part)
 {
+    sum.age = std::max(sum.age, part.age);
     for (const auto& [key, use] : part.targets) {
         TargetUse& total = sum.targets[key];
         total.tokensToRead += use.tokensToRead;
@@ -75,6 +79,7 @@
     msgpack::packer<msgpack::sbuffer> out(bytes);
     out.pack_array(std::tuple_size_v<Rows>);
     out.pack(report.serial);
+    out.pack(std::chrono::duration_cast<WireAge>(report.age).count());
     out.pack_array(static_cast<std::uint32_t>(report.targets.size()));
     for (const auto& [key, use] : report.targets)
         out.pack(UseRow { key, use.tokensToRead, use.active, use.memoryTokens });
@@ -99,12 +104,13 @@
         const Rows rows = handle->as<Rows>();
         LoadReport report;
         report.serial = std::get<0>(rows);
-        for (const auto& [key, toRead, active, memory] : std::get<1>(rows))
+        report.age = WireAge(std::get<1>(rows));
+        for (const auto& [key, toRead, active, memory] : std::get<2>(rows))
             report.targets[key] = { toRead, active, memory };
-        for (const auto& [id, asked, granted, turnedAway] : std::get<2>(rows))
+        for (const auto& [id, asked, granted, turnedAway] : std::get<3>(rows))
             report.customers[{ id }]
                 = { static_cast<double>(asked), static_cast<double>(granted), static_cast<double>(turnedAway) };
-        for (const auto& [key, ownTokens, shared] : std::get<3>(rows))
+        for (const auto& [key, ownTokens, shared] : std::get<4>(rows))
             report.placed[key] = { shared, ownTokens };
         return report;
     } catch (const msgpack::unpack_error&) {
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -138,6 +138,13 @@
     });
 }
 
+SharesView LocalDispatcher::shares(TimePoint now) const
+{
+    SharesView view = m_shares.view(now);
+    view.capacity = windowCapacity();
+    return view;
+}
+
 TargetModel* LocalDispatcher::find(const TargetLife& life)
 {
     const auto it = m_targets.find(life);
@@ -163,7 +170,7 @@
         retries(demand.service).countRequest(now);
         m_shares.asked(now, demand.customer, tokens);
     }
-    const std::optional<Candidate> best = choose(now, demand, prefixes);
+    std::optional<Candidate> best = choose(now, demand, prefixes);
     if (!best)
         return refuse(RefusalReason::NoTarget, noTargetComeBack);
     if (const std::optional<Refusal> refusal = admit(now, demand, *best))
@@ -290,38 +297,37 @@
     return std::clamp(shareLimit / std::pow(share, sharePower), leastLimit, m_settings.admitShare);
 }
 
-std::optional<Refusal> LocalDispatcher::admit(TimePoint now, const Demand& demand, const Candidate& best)
+std::optional<Refusal> LocalDispatcher::admit(TimePoint now, const Demand& demand, Candidate& best)
 {
     const Duration goal = demand.route->goal;
     if (goal <= Duration::zero())
         return std::nullopt;
     const bool isEngine = !demand.prompt.parts.empty() || demand.prompt.tokensIn > 0;
     const bool isShared = isEngine && windowCapacity() > 0;
+    Admission& admission = best.admission;
     const double share = isShared ? m_shares.overShare(now, demand.customer, windowCapacity()) : 0;
-    if (isShared && m_shares.isFarAboveOthers(demand.customer)) {
-        Refusal refusal = refuse(RefusalReason::OverShare, noTargetComeBack);
-        refusal.share = share;
-        return refusal;
-    }
+    admission.share = share;
+    admission.sumsAge = m_shares.sumsAge(now);
+    admission.isFarAbove = isShared && m_shares.isFarAboveOthers(demand.customer);
+    if (admission.isFarAbove)
+        return refuse(RefusalReason::OverShare, noTargetComeBack, admission);
     const Duration own = best.model->readTime(best.tokensToRead);
-    const Duration wait = best.predictedFirst - own;
+    admission.wait = best.predictedFirst - own;
     const double tokens = tokensOf(demand.prompt);
     SizeBalance& sizes = m_sizes[{ demand.route->name, share > 1 }];
-    const Duration allowed = allowedWait(demand, share, own, sizes);
-    const bool isTaken = wait <= allowed;
-    sizes.decided(now, tokens, wait, isTaken);
+    allowWait(admission, demand, own, sizes);
+    const bool isTaken = admission.wait <= admission.allowed;
+    sizes.decided(now, tokens, admission.wait, isTaken);
     if (share > balancedShare)
         m_kinds[demand.service].decided(now, demand.route->name, tokens, isTaken);
     if (isTaken)
         return std::nullopt;
-    Refusal refusal = refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, wait - allowed);
-    refusal.wait = wait;
-    refusal.allowed = allowed;
-    refusal.share = share;
-    return refusal;
+    const Duration tooLong = admission.wait - admission.allowed;
+    return refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, tooLong, admission);
 }
 
-Duration LocalDispatcher::allowedWait(const Demand& demand, double share, Duration own, const SizeBalance& sizes) const
+void LocalDispatcher::allowWait(
+    Admission& admission, const Demand& demand, Duration own, const SizeBalance& sizes) const
 {
     const Duration goal = demand.route->goal;
     const double tokens = tokensOf(demand.prompt);
@@ -338,23 +344,25 @@
         const auto leastWait = std::chrono::duration_cast<Duration>(limit * lateWaitShare * goal);
         return std::max(onTime, leastWait);
     };
-    Duration allowed = upTo(waitLimit(share), countedPart);
+    Duration allowed = upTo(waitLimit(admission.share), countedPart);
     const auto kinds = m_kinds.find(demand.service);
-    if (share > balancedShare && kinds != m_kinds.end()) {
+    if (admission.share > balancedShare && kinds != m_kinds.end()) {
         const double factor = kinds->second.factor(demand.route->name);
         allowed = std::chrono::duration_cast<Duration>(factor * allowed);
     }
-    allowed = std::min(allowed, upTo(m_settings.admitShare, 1));
+    admission.allowed = std::min(allowed, upTo(m_settings.admitShare, 1));
     if (standing != SizeBalance::Standing::Starved)
-        return allowed;
-    return std::max(allowed, std::chrono::duration_cast<Duration>(starvedMargin * sizes.takenWait()));
+        return;
+    const auto helped = std::chrono::duration_cast<Duration>(starvedMargin * sizes.takenWait());
+    admission.isSizeHelped = helped > admission.allowed;
+    admission.allowed = std::max(admission.allowed, helped);
 }
 
-Refusal LocalDispatcher::refuse(RefusalReason reason, Duration comeBack)
+Refusal LocalDispatcher::refuse(RefusalReason reason, Duration comeBack, const Admission& admission)
 {
     const double spread = 1 + comeBackSpread * m_random.fraction();
     const Duration spreadOut = std::chrono::duration_cast<Duration>(comeBack * spread);
-    return { reason, std::clamp(spreadOut, leastComeBack, mostComeBack) };
+    return { reason, std::clamp(spreadOut, leastComeBack, mostComeBack), admission };
 }
 
 Placement LocalDispatcher::commit(
@@ -365,7 +373,7 @@
     const TargetLife life = best.model->target().life();
     notePlaced(now, best.model->key(), prefixes);
     m_attempts[++m_lastAttempt] = { life, best.tokensToRead, memoryTokens, now, best.predictedFirst };
-    return { m_lastAttempt, best.model->target(), best.tokensToRead, best.predictedFirst };
+    return { m_lastAttempt, best.model->target(), best.tokensToRead, best.predictedFirst, best.admission };
 }
 
 void LocalDispatcher::notePlaced(TimePoint now, TargetKey target, const std::vector<PrefixKey>& prefixes)
@@ -443,7 +451,7 @@
         if (const auto placed = report.placed.find(model->key()); placed != report.placed.end())
             model->peerPlaced(placed->second);
     }
-    m_shares.peerUse(now, peer, report.customers);
+    m_shares.peerUse(now, peer, report.customers, report.age);
     for (const auto& [key, placed] : report.placed) {
         for (const auto& [prompt, tokens] : placed.shared)
             heardOf(now, prompt);
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -26,6 +26,7 @@
     void peerReported(TimePoint now, const VmId& peer, const LoadReport&) override;
     void setRouterCount(unsigned n) override;
     bool hasTargets() const override;
+    SharesView shares(TimePoint now) const override;
 
 private:
     struct Attempt {
@@ -43,6 +44,7 @@
         std::uint32_t tokensToRead = 0;
         Duration predictedFirst {};
         double cost = 0;
+        Admission admission;
     };
 
     /// @param isPicky without those that were tried or are avoided.
@@ -54,12 +56,12 @@
     std::optional<Candidate> choose(TimePoint now, const Demand&, const std::vector<PrefixKey>&);
     Candidate weigh(TimePoint now, TargetModel&, const Demand&, const std::vector<PrefixKey>&,
         std::optional<unsigned> homeRank) const;
-    std::optional<Refusal> admit(TimePoint now, const Demand&, const Candidate&);
+    /// Notes in the candidate by what the request was let in. @return why it is turned away.
+    std::optional<Refusal> admit(TimePoint now, const Demand&, Candidate&);
     double waitLimit(double share) const;
 
-    /// @param own what the request takes by itself.
-    /// @return how long it may wait for others.
-    Duration allowedWait(const Demand&, double share, Duration own, const SizeBalance&) const;
+    /// Fills in how long the request may wait for others. @param own what it takes by itself.
+    void allowWait(Admission&, const Demand&, Duration own, const SizeBalance&) const;
     bool isTrusting(TimePoint now) const { return m_trustUntil && now < *m_trustUntil; }
 
     /// A shared prompt was placed by any router: what its homes keep is known from now on.
@@ -69,7 +71,7 @@
     bool isTrusted(TimePoint now, const std::vector<PrefixKey>&) const;
     double homeBonusMs(const PromptSize&, const std::vector<PrefixKey>&) const;
     double zoneCostMs(const Demand&) const;
-    Refusal refuse(RefusalReason, Duration comeBack);
+    Refusal refuse(RefusalReason, Duration comeBack, const Admission& = {});
     Placement commit(TimePoint now, const Demand&, const Candidate&, const std::vector<PrefixKey>&);
     void notePlaced(TimePoint now, TargetKey, const std::vector<PrefixKey>&);
     double windowCapacity() const;
--- a/src/edge/ReportPlan.cpp
+++ b/src/edge/ReportPlan.cpp
@@ -69,25 +69,44 @@
     m_zones[zone] = { std::move(report), now };
 }
 
+void RelayDesk::addPart(TimePoint now, dispatch::LoadReport& sum, const Part& part)
+{
+    if (now - part.at > reportKept)
+        return;
+    const Duration age = part.report.age + (now - part.at);
+    add(sum, part.report);
+    sum.age = std::max(sum.age, age);
+}
+
 dispatch::LoadReport RelayDesk::zoneSum(TimePoint now) const
 {
     dispatch::LoadReport sum;
-    for (const auto& [vm, part] : m_members) {
-        if (now - part.at <= reportKept)
-            add(sum, part.report);
-    }
+    for (const auto& [vm, part] : m_members)
+        addPart(now, sum, part);
     return sum;
 }
 
 dispatch::LoadReport RelayDesk::sum(TimePoint now, dispatch::LoadReport own) const
 {
-    for (const auto& [vm, part] : m_zones) {
-        if (now - part.at <= reportKept)
-            add(own, part.report);
-    }
+    for (const auto& [zone, part] : m_zones)
+        addPart(now, own, part);
     return own;
 }
 
+std::set<std::string> RelayDesk::late(TimePoint now) const
+{
+    std::set<std::string> names;
+    for (const auto& [vm, part] : m_members) {
+        if (now - part.at > reportKept)
+            names.insert(vm.value);
+    }
+    for (const auto& [zone, part] : m_zones) {
+        if (now - part.at > reportKept)
+            names.insert(zone.value);
+    }
+    return names;
+}
+
 std::uint64_t RelayDesk::includedSerial(TimePoint now, const VmId& member) const
 {
     const auto it = m_members.find(member);
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -97,9 +97,11 @@
         m_facts.arrived, m_facts.due, m_tried };
     const dispatch::Decision decision = m_port.place(now, demand, round);
     if (const auto* placement = std::get_if<dispatch::Placement>(&decision)) {
+        m_record.isRefused = false;
         send(now, *placement);
         return;
     }
+    m_record.isRefused = true;
     m_record.refusal = std::get<dispatch::Refusal>(decision);
     m_record.trace += " refused:" + std::string(toString(m_record.refusal.reason));
     if (m_failedHead && !m_hasStarted)
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -138,16 +138,33 @@
     CHECK(placed(later.dispatcher->place(start + 3s, later.demand("c", prompt(1, 100, 100)), Round::First)));
 }
 
+TEST_CASE("a decision tells by how old sums it was made")
+{
+    World world(1);
+    const auto ageNow = [&](TimePoint now) {
+        return placed(world.dispatcher->place(now, world.demand("c", prompt(1, 100, 100)), Round::First))
+            ->admission.sumsAge;
+    };
+    CHECK_FALSE(ageNow(start));
+    LoadReport report;
+    report.age = 200ms;
+    world.dispatcher->peerReported(start, { "peer" }, report);
+    CHECK(ageNow(start + 300ms) == Duration(500ms));
+    CHECK_FALSE(ageNow(start + 5s));
+}
+
 TEST_CASE("a load report survives its encoding, and other bytes are refused")
 {
     LoadReport report;
     report.serial = 5;
+    report.age = 321ms;
     report.targets[7] = { 1, 2, 3 };
     report.customers[{ "c" }] = { 10, 7 };
     report.placed[0xFFFF'FFFF] = { { { 0xFFFF'FFFF'FFFF'FFFF, 9 } }, 1'000'000'000'000 };
     const auto read = decodeLoadReport(encode(report));
     REQUIRE(read.ok());
     CHECK(read->serial == 5);
+    CHECK(read->age == 321ms);
     CHECK(read->targets.at(7).memoryTokens == 3);
     CHECK(read->customers.at({ "c" }).granted == 7);
     CHECK(read->placed == report.placed);
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -283,6 +283,20 @@
     CHECK(desk.zoneSum(start + 5s).targets.empty());
 }
 
+TEST_CASE("a sum tells how old the oldest report in it is, and a relay which reports are too old to be in it")
+{
+    RelayDesk desk;
+    dispatch::LoadReport far;
+    far.age = 150ms;
+    desk.zoneReported(start, { "far" }, far);
+    desk.memberReported(start + 100ms, { "vm" }, {});
+    CHECK(desk.zoneSum(start + 300ms).age == 200ms);
+    CHECK(desk.sum(start + 300ms, desk.zoneSum(start + 300ms)).age == 450ms);
+    CHECK(desk.late(start + 300ms).empty());
+    CHECK(desk.late(start + 1250ms) == std::set<std::string> { "far" });
+    CHECK(desk.late(start + 5s) == std::set<std::string> { "far", "vm" });
+}
+
 TEST_CASE("a sum with a report that is no longer remembered, or not yet, is not taken for the others'")
 {
     OwnReports ownReports;
