--- a/tests/DispatchWorld.cpp
+++ b/tests/DispatchWorld.cpp
@@ -16,11 +16,15 @@
     constexpr std::uint32_t tokensOut = 120;
     constexpr unsigned mostAsks = 4;
 
-    /// Routers of a fleet in which reports come over relays, and how many reports later their sums arrive.
+    /// Routers of a fleet in which reports come over relays.
     constexpr unsigned largeFleet = 295;
-    constexpr std::size_t relayDelay = 2;
     constexpr Duration homesTrusted = 20s;
     const VmId sumOfOthers { "sum" };
+    const std::string pinned = "pinned";
+
+    std::size_t secondOf(TimePoint now) { return static_cast<std::size_t>((now - start) / 1s); }
+
+    double tokensOf(const PromptSize& prompt) { return prompt.tokensIn + 2.0 * prompt.tokensOut; }
 
 } // namespace
 
@@ -117,6 +121,8 @@
     Request request;
     request.customer = isHot ? "hot" : "c" + std::to_string(m_random.below(customers - 1));
     const std::uint32_t sharedTokens = m_pattern.sharedTokens;
+    if (m_pattern.pinnedCustomer > 0 && m_random.fraction() < m_pattern.pinnedCustomer)
+        request.customer = pinned;
     request.prompt = { sharedTokens + own, tokensOut, { { shared, sharedTokens }, { ++m_ownPart, own } } };
     request.arrived = now;
     request.isLarge = own >= m_pattern.ownMost - ownRange / 10;
@@ -141,6 +147,8 @@
                 m_routers[it.router]->ended(now, it.attempt, AttemptEnd::Answered);
             else
                 m_routers[it.router]->firstAnswer(now, it.attempt);
+            if (!it.isEnd)
+                m_tally.began(secondOf(now), it.request.customer, tokensOf(it.request.prompt));
         }
         while (!m_returns.empty() && m_returns.begin()->first <= now) {
             Request request = m_returns.begin()->second;
@@ -187,6 +195,12 @@
     return m_table->config().routes[request.isSmallKind ? 1 : 0];
 }
 
+unsigned DispatchWorld::chooseRouter(const Request& request)
+{
+    const auto drawn = static_cast<unsigned>(m_random.below(m_pattern.routers));
+    return request.customer == pinned ? 0 : drawn;
+}
+
 void DispatchWorld::countRefused(const Request& request)
 {
     ++m_outcome.refused;
@@ -196,7 +210,8 @@
 
 void DispatchWorld::ask(TimePoint now, Request request)
 {
-    const auto router = static_cast<unsigned>(m_random.below(m_pattern.routers));
+    const unsigned router = chooseRouter(request);
+    m_tally.asked(secondOf(now), request.customer, tokensOf(request.prompt));
     Demand demand { { request.customer }, { "llm" }, &routeOf(request), request.prompt, 0, request.arrived, now + 12s,
         {} };
     if (!m_policy.isAffine)
@@ -206,6 +221,7 @@
         serve(now, router, request, *placement);
         return;
     }
+    m_tally.refused(secondOf(now), request.customer);
     const Duration comeBack = m_pattern.repeatsAtOnce ? Duration(20ms) : std::get<Refusal>(decision).comeBack;
     const unsigned most = m_pattern.repeatsAtOnce ? mostAsks : 2;
     if (++request.asks < most && now + comeBack < request.arrived + routeOf(request).goal) {
@@ -227,8 +243,8 @@
     engine.busyUntil = std::max(engine.busyUntil, now)
         + Duration(static_cast<Duration::rep>(read / m_pattern.engineTokensPerMs * 1000));
     const TimePoint first = engine.busyUntil + firstBase;
-    m_events.emplace(first, Event { router, placement.attempt, false });
-    m_events.emplace(first + streamTime, Event { router, placement.attempt, true });
+    m_events.emplace(first, Event { request, router, placement.attempt, false });
+    m_events.emplace(first + streamTime, Event { request, router, placement.attempt, true });
     const bool isOnTime = first - request.arrived <= routeOf(request).goal;
     m_outcome.onTime += isOnTime ? 1 : 0;
     m_outcome.late += isOnTime ? 0 : 1;
@@ -236,6 +252,12 @@
     m_outcome.smallOnTime += isOnTime && request.customer != "hot" ? 1 : 0;
 }
 
+bool DispatchWorld::areSumsLost(TimePoint now) const
+{
+    const TimePoint from = start + m_pattern.sumsLostFrom;
+    return now >= from && now < from + m_pattern.sumsLostFor;
+}
+
 void DispatchWorld::report(TimePoint now)
 {
     std::vector<LoadReport> reports;
@@ -260,8 +282,12 @@
 void DispatchWorld::reportByRelay(TimePoint now, std::vector<LoadReport> reports)
 {
     m_underWay.push_back(std::move(reports));
-    if (m_underWay.size() <= relayDelay)
+    if (m_underWay.size() <= m_pattern.sumsLateBy)
         return;
+    if (areSumsLost(now)) {
+        m_underWay.pop_front();
+        return;
+    }
     LoadReport sum;
     for (const LoadReport& it : m_underWay.front())
         add(sum, it);
--- a/tests/DispatchWorld.h
+++ b/tests/DispatchWorld.h
@@ -3,6 +3,8 @@
 /// @file
 /// Several routers' dispatchers before emulated engines under a virtual clock: replays of loads, policy against policy.
 
+#include "ShareTally.h"
+
 #include "dispatch/PrefixMemory.h"
 
 #include <sagechute/Dispatch.h>
@@ -18,10 +20,14 @@
     double requestsPerSecond = 36;
     double burst = 1; ///< Times the usual from the second to the fourth second.
     double hotCustomer = 0; ///< Share of all requests that come from one of ten customers.
+    double pinnedCustomer = 0; ///< Share of all requests that come from a customer whose callers all use one router.
     double hotPrompt = 0; ///< Share of all requests that have the same shared part.
     unsigned sharedParts = 40; ///< Prompts that requests share.
     std::uint64_t engineMemory = 400'000; ///< Tokens.
     bool isRelayed = false; ///< A large fleet: routers are told sums of all reports, late, instead of each report.
+    unsigned sumsLateBy = 2; ///< Reports later than a sum's own, 60 ms each, it arrives over relays.
+    Duration sumsLostFrom {}; ///< From then on no sum arrives for a while; for this and the next.
+    Duration sumsLostFor {};
     unsigned lostEngines = 0; ///< From the third second on they answer nothing, and are listed for 3.6 s more.
     Duration routersLostAt {}; ///< All routers at once start anew, and know nothing of before; zero: never.
     bool repeatsAtOnce = false; ///< A refused caller asks again after 20 ms, up to three times.
@@ -96,6 +102,9 @@
 
     Outcome play();
 
+    /// @return who got how much in each second.
+    const ShareTally& tally() const { return m_tally; }
+
 private:
     struct Engine {
         TargetId id;
@@ -114,6 +123,7 @@
     };
 
     struct Event {
+        Request request;
         unsigned router = 0;
         AttemptId attempt = 0;
         bool isEnd = false;
@@ -122,6 +132,8 @@
     Request draw(TimePoint now);
     const Route& routeOf(const Request&) const;
     void countRefused(const Request&);
+    unsigned chooseRouter(const Request&);
+    bool areSumsLost(TimePoint now) const;
     void ask(TimePoint now, Request);
     void serve(TimePoint now, unsigned router, const Request&, const Placement&);
     void report(TimePoint now);
@@ -145,6 +157,7 @@
     std::uint64_t m_ownPart = 1'000'000;
     bool m_areRoutersLost = false;
     Outcome m_outcome;
+    ShareTally m_tally;
 };
 
 } // namespace sagechute::dispatch
