Name in a request's line what it asks, so that its repeats can be joined

The key is a digest of customer, method, host, path and body; the line of each request has it as key=. No decision depends on it yet. Before: no field of the line was the same for two sends.

--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -32,10 +32,17 @@
         return order.arrived + (order.facts.deadline ? std::min(*order.facts.deadline, timeout) : timeout);
     }
 
-    relay::RequestFacts factsOf(const RelayOrder& order)
+    quarantine::RequestKey keyOf(const RelayOrder& order)
+    {
+        const net::ServerRequest& request = order.exchange->request();
+        return quarantine::requestKeyOf(
+            { order.customer, request.method, order.facts.host, request.rawTarget, request.body });
+    }
+
+    relay::RequestFacts factsOf(const RelayOrder& order, quarantine::RequestKey key)
     {
         return { order.facts.id, order.route, order.service, order.customer, order.facts.prompt,
-            order.exchange->request().body.size(), order.arrived, dueOf(order) };
+            order.exchange->request().body.size(), order.arrived, dueOf(order), key };
     }
 
     class AttemptSink final : public net::TransferSink {
@@ -74,7 +81,8 @@
 Relay::Relay(const RelayTools& tools, RelayOrder order)
     : m_tools(tools)
     , m_order(std::move(order))
-    , m_flow(*this, factsOf(m_order))
+    , m_key(keyOf(m_order))
+    , m_flow(*this, factsOf(m_order, m_key))
 {
     ++m_tools.state.activeRequests;
 }
@@ -227,11 +235,12 @@
     const dispatch::Admission& admission = admissionOf(record);
     m_tools.metrics.request(m_order.route->name, record.status, lasted);
     process::log(process::LogLevel::Info, "request",
-        { { "id", m_order.facts.id }, { "route", m_order.route->name }, { "customer", m_order.customer.value },
-            { "caller", m_order.exchange->request().peerAddress }, { "service", m_order.service.value },
-            { "config", std::to_string(m_order.table->config().version) }, { "status", std::to_string(record.status) },
-            { "outcome", record.outcome }, { "attempts", record.trace.empty() ? "none" : record.trace.substr(1) },
-            { "ms", milliseconds(lasted) }, { "first-ms", milliseconds(record.firstEventAfter) },
+        { { "id", m_order.facts.id }, { "key", quarantine::toHex(m_key) }, { "route", m_order.route->name },
+            { "customer", m_order.customer.value }, { "caller", m_order.exchange->request().peerAddress },
+            { "service", m_order.service.value }, { "config", std::to_string(m_order.table->config().version) },
+            { "status", std::to_string(record.status) }, { "outcome", record.outcome },
+            { "attempts", record.trace.empty() ? "none" : record.trace.substr(1) }, { "ms", milliseconds(lasted) },
+            { "first-ms", milliseconds(record.firstEventAfter) },
             { "predicted-ms", milliseconds(record.placement.predictedFirst) },
             { "read-tokens", std::to_string(record.placement.tokensToRead) },
             { "prompt-tokens", std::to_string(m_order.facts.prompt.tokensIn) },
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -77,6 +77,7 @@
 
     const RelayTools m_tools;
     const RelayOrder m_order;
+    const quarantine::RequestKey m_key;
 
     std::mutex m_mutex;
     relay::RequestFlow m_flow;
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -5,7 +5,7 @@
 /// follows a failed attempt. Decision logic without sockets, threads or clock: the adapters around it decode requests,
 /// send them and say how they ended.
 
-#include <sagechute/Core.h>
+#include <sagechute/Quarantine.h>
 
 #include <map>
 #include <memory>
@@ -210,6 +210,7 @@
     TimePoint arrived;
     TimePoint due; ///< No answer counts later.
     std::set<TargetLife> tried; ///< They are chosen only when there is no other.
+    quarantine::RequestKey key = 0; ///< See requestKeyOf().
 };
 
 /// Names a placed attempt until it ended.
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -19,6 +19,7 @@
     std::size_t bytes = 0;
     TimePoint arrived;
     TimePoint due; ///< The caller or the route waits no longer.
+    quarantine::RequestKey key = 0; ///< See quarantine::requestKeyOf().
 };
 
 /// An attempt to be sent.
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -94,7 +94,7 @@
         return;
     }
     const dispatch::Demand demand { m_facts.customer, m_facts.service, m_facts.route, m_facts.prompt, m_facts.bytes,
-        m_facts.arrived, m_facts.due, m_tried };
+        m_facts.arrived, m_facts.due, m_tried, m_facts.key };
     const dispatch::Decision decision = m_port.place(now, demand, round);
     if (const auto* placement = std::get_if<dispatch::Placement>(&decision)) {
         m_record.isRefused = false;
