Reproduce a request that crashes targets again and again in a test that fails

Real routers, store and targets; the targets' stand-in ends its process when it begins to run a body that holds a marker, and a keeper starts it again after 2 s.

--- /dev/null
+++ b/tests/crashing_request_test.py
@@ -0,0 +1,166 @@
+"""A request that crashes every target that runs it, before real edge routers and stand-ins that are started again.
+
+Run by ctest with the build directory as the first argument; names of tests may follow.
+"""
+
+import os
+import sys
+import threading
+import time
+import unittest
+import uuid
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
+from platform_fleet import Fleet, call, events_of  # noqa: E402
+
+BUILD = "build"
+MARKER = "this-crashes-the-target"
+ROUTERS = 3
+ENGINES = 5
+DOWN_SECONDS = 2.0
+STABLE_SECONDS = 3.0
+MOST_MORE = 3  # Targets that may still end later than that after the third.
+PAUSE_SECONDS = 0.3
+CALLERS = 6
+
+
+def fresh():
+    return uuid.uuid4().hex[:16]
+
+
+class Keeper(threading.Thread):
+    """Starts targets again that have ended, some time later, and notes when they ended."""
+
+    def __init__(self, fleet):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.ends = []
+        self.is_stopping = False
+
+    def run(self):
+        due = {}
+        while not self.is_stopping:
+            now = time.monotonic()
+            for name, worker in self.fleet.workers.items():
+                if name in due:
+                    if now >= due[name]:
+                        del due[name]
+                        worker["process"].start()
+                elif worker["process"].child.poll() is not None:
+                    self.ends.append(now)
+                    due[name] = now + DOWN_SECONDS
+            time.sleep(0.01)
+
+    def ends_too_many(self):
+        """Ends later than the routers had to know of the third."""
+        if len(self.ends) < 3:
+            return 0
+        return sum(it > self.ends[2] + STABLE_SECONDS for it in self.ends)
+
+
+class Callers:
+    """Send requests of their own, one after the other."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.is_stopping = False
+        self.results = []  # (when it was sent, whether it was answered whole)
+        self.threads = [threading.Thread(target=self.send, args=(i,), daemon=True) for i in range(CALLERS)]
+        for it in self.threads:
+            it.start()
+
+    def send(self, turn):
+        while not self.is_stopping:
+            begun = time.monotonic()
+            status, _, body = self.fleet.send("/answers/x", fresh(), router=turn % ROUTERS, body=fresh())
+            self.results.append((begun, status == 200 and len(events_of(body)) == 10))
+            turn += 1
+            time.sleep(0.02)
+
+    def stop(self):
+        self.is_stopping = True
+        for it in self.threads:
+            it.join()
+
+    def served_share(self, since):
+        results = [is_whole for begun, is_whole in self.results if begun >= since]
+        return sum(results) / max(1, len(results))
+
+
+class CrashingRequestTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(BUILD, routers=ROUTERS, engines=ENGINES, applications=0,
+                           worker_arguments=["--crash-marker", MARKER, "--work", "60ms"])
+        self.addCleanup(self.fleet.__exit__)
+        self.fleet.wait_ready()
+        self.keeper = Keeper(self.fleet)
+        self.keeper.start()
+        self.addCleanup(self.stop_keeper)
+        self.callers = Callers(self.fleet)
+        self.addCleanup(self.callers.stop)
+        self.answers = []
+
+    def stop_keeper(self):
+        self.keeper.is_stopping = True
+        self.keeper.join()
+
+    def repeat(self, seconds, router=None):
+        """Sends the crashing request again and again, each time under a new id."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            chosen = len(self.answers) % ROUTERS if router is None else router
+            self.answers.append(self.fleet.send("/answers/x", fresh(), router=chosen, body=MARKER)[:2])
+            time.sleep(PAUSE_SECONDS)
+
+    def repeat_until_third(self):
+        while len(self.keeper.ends) < 3:
+            self.repeat(PAUSE_SECONDS / 2)
+
+    def restart(self, routers):
+        for it in routers:
+            it["process"].end()
+        for it in routers:
+            it["process"].start()
+        for it in routers:
+            self.fleet.wait_until("it is ready", lambda: self.fleet.is_ready(it), 8)
+
+    def check(self):
+        self.assertGreaterEqual(len(self.keeper.ends), 3, "the request crashed no targets")
+        self.assertLessEqual(self.keeper.ends_too_many(), MOST_MORE, f"{len(self.keeper.ends)} ended in all")
+
+    def test_a_request_that_crashes_targets_is_repeated_at_all_routers(self):
+        """Guards against a request that ends a target each time it comes, whichever router it comes to."""
+        self.repeat(11)
+        self.check()
+        status, fields = self.answers[-1]
+        self.assertEqual(status, 503)
+        self.assertGreater(float(fields["retry-after"]), 1)
+        self.assertGreater(self.callers.served_share(time.monotonic() - 3), 0.95)
+
+    def test_a_request_that_crashes_targets_is_repeated_at_a_router_that_started_after_the_third(self):
+        """Guards against a router without memory of what the others know."""
+        self.repeat_until_third()
+        self.repeat(1)
+        self.restart(self.fleet.routers[:1])
+        self.repeat(8, router=0)
+        self.check()
+
+    def test_a_request_that_crashes_targets_is_repeated_after_all_routers_were_lost(self):
+        """Guards against knowledge that lives in routers only."""
+        self.repeat_until_third()
+        self.repeat(1)
+        self.restart(self.fleet.routers)
+        self.repeat(8)
+        self.check()
+
+    def test_a_request_that_crashes_targets_is_repeated_while_the_store_is_away(self):
+        """Guards against routers that learn of each other's lost targets by the store only."""
+        self.fleet.command(self.fleet.store, "/standin/fault?kind=silent")
+        self.repeat(9)
+        self.fleet.command(self.fleet.store, "/standin/fault?kind=none")
+        self.check()
+
+
+if __name__ == "__main__":
+    BUILD = sys.argv.pop(1)
+    unittest.main(verbosity=2)
