Run a request no more once three targets have ended under it

What callers saw: a request that crashes each target that begins to run it came again under new ids, at any router, and was sent on each time; every time a target was lost, and with it all that it was running (502 and cut streams for up to nine others). Cause: routers knew attempts by ids and targets by lives, and added up nothing by what a request asks. Class: a failure that follows the work, judged only by the place where it shows. Change, library quarantine: a key by customer, method, host, path and body; ends of targets told apart from resets and spoiled answers (all attempts broken and a connection refused, or the address taken by another life, or the entry gone unannounced); records (request, target's life) that routers merge in any order and tell each other with their load reports; three ends without a complete run refuse the request before every attempt. A complete run clears it, an operator releases it under /v1/quarantine. target-ended and request-quarantined lines, two metrics.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -40,6 +40,15 @@
                      .Name("sagechute_edge_refusals_total")
                      .Help("Requests turned away without having run, by reason")
                      .Register(metrics.registry()))
+    , m_targetEnds(prometheus::BuildCounter()
+                       .Name("sagechute_edge_target_ends_total")
+                       .Help("Targets that ended with requests of this router at work, by what showed it")
+                       .Register(metrics.registry()))
+    , m_quarantined(prometheus::BuildGauge()
+                        .Name("sagechute_edge_quarantined_requests")
+                        .Help("Requests that are run no more, as targets end when they run them")
+                        .Register(metrics.registry())
+                        .Add({}))
     , m_duration(histogram(metrics.registry(), "sagechute_edge_request_seconds", "From arrival to the answer's end"))
     , m_firstEvent(
           histogram(metrics.registry(), "sagechute_edge_first_event_seconds", "From arrival to a stream's first event"))
@@ -95,6 +104,11 @@
         m_sumsAge.Observe(seconds(*view.sumsAge));
 }
 
+void EdgeMetrics::targetEnded(quarantine::EndEvidence evidence)
+{
+    m_targetEnds.Add({ { "evidence", std::string(toString(evidence)) } }).Increment();
+}
+
 void EdgeMetrics::request(std::string_view route, int status, Duration lasted)
 {
     m_requests.Add({ { "route", std::string(route) }, { "status", std::to_string(status) } }).Increment();
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -18,6 +18,8 @@
     void firstEvent(Duration sinceArrival, Duration predictionError);
     void attempt(dispatch::AttemptEnd);
     void refusal(dispatch::RefusalReason);
+    void targetEnded(quarantine::EndEvidence);
+    prometheus::Gauge& quarantined() { return m_quarantined; }
 
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
@@ -32,6 +34,8 @@
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Counter>& m_targetEnds;
+    prometheus::Gauge& m_quarantined;
     prometheus::Histogram& m_duration;
     prometheus::Histogram& m_firstEvent;
     prometheus::Histogram& m_predictionError;
--- a/apps/sagechute-edge/Housekeeping.cpp
+++ b/apps/sagechute-edge/Housekeeping.cpp
@@ -49,11 +49,12 @@
 }
 
 Housekeeping::Housekeeping(EdgeState& state, Fleet& fleet, Listeners& listeners, ShareWatch& shareWatch,
-    DueTimers& timers, SettingsWatch& watch)
+    CrashWatch& crashWatch, DueTimers& timers, SettingsWatch& watch)
     : m_state(state)
     , m_fleet(fleet)
     , m_listeners(listeners)
     , m_shareWatch(shareWatch)
+    , m_crashWatch(crashWatch)
     , m_timers(timers)
     , m_watch(watch)
 {
@@ -66,6 +67,7 @@
     while (!stop.wait(tickInterval)) {
         const TimePoint now = steadyNow();
         m_timers.run(now);
+        m_crashWatch.tick(now);
         m_fleet.tick(now);
         if (now >= nextLook) {
             m_listeners.followLimits();
@@ -98,7 +100,8 @@
         { { "seeds", std::to_string(options.seeds.size()) }, { "note", "other settings are read at the next start" } });
 }
 
-void planStop(EdgeState& state, Fleet& fleet, Listeners& listeners, DueTimers& timers, const Options& options)
+void planStop(EdgeState& state, Fleet& fleet, Listeners& listeners, CrashWatch& crashWatch, DueTimers& timers,
+    const Options& options)
 {
     const TimePoint begin = steadyNow();
     const StopTimes times = stopTimes(Duration(static_cast<Duration::rep>(options.stopGraceSeconds * 1e6)));
@@ -111,6 +114,7 @@
     for (;;) {
         const TimePoint now = steadyNow();
         timers.run(now);
+        crashWatch.tick(now);
         fleet.tick(now);
         if (state.activeRequests > 0)
             quietSince = now;
--- a/apps/sagechute-edge/Housekeeping.h
+++ b/apps/sagechute-edge/Housekeeping.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashWatch.h"
 #include "DueTimers.h"
 #include "Fleet.h"
 #include "Listeners.h"
@@ -31,7 +32,7 @@
 /// The thread that does what comes due, until the process is asked to stop.
 class Housekeeping {
 public:
-    Housekeeping(EdgeState&, Fleet&, Listeners&, ShareWatch&, DueTimers&, SettingsWatch&);
+    Housekeeping(EdgeState&, Fleet&, Listeners&, ShareWatch&, CrashWatch&, DueTimers&, SettingsWatch&);
     void run(process::StopSignal&);
 
 private:
@@ -41,12 +42,13 @@
     Fleet& m_fleet;
     Listeners& m_listeners;
     ShareWatch& m_shareWatch;
+    CrashWatch& m_crashWatch;
     DueTimers& m_timers;
     SettingsWatch& m_watch;
 };
 
 /// Carries out the planned stop: out of the answers to callers at once, new connections for a while, requests in
 /// flight to their end.
-void planStop(EdgeState&, Fleet&, Listeners&, DueTimers&, const Options&);
+void planStop(EdgeState&, Fleet&, Listeners&, CrashWatch&, DueTimers&, const Options&);
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -16,6 +16,8 @@
     constexpr int notFound = 404;
     constexpr int unavailable = 503;
 
+    constexpr std::string_view quarantinePath = "/v1/quarantine";
+
     /// Callers' idle connections stay open for longer than callers use them again: the deployments' limit is 15 s, and
     /// a request that crosses a close is a failure.
     constexpr std::chrono::seconds callerIdle { 75 };
@@ -160,6 +162,30 @@
         { "targets", std::move(targets) }, { "peers", std::move(peers) } };
 }
 
+void Listeners::handleQuarantine(net::ServerExchange& exchange)
+{
+    const std::string_view name = std::string_view(exchange.request().path).substr(quarantinePath.size());
+    if (exchange.request().method == "GET" && name.empty()) {
+        exchange.respond(net::jsonResponse(okStatus, crashCases()));
+        return;
+    }
+    const auto key = name.starts_with('/') ? quarantine::requestKeyFromHex(name.substr(1)) : std::nullopt;
+    const bool isReleased = key && exchange.request().method == "DELETE"
+        && m_tools.state.withDispatcher(
+            [&](dispatch::Dispatcher& it) { return it.crashes().release(steadyNow(), *key); });
+    exchange.respond(plain(isReleased ? okStatus : notFound));
+}
+
+nlohmann::json Listeners::crashCases() const
+{
+    nlohmann::json requests = nlohmann::json::array();
+    for (const quarantine::CrashCase& it :
+        m_tools.state.withDispatcher([](dispatch::Dispatcher& it) { return it.crashes().cases(); }))
+        requests.push_back({ { "key", quarantine::toHex(it.request) }, { "targetEnds", it.targets.size() },
+            { "quarantined", it.isQuarantined() } });
+    return { { "requests", std::move(requests) } };
+}
+
 void Listeners::handleControl(net::ServerExchange& exchange)
 {
     const std::string& path = exchange.request().path;
@@ -170,6 +196,8 @@
         exchange.respond(plain(okStatus, m_tools.metrics.exposition()));
     } else if (path == "/v1/status") {
         exchange.respond(net::jsonResponse(okStatus, status()));
+    } else if (path.starts_with(quarantinePath)) {
+        handleQuarantine(exchange);
     } else if (path == "/healthz") {
         exchange.respond(plain(okStatus));
     } else if (path == "/readyz") {
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -39,6 +39,10 @@
     void handleReadiness(net::ServerExchange&);
     void handleLocate(net::ServerExchange&, std::chrono::seconds kept);
     void handleControl(net::ServerExchange&);
+
+    /// Tells the requests under which targets ended, or releases one of them.
+    void handleQuarantine(net::ServerExchange&);
+    nlohmann::json crashCases() const;
     nlohmann::json status() const;
 
     const ListenerTools m_tools;
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -84,8 +84,9 @@
                 { "version", std::string(process::version()) } });
 
         ShareWatch shareWatch(state, edgeMetrics);
-        Housekeeping(state, **fleet, **listeners, shareWatch, timers, watch).run(stop);
-        planStop(state, **fleet, **listeners, timers, options);
+        CrashWatch crashWatch(state, **targetClient, edgeMetrics);
+        Housekeeping(state, **fleet, **listeners, shareWatch, crashWatch, timers, watch).run(stop);
+        planStop(state, **fleet, **listeners, crashWatch, timers, options);
         process::log(
             process::LogLevel::Info, "stopped", { { "cut-off", std::to_string(state.activeRequests.load()) } });
         // Threads may be waiting for a store or a peer that does not answer, for longer than the platform's patience.
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -236,7 +236,13 @@
 };
 
 /// Why a request is turned away without having run.
-enum class RefusalReason { NoTarget, Overloaded, OverShare, RetryBudget };
+enum class RefusalReason {
+    NoTarget,
+    Overloaded,
+    OverShare,
+    RetryBudget,
+    Quarantined, ///< Targets end when they run it; see quarantine::CrashGuard.
+};
 
 std::string_view toString(RefusalReason);
 
@@ -293,7 +299,7 @@
 
 /// A target's life in few bytes, as routers tell each other of it: a hash of its name and start. Where two of a fleet's
 /// lives have the same, which of 660 happens in one fleet of 20,000, each counts as busy as both.
-using TargetKey = std::uint32_t;
+using quarantine::TargetKey;
 TargetKey keyOf(const TargetLife&);
 
 /// What was sent to a target of prompts lately.
@@ -312,6 +318,7 @@
     std::map<TargetKey, TargetUse> targets;
     std::map<CustomerId, CustomerUse> customers;
     std::map<TargetKey, PlacedPrompts> placed; ///< Since the report before the last: each is told twice.
+    std::set<quarantine::CrashRecord> crashes; ///< See quarantine::CrashLedger::tell().
 };
 
 /// Adds what another router, or a sum of several, has in flight.
@@ -385,6 +392,9 @@
 
     /// @return who has how much of the engines.
     virtual SharesView shares(TimePoint now) const = 0;
+
+    /// @return what is known of requests that crash targets.
+    virtual quarantine::CrashGuard& crashes() = 0;
 };
 
 } // namespace sagechute::dispatch
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -179,6 +179,7 @@
     TransferEnd end = TransferEnd::Completed;
     int httpStatus = 0; ///< 0 when no status line arrived.
     std::string detail; ///< The library's message, for logs.
+    bool isRefused = false; ///< The other VM answered that nothing listens at the address.
 };
 
 /// A request to send.
--- a/src/dispatch/LoadReport.cpp
+++ b/src/dispatch/LoadReport.cpp
@@ -15,6 +15,11 @@
     using Rows = std::tuple<std::uint64_t, std::uint32_t, std::vector<UseRow>, std::vector<CustomerRow>,
         std::vector<PlacedRow>>;
 
+    using CrashRow = std::tuple<quarantine::RequestKey, TargetKey, bool>;
+
+    /// A release that knows no crashes sends the rows before them only.
+    constexpr std::size_t crashesAt = std::tuple_size_v<Rows>;
+
     using WireAge = std::chrono::duration<std::uint32_t, std::milli>;
 
     absl::Status malformed()
@@ -51,6 +56,7 @@
         total.shared.insert(placed.shared.begin(), placed.shared.end());
         total.ownTokens += placed.ownTokens;
     }
+    sum.crashes.insert(part.crashes.begin(), part.crashes.end());
 }
 
 void subtract(LoadReport& sum, const LoadReport& part)
@@ -77,7 +83,7 @@
 {
     msgpack::sbuffer bytes;
     msgpack::packer<msgpack::sbuffer> out(bytes);
-    out.pack_array(std::tuple_size_v<Rows>);
+    out.pack_array(crashesAt + 1);
     out.pack(report.serial);
     out.pack(std::chrono::duration_cast<WireAge>(report.age).count());
     out.pack_array(static_cast<std::uint32_t>(report.targets.size()));
@@ -90,6 +96,9 @@
     out.pack_array(static_cast<std::uint32_t>(report.placed.size()));
     for (const auto& [key, placed] : report.placed)
         out.pack(PlacedRow { key, placed.ownTokens, placed.shared });
+    out.pack_array(static_cast<std::uint32_t>(report.crashes.size()));
+    for (const quarantine::CrashRecord& it : report.crashes)
+        out.pack(CrashRow { it.request, it.target, it.isCleared });
     return { bytes.data(), bytes.size() };
 }
 
@@ -112,6 +121,11 @@
                 = { static_cast<double>(asked), static_cast<double>(granted), static_cast<double>(turnedAway) };
         for (const auto& [key, ownTokens, shared] : std::get<4>(rows))
             report.placed[key] = { shared, ownTokens };
+        if (handle->via.array.size > crashesAt) {
+            for (const auto& [request, target, isCleared] :
+                handle->via.array.ptr[crashesAt].as<std::vector<CrashRow>>())
+                report.crashes.insert({ request, target, isCleared });
+        }
         return report;
     } catch (const msgpack::unpack_error&) {
         return malformed();
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -48,6 +48,12 @@
     /// After so long a list of targets that lost one is read again.
     constexpr Duration noTargetComeBack = std::chrono::milliseconds(700);
 
+    /// By then it is known whether a target has ended.
+    constexpr Duration undecidedComeBack = std::chrono::milliseconds(500);
+
+    /// A quarantine lasts until an operator ends it.
+    constexpr Duration quarantinedComeBack = std::chrono::hours(1);
+
     double tokensOf(const PromptSize& prompt) { return prompt.tokensIn + writeWeight * prompt.tokensOut; }
 
     /// In a fleet of more routers than this, reports come over relays and are up to half a second old.
@@ -106,9 +112,33 @@
             m_targets.emplace(
                 it.life(), std::make_unique<TargetModel>(it, service, m_settings, typicalSpeed(it.service)));
     }
+    noteLostTargets(now, targets, present);
     std::erase_if(m_targets, [&](const auto& it) { return !present.contains(it.first); });
 }
 
+void LocalDispatcher::noteLostTargets(
+    TimePoint now, const std::vector<Target>& targets, const std::set<TargetLife>& present)
+{
+    std::multimap<std::string_view, const Target*> byAddress;
+    for (const Target& it : targets)
+        byAddress.emplace(it.address, &it);
+    for (const auto& [life, model] : m_targets) {
+        const Target& target = model->target();
+        if (target.draining)
+            continue;
+        const auto [first, last] = byAddress.equal_range(target.address);
+        const bool isReplaced = std::any_of(first, last, [&](const auto& it) {
+            return it.second->service == target.service && it.second->life() != life
+                && !m_knownLives.contains(it.second->life());
+        });
+        if (isReplaced)
+            m_crashes.replaced(now, model->key());
+        else if (!present.contains(life))
+            m_crashes.entryGone(now, model->key());
+    }
+    m_knownLives = present;
+}
+
 TargetSpeed LocalDispatcher::typicalSpeed(const ServiceId& service) const
 {
     TargetSpeed sum { 0, 0 };
@@ -162,8 +192,23 @@
     return perSecond * std::chrono::duration<double>(m_settings.shareWindow).count();
 }
 
+std::optional<Refusal> LocalDispatcher::admitByCrashes(TimePoint now, quarantine::RequestKey key)
+{
+    switch (m_crashes.standing(now, key)) {
+    case quarantine::Standing::Clear:
+        return std::nullopt;
+    case quarantine::Standing::Undecided:
+        return Refusal { RefusalReason::Quarantined, undecidedComeBack, {} };
+    case quarantine::Standing::Quarantined:
+        break;
+    }
+    return Refusal { RefusalReason::Quarantined, quarantinedComeBack, {} };
+}
+
 Decision LocalDispatcher::place(TimePoint now, const Demand& demand, Round round)
 {
+    if (const std::optional<Refusal> refusal = admitByCrashes(now, demand.key))
+        return *refusal;
     const std::vector<PrefixKey> prefixes = prefixesOf(demand.prompt.parts);
     const double tokens = tokensOf(demand.prompt);
     if (round == Round::First) {
@@ -372,7 +417,9 @@
     best.model->placed(now, best.tokensToRead, memoryTokens, prefixes, best.predictedFirst);
     const TargetLife life = best.model->target().life();
     notePlaced(now, best.model->key(), prefixes);
-    m_attempts[++m_lastAttempt] = { life, best.tokensToRead, memoryTokens, now, best.predictedFirst };
+    m_crashes.sent(now, best.model->key(), best.model->target().address);
+    m_attempts[++m_lastAttempt]
+        = { life, best.tokensToRead, memoryTokens, now, best.predictedFirst, false, demand.key };
     return { m_lastAttempt, best.model->target(), best.tokensToRead, best.predictedFirst, best.admission };
 }
 
@@ -412,6 +459,7 @@
     const Attempt attempt = it->second;
     m_attempts.erase(it);
     TargetModel* model = find(attempt.target);
+    noteEnd(now, attempt, model != nullptr && !model->target().draining, end);
     if (!model)
         return;
     // No first event: what it would have read isn't ahead of others any more, and teaches nothing of its speed.
@@ -420,6 +468,18 @@
     model->ended(now, end, attempt.memoryTokens, now - attempt.placedAt);
 }
 
+void LocalDispatcher::noteEnd(TimePoint now, const Attempt& attempt, bool isListed, AttemptEnd end)
+{
+    const TargetKey target = dispatch::keyOf(attempt.target);
+    const bool isBroken = end == AttemptEnd::Broken || end == AttemptEnd::Silent;
+    if (end == AttemptEnd::Answered || end == AttemptEnd::Failed)
+        m_crashes.completed(now, attempt.placedAt, target, attempt.key);
+    else if (isBroken && isListed && attempt.key)
+        m_crashes.broke(now, attempt.placedAt, target, attempt.key, end == AttemptEnd::Silent);
+    else
+        m_crashes.ended(attempt.placedAt, target);
+}
+
 LoadReport LocalDispatcher::report(TimePoint now)
 {
     LoadReport report;
@@ -429,6 +489,8 @@
             report.targets[model->key()] = model->ownUse();
     }
     report.customers = m_shares.own(now);
+    const std::vector<quarantine::CrashRecord> crashes = m_crashes.tell(now);
+    report.crashes = { crashes.begin(), crashes.end() };
     report.placed = m_placedBefore;
     for (const auto& [key, placed] : m_placed) {
         PlacedPrompts& told = report.placed[key];
@@ -452,6 +514,8 @@
             model->peerPlaced(placed->second);
     }
     m_shares.peerUse(now, peer, report.customers, report.age);
+    for (const quarantine::CrashRecord& it : report.crashes)
+        m_crashes.learn(now, it);
     for (const auto& [key, placed] : report.placed) {
         for (const auto& [prompt, tokens] : placed.shared)
             heardOf(now, prompt);
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -27,6 +27,7 @@
     void setRouterCount(unsigned n) override;
     bool hasTargets() const override;
     SharesView shares(TimePoint now) const override;
+    quarantine::CrashGuard& crashes() override { return m_crashes; }
 
 private:
     struct Attempt {
@@ -36,6 +37,7 @@
         TimePoint placedAt;
         Duration predictedFirst {};
         bool hasFirst = false;
+        quarantine::RequestKey key = 0;
     };
 
     /// A target that may take the request, and what speaks for it.
@@ -71,6 +73,14 @@
     bool isTrusted(TimePoint now, const std::vector<PrefixKey>&) const;
     double homeBonusMs(const PromptSize&, const std::vector<PrefixKey>&) const;
     double zoneCostMs(const Demand&) const;
+    /// @return a refusal if targets end when they run the request.
+    std::optional<Refusal> admitByCrashes(TimePoint now, quarantine::RequestKey);
+
+    /// Looks which targets ended without having said that they leave.
+    void noteLostTargets(TimePoint now, const std::vector<Target>&, const std::set<TargetLife>& present);
+
+    /// @param isListed the target is known and does not leave: it may be found to have ended.
+    void noteEnd(TimePoint now, const Attempt&, bool isListed, AttemptEnd);
     Refusal refuse(RefusalReason, Duration comeBack, const Admission& = {});
     Placement commit(TimePoint now, const Demand&, const Candidate&, const std::vector<PrefixKey>&);
     void notePlaced(TimePoint now, TargetKey, const std::vector<PrefixKey>&);
@@ -86,9 +96,11 @@
     SeededRandom m_random;
     std::shared_ptr<const RoutingTable> m_table;
     std::map<TargetLife, std::unique_ptr<TargetModel>> m_targets;
+    std::set<TargetLife> m_knownLives; ///< Of the last list.
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::map<ServiceId, RetryWindow> m_retries;
     CustomerShares m_shares;
+    quarantine::CrashGuard m_crashes;
 
     std::map<ServiceId, KindBalance> m_kinds; ///< Over the requests of customers that near their share.
 
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -36,6 +36,8 @@
         return "over-share";
     case RefusalReason::RetryBudget:
         return "retry-budget";
+    case RefusalReason::Quarantined:
+        return "quarantined";
     }
     return "";
 }
--- a/src/net/ClientConnection.cpp
+++ b/src/net/ClientConnection.cpp
@@ -56,17 +56,17 @@
 } // namespace
 
 std::unique_ptr<ClientConnection> ClientConnection::connect(
-    ClientPool& pool, const Endpoint& endpoint, std::chrono::milliseconds unackedTimeout, std::string& error)
+    ClientPool& pool, const Endpoint& endpoint, std::chrono::milliseconds unackedTimeout, int& error)
 {
     const auto address = SocketAddress::make(endpoint);
     FileDescriptor fd(address ? socket(address->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) : -1);
     if (!fd.isOpen()) {
-        error = describe(errno);
+        error = errno;
         return nullptr;
     }
     setOptions(fd.value(), unackedTimeout);
     if (::connect(fd.value(), address->data(), address->size()) && errno != EINPROGRESS) {
-        error = describe(errno);
+        error = errno;
         return nullptr;
     }
     auto connection = std::unique_ptr<ClientConnection>(new ClientConnection(pool, endpoint, std::move(fd)));
@@ -145,6 +145,7 @@
     m_pool.loop().cancel(m_connectTimer);
     m_connectTimer = 0;
     if (error) {
+        m_isRefused = error == ECONNREFUSED;
         fail(false, concat("no connection to ", toString(m_endpoint), ": ", describe(error)));
         return;
     }
@@ -286,7 +287,7 @@
     TransferEnd end = TransferEnd::NothingSent;
     if (transfer.mayHaveLeft)
         end = isTimeout ? TransferEnd::TimedOut : TransferEnd::BrokenAfterSend;
-    m_pool.ended(*this, transfer, { end, transfer.status, detail }, false);
+    m_pool.ended(*this, transfer, { end, transfer.status, detail, m_isRefused }, false);
 }
 
 void ClientConnection::close()
--- a/src/net/ClientConnection.h
+++ b/src/net/ClientConnection.h
@@ -10,9 +10,9 @@
 class ClientConnection final : public Loop::Handler, private AnswerSink {
 public:
     /// Begins to connect.
-    /// @return null, with @p error set, where not even that is possible.
+    /// @return null, with @p error, an errno, set, where not even that is possible.
     static std::unique_ptr<ClientConnection> connect(
-        ClientPool&, const Endpoint&, std::chrono::milliseconds unackedTimeout, std::string& error);
+        ClientPool&, const Endpoint&, std::chrono::milliseconds unackedTimeout, int& error);
 
     ~ClientConnection() override;
 
@@ -57,6 +57,7 @@
     ClientPool& m_pool;
     const Endpoint m_endpoint;
     FileDescriptor m_fd;
+    bool m_isRefused = false;
     std::uint32_t m_events = 0;
     bool m_isConnected = false;
     bool m_isUsed = false;
--- a/src/net/ClientPool.cpp
+++ b/src/net/ClientPool.cpp
@@ -1,6 +1,8 @@
 #include "net/ClientPool.h"
 
 #include <algorithm>
+#include <cerrno>
+#include <system_error>
 
 namespace sagechute::net {
 
@@ -117,11 +119,11 @@
 void ClientPool::connect(Running& running)
 {
     ClientTransfer& transfer = *running.transfer;
-    std::string error;
+    int error = 0;
     auto connection = ClientConnection::connect(*this, transfer.endpoint(), transfer.request().unackedTimeout, error);
     if (!connection) {
         const TransferEnd how = transfer.mayHaveLeft ? TransferEnd::BrokenAfterSend : TransferEnd::NothingSent;
-        end(transfer.id(), { how, 0, std::move(error) });
+        end(transfer.id(), { how, 0, std::generic_category().message(error), error == ECONNREFUSED });
         return;
     }
     running.connection = connection.get();
--- /dev/null
+++ b/src/quarantine/CrashLedger.cpp
@@ -0,0 +1,146 @@
+#include <sagechute/Quarantine.h>
+
+#include <algorithm>
+
+namespace sagechute::quarantine {
+
+namespace {
+
+    /// Requests that are remembered. A target that ends may have had dozens at work.
+    constexpr std::size_t mostEntries = 4096;
+
+    /// New records are told with each report for so long, as datagrams are lost.
+    constexpr Duration toldFor = std::chrono::seconds(5);
+
+    // In one report, whose datagram must stay small.
+    constexpr std::size_t mostFresh = 24;
+    constexpr std::size_t mostRepeated = 4;
+
+    /// From so many ends on the next one decides, so that a router which has just started is told of them.
+    constexpr unsigned repeatedEnds = quarantineEnds - 1;
+
+} // namespace
+
+bool CrashLedger::merge(TimePoint now, const CrashRecord& record)
+{
+    Entry& entry = m_entries[record.request];
+    const auto [it, isNew] = entry.targets.emplace(record.target, record.isCleared);
+    if (!isNew && it->second == record.isCleared)
+        return false;
+    if (!isNew && it->second) {
+        // Who still says so has not heard that it was cleared.
+        tellSoon(now, { record.request, record.target, true });
+        return false;
+    }
+    it->second = record.isCleared;
+    if (!record.isCleared)
+        ++entry.ends;
+    else if (!isNew)
+        --entry.ends;
+    if (isNew)
+        entry.lastAsked = now;
+    tellSoon(now, record);
+    makeRoom();
+    return true;
+}
+
+void CrashLedger::makeRoom()
+{
+    if (m_entries.size() <= mostEntries)
+        return;
+    const auto least = std::min_element(m_entries.begin(), m_entries.end(), [](const auto& a, const auto& b) {
+        return std::pair(a.second.ends, a.second.lastAsked) < std::pair(b.second.ends, b.second.lastAsked);
+    });
+    m_entries.erase(least);
+}
+
+unsigned CrashLedger::ends(RequestKey request) const
+{
+    const auto it = m_entries.find(request);
+    return it == m_entries.end() ? 0 : it->second.ends;
+}
+
+void CrashLedger::asked(TimePoint now, RequestKey request)
+{
+    if (const auto it = m_entries.find(request); it != m_entries.end())
+        it->second.lastAsked = now;
+}
+
+std::vector<CrashRecord> CrashLedger::clear(TimePoint now, RequestKey request)
+{
+    std::vector<CrashRecord> cleared;
+    const auto it = m_entries.find(request);
+    if (it == m_entries.end())
+        return cleared;
+    for (auto& [target, isCleared] : it->second.targets) {
+        if (isCleared)
+            continue;
+        isCleared = true;
+        cleared.push_back({ request, target, true });
+        tellSoon(now, cleared.back());
+    }
+    it->second.ends = 0;
+    return cleared;
+}
+
+void CrashLedger::tellSoon(TimePoint now, const CrashRecord& record)
+{
+    m_fresh[{ record.request, record.target }] = now + toldFor;
+}
+
+bool CrashLedger::isCleared(const RecordId& id) const
+{
+    const auto entry = m_entries.find(id.first);
+    if (entry == m_entries.end())
+        return true;
+    const auto it = entry->second.targets.find(id.second);
+    return it == entry->second.targets.end() || it->second;
+}
+
+std::vector<CrashRecord> CrashLedger::tell(TimePoint now)
+{
+    std::erase_if(m_fresh, [now](const auto& it) { return it.second < now; });
+    std::set<CrashRecord> told;
+    for (std::size_t i = 0; i < std::min(mostFresh, m_fresh.size()); ++i) {
+        auto it = m_fresh.upper_bound(m_lastFresh);
+        if (it == m_fresh.end())
+            it = m_fresh.begin();
+        m_lastFresh = it->first;
+        told.insert({ it->first.first, it->first.second, isCleared(it->first) });
+    }
+    std::map<RecordId, bool> decisive;
+    for (const auto& [request, entry] : m_entries) {
+        if (entry.ends < repeatedEnds)
+            continue;
+        for (const auto& [target, isCleared] : entry.targets)
+            decisive.emplace(RecordId { request, target }, isCleared);
+    }
+    for (std::size_t i = 0; i < std::min(mostRepeated, decisive.size()); ++i) {
+        auto it = decisive.upper_bound(m_lastTold);
+        if (it == decisive.end())
+            it = decisive.begin();
+        m_lastTold = it->first;
+        told.insert({ it->first.first, it->first.second, it->second });
+    }
+    return { told.begin(), told.end() };
+}
+
+std::vector<CrashCase> CrashLedger::cases() const
+{
+    std::vector<CrashCase> found;
+    for (const auto& [request, entry] : m_entries) {
+        if (entry.ends == 0)
+            continue;
+        CrashCase it { request, {} };
+        for (const auto& [target, isCleared] : entry.targets) {
+            if (!isCleared)
+                it.targets.push_back(target);
+        }
+        found.push_back(std::move(it));
+    }
+    std::stable_sort(found.begin(), found.end(),
+        [](const CrashCase& a, const CrashCase& b) { return a.targets.size() > b.targets.size(); });
+    return found;
+}
+
+} // namespace sagechute::quarantine
--- a/src/quarantine/RequestKey.cpp
+++ b/src/quarantine/RequestKey.cpp
@@ -3,6 +3,7 @@
 #include <openssl/evp.h>
 
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <cstring>
 #include <memory>
@@ -44,4 +45,12 @@
     return buf.data();
 }
 
+std::optional<RequestKey> requestKeyFromHex(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    RequestKey key = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), key, hexadecimal);
+    return ec == std::errc {} && end == text.data() + text.size() ? std::optional(key) : std::nullopt;
+}
+
 } // namespace sagechute::quarantine
--- /dev/null
+++ b/tests/QuarantineTest.cpp
@@ -0,0 +1,276 @@
+// Requests that crash targets: src/quarantine.
+
+#include <sagechute/Quarantine.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace sagechute;
+using namespace sagechute::quarantine;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TargetKey first = 11;
+constexpr TargetKey second = 12;
+constexpr TargetKey third = 13;
+constexpr RequestKey crashing = 7;
+constexpr RequestKey innocent = 8;
+
+/// One router's guard under a clock of its own, and the targets as it meets them.
+struct Router {
+    CrashGuard guard;
+    TimePoint now { 100s };
+
+    TimePoint send(TargetKey target)
+    {
+        now += 1ms;
+        guard.sent(now, target, "10.0.0.1:1");
+        return now;
+    }
+
+    void breakOff(TargetKey target, TimePoint sentAt, RequestKey request)
+    {
+        guard.broke(now, sentAt, target, request, false);
+    }
+
+    /// Answers all checks that are due.
+    void answerChecks(CheckResult result)
+    {
+        now += 1s;
+        for (const TargetCheck& it : guard.checksDue(now))
+            guard.checked(now, it, result);
+    }
+
+    /// A target ends while it runs the request.
+    void crash(TargetKey target, RequestKey request)
+    {
+        const TimePoint sentAt = send(target);
+        now += 50ms;
+        breakOff(target, sentAt, request);
+        answerChecks(CheckResult::Refused);
+    }
+
+    void complete(TargetKey target, RequestKey request)
+    {
+        const TimePoint sentAt = send(target);
+        now += 50ms;
+        guard.completed(now, sentAt, target, request);
+    }
+
+    Standing standing(RequestKey request) { return guard.standing(now, request); }
+};
+
+void tell(Router& from, Router& to)
+{
+    for (const CrashRecord& it : from.guard.tell(from.now))
+        to.guard.learn(to.now, it);
+}
+
+} // namespace
+
+TEST_CASE("a request's key depends on its customer and on what it asks")
+{
+    const RequestContent content { { "c" }, "POST", "h", "/p?q", "body" };
+    const RequestKey key = requestKeyOf(content);
+    CHECK(requestKeyOf(content) == key);
+    CHECK(requestKeyOf({ { "d" }, "POST", "h", "/p?q", "body" }) != key);
+    CHECK(requestKeyOf({ { "c" }, "GET", "h", "/p?q", "body" }) != key);
+    CHECK(requestKeyOf({ { "c" }, "POST", "h", "/p", "?qbody" }) != key);
+    CHECK(requestKeyOf({ { "c" }, "POST", "h", "/p?qb", "ody" }) != key);
+    CHECK(requestKeyFromHex(toHex(key)) == key);
+    CHECK_FALSE(requestKeyFromHex("no key"));
+}
+
+TEST_CASE("a request is run no more once three targets have ended under it")
+{
+    Router router;
+    router.crash(first, crashing);
+    router.crash(second, crashing);
+    CHECK(router.standing(crashing) == Standing::Clear);
+    router.crash(third, crashing);
+    CHECK(router.standing(crashing) == Standing::Quarantined);
+    CHECK(router.standing(innocent) == Standing::Clear);
+    CHECK(router.guard.takeNews().quarantined.size() == 1);
+}
+
+TEST_CASE("a request is not sent on while it is open whether the third target has ended")
+{
+    Router router;
+    router.crash(first, crashing);
+    router.crash(second, crashing);
+    const TimePoint sentAt = router.send(third);
+    router.breakOff(third, sentAt, crashing);
+    CHECK(router.standing(crashing) == Standing::Undecided);
+    router.answerChecks(CheckResult::Accepted);
+    CHECK(router.standing(crashing) == Standing::Clear);
+}
+
+TEST_CASE("reset connections and spoiled answers blame no request")
+{
+    Router router;
+    for (const TargetKey it : { first, second, third }) {
+        const TimePoint sentAt = router.send(it);
+        router.breakOff(it, sentAt, innocent);
+        router.answerChecks(CheckResult::Accepted);
+    }
+    CHECK(router.standing(innocent) == Standing::Clear);
+    CHECK(router.guard.cases().empty());
+}
+
+TEST_CASE("a target that refuses connections while it still answers has not ended")
+{
+    Router router;
+    const TimePoint survivor = router.send(first);
+    const TimePoint sentAt = router.send(first);
+    router.breakOff(first, sentAt, innocent);
+    router.answerChecks(CheckResult::Refused);
+    CHECK(router.guard.cases().empty());
+    router.guard.ended(survivor, first);
+    router.answerChecks(CheckResult::Refused);
+    CHECK(router.guard.cases().size() == 1);
+}
+
+TEST_CASE("a target that says nothing is taken to have ended when its entry goes")
+{
+    Router router;
+    const TimePoint sentAt = router.send(first);
+    router.guard.broke(router.now, sentAt, first, crashing, true);
+    router.answerChecks(CheckResult::NoAnswer);
+    CHECK(router.guard.cases().empty());
+    router.guard.entryGone(router.now, first);
+    CHECK(router.guard.cases().size() == 1);
+    CHECK(router.guard.takeNews().ends.front().evidence == EndEvidence::EntryGone);
+}
+
+TEST_CASE("a target that is started again before anybody could look has ended all the same")
+{
+    Router router;
+    const TimePoint sentAt = router.send(first);
+    router.breakOff(first, sentAt, crashing);
+    router.answerChecks(CheckResult::Accepted);
+    router.guard.replaced(router.now, first);
+    CHECK(router.guard.cases().size() == 1);
+}
+
+TEST_CASE("a broken attempt that nothing was found out about counts for nothing after a while")
+{
+    Router router;
+    const TimePoint sentAt = router.send(first);
+    router.breakOff(first, sentAt, innocent);
+    router.now += 11s;
+    router.guard.checksDue(router.now);
+    router.guard.entryGone(router.now, first);
+    CHECK(router.guard.cases().empty());
+}
+
+TEST_CASE("attempts whose end is seen after the target's are its, too")
+{
+    Router router;
+    const TimePoint one = router.send(first);
+    const TimePoint two = router.send(first);
+    router.breakOff(first, one, crashing);
+    router.guard.ended(two, first);
+    router.answerChecks(CheckResult::Refused);
+    const TimePoint late = router.send(first);
+    router.breakOff(first, late, innocent);
+    CHECK(router.guard.cases().size() == 2);
+}
+
+TEST_CASE("an innocent request is cleared when it completes")
+{
+    Router router;
+    router.crash(first, innocent);
+    router.crash(second, innocent);
+    router.complete(third, innocent);
+    router.crash(third, innocent);
+    CHECK(router.standing(innocent) == Standing::Clear);
+    CHECK(router.guard.cases().front().targets.size() == 1);
+}
+
+TEST_CASE("ends that different routers saw are added up by all")
+{
+    Router a;
+    Router b;
+    Router c;
+    Router fourth;
+    a.crash(first, crashing);
+    b.crash(second, crashing);
+    c.crash(third, crashing);
+    for (Router* it : { &a, &b, &c })
+        tell(*it, fourth);
+    CHECK(fourth.standing(crashing) == Standing::Quarantined);
+    tell(fourth, a);
+    CHECK(a.standing(crashing) == Standing::Quarantined);
+}
+
+TEST_CASE("a router that starts long after the verdict learns it from any other")
+{
+    Router old;
+    for (const TargetKey it : { first, second, third })
+        old.crash(it, crashing);
+    old.now += 1h;
+    Router started;
+    tell(old, started);
+    CHECK(started.standing(crashing) == Standing::Quarantined);
+}
+
+TEST_CASE("what was cleared is not brought back by a router that has not heard of it")
+{
+    Router a;
+    Router b;
+    for (const TargetKey it : { first, second, third })
+        a.crash(it, crashing);
+    tell(a, b);
+    REQUIRE(a.guard.release(a.now, crashing));
+    a.now += 1min;
+    a.guard.tell(a.now);
+    b.now += 1min;
+    tell(b, a);
+    CHECK(a.standing(crashing) == Standing::Clear);
+    tell(a, b);
+    CHECK(b.standing(crashing) == Standing::Clear);
+    CHECK(b.guard.takeNews().released == std::vector<RequestKey> { crashing });
+    CHECK_FALSE(a.guard.release(a.now, crashing));
+}
+
+TEST_CASE("a flood of requests that ended one target each doesn't push out a verdict")
+{
+    CrashLedger ledger;
+    const TimePoint now { 100s };
+    for (const TargetKey it : { first, second, third })
+        ledger.merge(now, { crashing, it, false });
+    for (RequestKey it = 1000; it < 20'000; ++it)
+        ledger.merge(now + 1s, { it, first, false });
+    CHECK(ledger.ends(crashing) == 3);
+    CHECK(ledger.cases().size() <= 4096);
+    CHECK(ledger.tell(now + 1s).size() <= 28);
+}
+
+TEST_CASE("routers that merge the same records in any order, twice or not, come to the same")
+{
+    rc::prop("order and repeats don't matter", [](std::vector<std::tuple<std::uint8_t, std::uint8_t, bool>> rows) {
+        const TimePoint now { 100s };
+        std::vector<CrashRecord> records;
+        for (const auto& [request, target, isCleared] : rows)
+            records.push_back({ RequestKey(request % 4), TargetKey(target % 4), isCleared });
+        const auto shuffled = *rc::gen::apply(
+            [](std::vector<CrashRecord> it, std::vector<CrashRecord> again) {
+                it.insert(it.end(), again.begin(), again.end());
+                return it;
+            },
+            rc::gen::just(std::vector<CrashRecord>(records.rbegin(), records.rend())),
+            rc::gen::container<std::vector<CrashRecord>>(
+                rc::gen::elementOf(records.empty() ? std::vector<CrashRecord> { {} } : records)));
+        CrashLedger one;
+        CrashLedger two;
+        for (const CrashRecord& it : records)
+            one.merge(now, it);
+        for (const CrashRecord& it : shuffled) {
+            if (!records.empty())
+                two.merge(now, it);
+        }
+        for (RequestKey it = 0; it < 4; ++it)
+            RC_ASSERT(one.ends(it) == two.ends(it));
+    });
+}
