Keep in the store which requests crash targets

What would be seen: after all routers were lost, or where routers reach the store but not each other, a request under which three targets had ended was sent on again, up to three more by each router or life. Cause: the records of ends lived in routers and their heartbeats only. Class: what must last kept in processes that may all be lost. Change: a keyed topic of our own. Each router appends the ends it established; the router that reads the store for others, or one that hears of none, follows it and writes a quarantined request under a key of its own, which stays until it is cleared. A release holds at all routers and over a loss of all.

--- a/apps/sagechute-edge/CrashWatch.cpp
+++ b/apps/sagechute-edge/CrashWatch.cpp
@@ -72,6 +72,8 @@
     for (const quarantine::TargetCheck& it : checks)
         check(it);
     tell(news);
+    if (!news.own.empty())
+        m_journal.write(news.own);
 }
 
 void CrashWatch::check(const quarantine::TargetCheck& check)
--- a/apps/sagechute-edge/CrashWatch.h
+++ b/apps/sagechute-edge/CrashWatch.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "CrashJournal.h"
 #include "EdgeMetrics.h"
-#include "EdgeState.h"
 
 namespace sagechute::edge {
 
@@ -9,9 +9,10 @@
 /// have ended and which requests are quarantined.
 class CrashWatch {
 public:
-    CrashWatch(EdgeState& state, net::HttpClient& client, EdgeMetrics& metrics)
+    CrashWatch(EdgeState& state, net::HttpClient& client, CrashJournal& journal, EdgeMetrics& metrics)
         : m_state(state)
         , m_client(client)
+        , m_journal(journal)
         , m_metrics(metrics)
     {
     }
@@ -28,6 +29,7 @@
 
     EdgeState& m_state;
     net::HttpClient& m_client;
+    CrashJournal& m_journal;
     EdgeMetrics& m_metrics;
 };
 
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// The edge router: takes callers' requests on the users' platform and shares targets fairly.
 
+#include "CrashJournal.h"
 #include "FleetSearch.h"
 #include "Front.h"
 #include "Housekeeping.h"
@@ -79,12 +80,14 @@
         storeFollower.start();
         peerFollower.start();
         search.start();
+        CrashJournal crashJournal(state, **fleet, *store, options);
+        crashJournal.start();
         process::log(process::LogLevel::Info, "started",
             { { "callers", options.callersListen }, { "gossip", (*fleet)->gossipAddress() }, { "store", options.store },
                 { "version", std::string(process::version()) } });
 
         ShareWatch shareWatch(state, edgeMetrics);
-        CrashWatch crashWatch(state, **targetClient, edgeMetrics);
+        CrashWatch crashWatch(state, **targetClient, crashJournal, edgeMetrics);
         Housekeeping(state, **fleet, **listeners, shareWatch, crashWatch, timers, watch).run(stop);
         planStop(state, **fleet, **listeners, crashWatch, timers, options);
         process::log(
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -55,6 +55,14 @@
     std::string gossipAddress;
 };
 
+/// What routers wrote of requests that crash targets.
+struct CrashNews {
+    std::vector<quarantine::CrashRecord> records;
+    std::vector<quarantine::RequestKey> quarantined; ///< Named as such; their records are among the above.
+    std::vector<quarantine::RequestKey> released; ///< Named as such no longer.
+    LogOffset next = 0; ///< Where to read on.
+};
+
 /// The platform's store. All calls wait for the answer, for a bounded time, and may be made from any thread. Errors are
 /// LogUnavailable, or RetentionExceeded when the records asked for are no longer kept: then read all again.
 class FleetStore {
@@ -78,6 +86,18 @@
     virtual absl::Status announce(const RouterAnnouncement&) = 0;
     virtual absl::StatusOr<std::vector<RouterAnnouncement>> announcements() = 0;
 
+    /// @return all that is kept: quarantined requests, and some of the other records.
+    virtual absl::StatusOr<CrashNews> readCrashes() = 0;
+
+    /// @param wait see followConfig().
+    virtual absl::StatusOr<CrashNews> followCrashes(LogOffset from, std::chrono::milliseconds wait) = 0;
+
+    /// Writes records, for those that follow; only some are kept for good. What is cleared is quarantined no longer.
+    virtual absl::Status writeCrashes(const std::vector<quarantine::CrashRecord>&) = 0;
+
+    /// Writes requests to be kept until they are cleared.
+    virtual absl::Status writeQuarantined(const std::vector<quarantine::CrashCase>&) = 0;
+
     /// @return calls made so far, refused ones included.
     virtual std::uint64_t calls() const = 0;
 };
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -1,6 +1,7 @@
 // The adapter to the users' platform: platform/.
 
 #include "Platform.h"
+#include "CrashRecords.h"
 #include "Decode.h"
 
 #include <catch2/catch.hpp>
@@ -287,3 +288,24 @@
     CHECK(net::findField(refusal.headers, "Retry-After") == std::string_view("0.250"));
     CHECK_FALSE(net::findField(platform::makeCallerProtocol()->refusal(502, "x", std::nullopt).headers, "Retry-After"));
 }
+
+TEST_CASE("requests that crash targets are read as they were written, and records of another form are left out")
+{
+    const quarantine::CrashRecord end { 7, 11, false };
+    const quarantine::CrashRecord cleared { 8, 12, true };
+    const quarantine::CrashCase quarantined { 9, { 1, 2, 3 } };
+    std::vector<platform::Record> written = platform::encodeCrashes({ end, cleared });
+    for (const platform::Record& it : platform::encodeQuarantined({ quarantined }))
+        written.push_back(it);
+    written.push_back({ "record/1", "{", 0 });
+    written.push_back({ "record/2", R"({"request":5,"targets":[],"cleared":false})", 0 });
+    written.push_back({ "unknown", std::nullopt, 0 });
+    news::CrashNews found;
+    for (const platform::Record& it : written)
+        platform::decodeCrash(it, found);
+    const std::vector<quarantine::CrashRecord> records { end, cleared, { 9, 1, false }, { 9, 2, false },
+        { 9, 3, false } };
+    CHECK(found.records == records);
+    CHECK(found.quarantined == std::vector<quarantine::RequestKey> { 9 });
+    CHECK(found.released == std::vector<quarantine::RequestKey> { 8 });
+}
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -3,6 +3,7 @@
 Run by ctest with the build directory as the first argument; names of tests may follow.
 """
 
+import json
 import os
 import sys
 import threading
@@ -149,8 +150,9 @@
         """Guards against knowledge that lives in routers only."""
         self.repeat_until_third()
         self.repeat(1)
-        self.restart(self.fleet.routers)
-        self.repeat(8)
+        for _ in range(2):
+            self.restart(self.fleet.routers)
+            self.repeat(6)
         self.check()
 
     def test_a_request_that_crashes_targets_is_repeated_while_the_store_is_away(self):
@@ -160,6 +162,38 @@
         self.fleet.command(self.fleet.store, "/standin/fault?kind=none")
         self.check()
 
+    def test_a_request_that_crashes_targets_is_repeated_at_routers_that_cannot_reach_each_other(self):
+        """Guards against routers that learn of each other's lost targets from each other only."""
+        self.fleet.command(self.fleet.store, "/standin/fault?kind=silent&topic=keyed.status")
+        for it in self.fleet.routers:
+            it["process"].end()
+        for it in self.fleet.routers:
+            self.fleet.restart_with_stale_seeds(it)
+        for it in self.fleet.routers:
+            self.fleet.wait_until("it is ready", lambda: self.fleet.is_ready(it), 8)
+        self.repeat_until_third()
+        time.sleep(STABLE_SECONDS)
+        self.repeat(7)
+        self.assertEqual([len(self.fleet.locate(it)) for it in range(ROUTERS)], [1] * ROUTERS)
+        self.check()
+
+    def test_a_request_that_an_operator_released_stays_refused_at_other_routers(self):
+        """Guards against a release that only the router knows which was told of it."""
+        self.repeat_until_third()
+        self.fleet.wait_until("it is quarantined", lambda: self.quarantined(2))
+        key = self.quarantined(2)[0]
+        self.assertEqual(call(self.fleet.routers[0]["control"], "DELETE", f"/v1/quarantine/{key}")[0], 200)
+        for router in range(ROUTERS):
+            self.fleet.wait_until("it is released", lambda it=router: not self.quarantined(it), 2)
+        self.restart(self.fleet.routers)
+        time.sleep(2)
+        self.assertFalse(self.quarantined(0))
+
+    def quarantined(self, router):
+        status, _, body = call(self.fleet.routers[router]["control"], "GET", "/v1/quarantine")
+        self.assertEqual(status, 200)
+        return [it["key"] for it in json.loads(body)["requests"] if it["quarantined"]]
+
 
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -245,20 +245,11 @@
         process.end()
         self.fleet.wait_until("the killed one is left out", lambda: address not in self.fleet.locate(), 3)
 
-    def restart_with_stale_seeds(self, router):
-        router["process"].end()
-        with open(router["settings"]) as file:
-            text = file.read()
-        with open(router["settings"], "w") as file:
-            file.writelines(line if not line.startswith("seeds=") else "seeds=127.0.0.9:1\n"
-                            for line in text.splitlines(keepends=True))
-        router["process"].start()
-
     def test_routers_whose_seeds_are_all_stale_meet_by_the_store(self):
         """Symptom: a router never meets the others and gives only itself to callers. All addresses in its settings are
         those of routers that have gone."""
         for router in self.fleet.routers:
-            self.restart_with_stale_seeds(router)
+            self.fleet.restart_with_stale_seeds(router)
         self.fleet.wait_until("they know each other", lambda: len(self.fleet.locate()) == 2, 12)
 
     def test_a_router_that_waits_to_be_found_learns_of_leaving_workers_meanwhile(self):
@@ -269,7 +260,7 @@
         self.fleet.command(self.fleet.store, "/standin/fault?kind=silent&topic=keyed.status")
         router = self.fleet.routers[0]
         self.fleet.routers[1]["process"].end()
-        self.restart_with_stale_seeds(router)
+        self.fleet.restart_with_stale_seeds(router)
         self.fleet.wait_until("it is ready", lambda: self.fleet.is_ready(router), 6)
         time.sleep(4.5)  # By then it announces itself, too.
         for worker in ("app-0", "engine-0", "engine-1"):
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -182,6 +182,16 @@
             # They meet by the store; one whose first look there came too early looks again after some seconds.
             self.wait_until("a router knows the others", lambda it=number: len(self.locate(it)) == len(self.routers))
 
+    def restart_with_stale_seeds(self, router):
+        """It then finds the others by the store only."""
+        router["process"].end()
+        with open(router["settings"]) as file:
+            text = file.read()
+        with open(router["settings"], "w") as file:
+            file.writelines(line if not line.startswith("seeds=") else "seeds=127.0.0.9:1\n"
+                            for line in text.splitlines(keepends=True))
+        router["process"].start()
+
     def is_ready(self, router):
         return call(router["ready"], "GET", "/sagechute/ready", timeout=1.0)[0] == 200
 
