Let a relay pass on records of ends a few at a time

By reading, not by a run: a relay's sums held the union of what all its routers told of ends, each 24 records in turn; after the loss of a rack in a fleet of hundreds that is thousands of records in one datagram. Records were also told for five seconds by all that had heard of them. Change: a relay learns the records of its routers and tells a few with each report, like anybody; who established a record tells it ten times, who was told four times; those of requests with two or more ends go round for good, as before. Test: 2,000 records of one loss reach another ledger, at most 28 with each report. Before: no such bound to test.

--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -303,6 +303,11 @@
     m_board.heard(now, *heartbeat);
     if (!load.ok())
         return;
+    if (m_plan.isRelay) {
+        // A relay passes on what it has learned, a part with each report; a sum of all parts has no bound.
+        m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.learnCrashes(now, *load); });
+        load->crashes.clear();
+    }
     if (heartbeat->scope == HeartbeatScope::Zone) {
         m_desk.zoneReported(now, heartbeat->zone, std::move(*load));
         return;
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -171,8 +171,7 @@
     }
     const auto key = name.starts_with('/') ? quarantine::requestKeyFromHex(name.substr(1)) : std::nullopt;
     const bool isReleased = key && exchange.request().method == "DELETE"
-        && m_tools.state.withDispatcher(
-            [&](dispatch::Dispatcher& it) { return it.crashes().release(steadyNow(), *key); });
+        && m_tools.state.withDispatcher([&](dispatch::Dispatcher& it) { return it.crashes().release(*key); });
     exchange.respond(plain(isReleased ? okStatus : notFound));
 }
 
--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -51,6 +51,10 @@
 /// A request is quarantined when so many targets have ended under it and it has completed on none.
 inline constexpr unsigned quarantineEnds = 3;
 
+// How often a record is told, as datagrams are lost: by the router that established it, and by one that was told.
+inline constexpr unsigned ownTellings = 10;
+inline constexpr unsigned passedOnTellings = 4;
+
 // ---- Which targets have ended
 
 /// A target whose address is to be tried with a connection, without a request.
@@ -149,8 +153,8 @@
 /// come to the same.
 class CrashLedger {
 public:
-    /// @return whether that was not known.
-    bool merge(TimePoint now, const CrashRecord&);
+    /// @param tellings how often to tell the others, if that was not known.
+    void merge(TimePoint now, const CrashRecord&, unsigned tellings);
 
     /// @return targets that ended under the request and were not cleared.
     unsigned ends(RequestKey) const;
@@ -159,11 +163,11 @@
     void asked(TimePoint now, RequestKey);
 
     /// @return what this has cleared.
-    std::vector<CrashRecord> clear(TimePoint now, RequestKey);
+    std::vector<CrashRecord> clear(RequestKey);
 
     /// @return what to tell the others next: what is new, and in turn all that a router which has just started must
     /// know.
-    std::vector<CrashRecord> tell(TimePoint now);
+    std::vector<CrashRecord> tell();
 
     /// @return all requests under which targets ended, those with the most ends first.
     std::vector<CrashCase> cases() const;
@@ -178,11 +182,10 @@
     };
 
     void makeRoom();
-    void tellSoon(TimePoint now, const CrashRecord&);
     bool isCleared(const RecordId&) const;
 
     std::map<RequestKey, Entry> m_entries;
-    std::map<RecordId, TimePoint> m_fresh; ///< To when it has been told often enough.
+    std::map<RecordId, unsigned> m_fresh; ///< To how often it is still to be told.
     RecordId m_lastFresh {};
     RecordId m_lastTold {};
 };
@@ -218,7 +221,7 @@
     void sent(TimePoint now, TargetKey target, const std::string& address) { m_detector.sent(now, target, address); }
 
     /// An attempt completed: its target has survived it.
-    void completed(TimePoint now, TimePoint sentAt, TargetKey, RequestKey);
+    void completed(TimePoint sentAt, TargetKey, RequestKey);
     void broke(TimePoint now, TimePoint sentAt, TargetKey, RequestKey, bool isSilent);
 
     /// An attempt ended in a way that says nothing about the request.
@@ -231,13 +234,13 @@
     void replaced(TimePoint now, TargetKey);
 
     /// @return what to tell the other routers with the next report.
-    std::vector<CrashRecord> tell(TimePoint now) { return m_ledger.tell(now); }
+    std::vector<CrashRecord> tell() { return m_ledger.tell(); }
 
     /// Takes what another router or the store knows.
     void learn(TimePoint now, const CrashRecord&);
 
     /// An operator takes a quarantine back, or what leads to one. @return whether there was anything to take back.
-    bool release(TimePoint now, RequestKey);
+    bool release(RequestKey request) { return clear(request); }
 
     std::vector<CrashCase> cases() const { return m_ledger.cases(); }
 
@@ -246,8 +249,8 @@
 
 private:
     void takeEnds(TimePoint now);
-    void merge(TimePoint now, const CrashRecord&);
-    bool clear(TimePoint now, RequestKey);
+    void merge(TimePoint now, const CrashRecord&, unsigned tellings);
+    bool clear(RequestKey);
 
     EndDetector m_detector;
     CrashLedger m_ledger;
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -473,7 +473,7 @@
     const TargetKey target = dispatch::keyOf(attempt.target);
     const bool isBroken = end == AttemptEnd::Broken || end == AttemptEnd::Silent;
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed)
-        m_crashes.completed(now, attempt.placedAt, target, attempt.key);
+        m_crashes.completed(attempt.placedAt, target, attempt.key);
     else if (isBroken && isListed && attempt.key)
         m_crashes.broke(now, attempt.placedAt, target, attempt.key, end == AttemptEnd::Silent);
     else
@@ -489,7 +489,7 @@
             report.targets[model->key()] = model->ownUse();
     }
     report.customers = m_shares.own(now);
-    const std::vector<quarantine::CrashRecord> crashes = m_crashes.tell(now);
+    const std::vector<quarantine::CrashRecord> crashes = m_crashes.tell();
     report.crashes = { crashes.begin(), crashes.end() };
     report.placed = m_placedBefore;
     for (const auto& [key, placed] : m_placed) {
@@ -505,6 +505,12 @@
     return report;
 }
 
+void LocalDispatcher::learnCrashes(TimePoint now, const LoadReport& report)
+{
+    for (const quarantine::CrashRecord& it : report.crashes)
+        m_crashes.learn(now, it);
+}
+
 void LocalDispatcher::peerReported(TimePoint now, const VmId& peer, const LoadReport& report)
 {
     for (auto& [life, model] : m_targets) {
@@ -514,8 +520,7 @@
             model->peerPlaced(placed->second);
     }
     m_shares.peerUse(now, peer, report.customers, report.age);
-    for (const quarantine::CrashRecord& it : report.crashes)
-        m_crashes.learn(now, it);
+    learnCrashes(now, report);
     for (const auto& [key, placed] : report.placed) {
         for (const auto& [prompt, tokens] : placed.shared)
             heardOf(now, prompt);
--- a/src/quarantine/CrashGuard.cpp
+++ b/src/quarantine/CrashGuard.cpp
@@ -15,10 +15,10 @@
     return mayBeDecided ? Standing::Undecided : Standing::Clear;
 }
 
-void CrashGuard::completed(TimePoint now, TimePoint sentAt, TargetKey target, RequestKey request)
+void CrashGuard::completed(TimePoint sentAt, TargetKey target, RequestKey request)
 {
     m_detector.ended(sentAt, target);
-    clear(now, request);
+    clear(request);
 }
 
 void CrashGuard::broke(TimePoint now, TimePoint sentAt, TargetKey target, RequestKey request, bool isSilent)
@@ -51,18 +51,18 @@
         for (const RequestKey request : end.requests) {
             const CrashRecord record { request, end.target, false };
             m_news.own.push_back(record);
-            merge(now, record);
+            merge(now, record, ownTellings);
         }
         m_news.ends.push_back(std::move(end));
     }
 }
 
-void CrashGuard::learn(TimePoint now, const CrashRecord& record) { merge(now, record); }
+void CrashGuard::learn(TimePoint now, const CrashRecord& record) { merge(now, record, passedOnTellings); }
 
-void CrashGuard::merge(TimePoint now, const CrashRecord& record)
+void CrashGuard::merge(TimePoint now, const CrashRecord& record, unsigned tellings)
 {
     const bool wasQuarantined = m_ledger.ends(record.request) >= quarantineEnds;
-    m_ledger.merge(now, record);
+    m_ledger.merge(now, record, tellings);
     const bool isQuarantined = m_ledger.ends(record.request) >= quarantineEnds;
     if (wasQuarantined && !isQuarantined)
         m_news.released.push_back(record.request);
@@ -74,17 +74,15 @@
     m_news.quarantined.push_back(*it);
 }
 
-bool CrashGuard::clear(TimePoint now, RequestKey request)
+bool CrashGuard::clear(RequestKey request)
 {
     if (m_ledger.ends(request) >= quarantineEnds)
         m_news.released.push_back(request);
-    const std::vector<CrashRecord> cleared = m_ledger.clear(now, request);
+    const std::vector<CrashRecord> cleared = m_ledger.clear(request);
     m_news.own.insert(m_news.own.end(), cleared.begin(), cleared.end());
     return !cleared.empty();
 }
 
-bool CrashGuard::release(TimePoint now, RequestKey request) { return clear(now, request); }
-
 CrashNews CrashGuard::takeNews() { return std::exchange(m_news, {}); }
 
 } // namespace sagechute::quarantine
--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -9,9 +9,6 @@
     /// Requests that are remembered. A target that ends may have had dozens at work.
     constexpr std::size_t mostEntries = 4096;
 
-    /// New records are told with each report for so long, as datagrams are lost.
-    constexpr Duration toldFor = std::chrono::seconds(5);
-
     // In one report, whose datagram must stay small.
     constexpr std::size_t mostFresh = 24;
     constexpr std::size_t mostRepeated = 4;
@@ -21,16 +18,16 @@
 
 } // namespace
 
-bool CrashLedger::merge(TimePoint now, const CrashRecord& record)
+void CrashLedger::merge(TimePoint now, const CrashRecord& record, unsigned tellings)
 {
     Entry& entry = m_entries[record.request];
     const auto [it, isNew] = entry.targets.emplace(record.target, record.isCleared);
     if (!isNew && it->second == record.isCleared)
-        return false;
+        return;
     if (!isNew && it->second) {
         // Who still says so has not heard that it was cleared.
-        tellSoon(now, { record.request, record.target, true });
-        return false;
+        m_fresh[{ record.request, record.target }] = tellings;
+        return;
     }
     it->second = record.isCleared;
     if (!record.isCleared)
@@ -39,9 +36,8 @@
         --entry.ends;
     if (isNew)
         entry.lastAsked = now;
-    tellSoon(now, record);
+    m_fresh[{ record.request, record.target }] = tellings;
     makeRoom();
-    return true;
 }
 
 void CrashLedger::makeRoom()
@@ -66,7 +62,7 @@
         it->second.lastAsked = now;
 }
 
-std::vector<CrashRecord> CrashLedger::clear(TimePoint now, RequestKey request)
+std::vector<CrashRecord> CrashLedger::clear(RequestKey request)
 {
     std::vector<CrashRecord> cleared;
     const auto it = m_entries.find(request);
@@ -77,17 +73,12 @@
             continue;
         isCleared = true;
         cleared.push_back({ request, target, true });
-        tellSoon(now, cleared.back());
+        m_fresh[{ request, target }] = ownTellings;
     }
     it->second.ends = 0;
     return cleared;
 }
 
-void CrashLedger::tellSoon(TimePoint now, const CrashRecord& record)
-{
-    m_fresh[{ record.request, record.target }] = now + toldFor;
-}
-
 bool CrashLedger::isCleared(const RecordId& id) const
 {
     const auto entry = m_entries.find(id.first);
@@ -97,16 +88,17 @@
     return it == entry->second.targets.end() || it->second;
 }
 
-std::vector<CrashRecord> CrashLedger::tell(TimePoint now)
+std::vector<CrashRecord> CrashLedger::tell()
 {
-    std::erase_if(m_fresh, [now](const auto& it) { return it.second < now; });
     std::set<CrashRecord> told;
-    for (std::size_t i = 0; i < std::min(mostFresh, m_fresh.size()); ++i) {
+    for (std::size_t n = std::min(mostFresh, m_fresh.size()); n; --n) {
         auto it = m_fresh.upper_bound(m_lastFresh);
         if (it == m_fresh.end())
             it = m_fresh.begin();
         m_lastFresh = it->first;
         told.insert({ it->first.first, it->first.second, isCleared(it->first) });
+        if (--it->second == 0)
+            m_fresh.erase(it);
     }
     std::map<RecordId, bool> decisive;
     for (const auto& [request, entry] : m_entries) {
