--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -119,24 +119,22 @@
 void LocalDispatcher::noteLostTargets(
     TimePoint now, const std::vector<Target>& targets, const std::set<TargetLife>& present)
 {
-    std::multimap<std::string_view, const Target*> byAddress;
-    for (const Target& it : targets)
-        byAddress.emplace(it.address, &it);
+    std::map<std::string_view, const Target*> started;
+    for (const Target& it : targets) {
+        if (!m_listed.contains(it.life()))
+            started.emplace(it.address, &it);
+    }
     for (const auto& [life, model] : m_targets) {
         const Target& target = model->target();
-        if (target.draining)
+        if (target.draining || !m_listed.contains(life))
             continue;
-        const auto [first, last] = byAddress.equal_range(target.address);
-        const bool isReplaced = std::any_of(first, last, [&](const auto& it) {
-            return it.second->service == target.service && it.second->life() != life
-                && !m_knownLives.contains(it.second->life());
-        });
-        if (isReplaced)
+        const auto it = started.find(target.address);
+        if (it != started.end() && it->second->service == target.service)
             m_crashes.replaced(now, model->key());
         else if (!present.contains(life))
             m_crashes.entryGone(now, model->key());
     }
-    m_knownLives = present;
+    m_listed = present;
 }
 
 TargetSpeed LocalDispatcher::typicalSpeed(const ServiceId& service) const
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -97,7 +97,7 @@
     SeededRandom m_random;
     std::shared_ptr<const RoutingTable> m_table;
     std::map<TargetLife, std::unique_ptr<TargetModel>> m_targets;
-    std::set<TargetLife> m_knownLives; ///< Of the last list.
+    std::set<TargetLife> m_listed; ///< In the last list.
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::map<ServiceId, RetryWindow> m_retries;
     CustomerShares m_shares;
