Tell nothing of a request that was forgotten for want of room

Found in reading the change. A router whose memory of 4,096 requests was full went on telling of a request that it had just forgotten, and told it as cleared, so that others forgot its ends, too: a flood of requests that end one target each could have freed one that ends all. A request that is cleared again and again also kept each target for good. Class: absence taken for a statement. Change: what is forgotten is told no more; at most 32 targets of a request, cleared ones go first.

--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -182,7 +182,7 @@
     };
 
     void makeRoom();
-    bool isCleared(const RecordId&) const;
+    void forgetCleared(Entry&, RequestKey);
 
     std::map<RequestKey, Entry> m_entries;
     std::map<RecordId, unsigned> m_fresh; ///< To how often it is still to be told.
--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -1,6 +1,7 @@
 #include <sagechute/Quarantine.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace sagechute::quarantine {
 
@@ -9,6 +10,10 @@
     /// Requests that are remembered. A target that ends may have had dozens at work.
     constexpr std::size_t mostEntries = 4096;
 
+    /// Targets of one request; a proper one that is sent for years is cleared of some now and then.
+    constexpr std::size_t mostTargets = 32;
+    constexpr TargetKey mostTargetKey = std::numeric_limits<TargetKey>::max();
+
     // In one report, whose datagram must stay small.
     constexpr std::size_t mostFresh = 24;
     constexpr std::size_t mostRepeated = 4;
@@ -37,6 +42,7 @@
     if (isNew)
         entry.lastAsked = now;
     m_fresh[{ record.request, record.target }] = tellings;
+    forgetCleared(entry, record.request);
     makeRoom();
 }
 
@@ -47,9 +53,21 @@
     const auto least = std::min_element(m_entries.begin(), m_entries.end(), [](const auto& a, const auto& b) {
         return std::pair(a.second.ends, a.second.lastAsked) < std::pair(b.second.ends, b.second.lastAsked);
     });
+    // Nothing is told any more of what is forgotten here: others may still need it.
+    const RequestKey request = least->first;
+    m_fresh.erase(m_fresh.lower_bound({ request, 0 }), m_fresh.upper_bound({ request, mostTargetKey }));
     m_entries.erase(least);
 }
 
+void CrashLedger::forgetCleared(Entry& entry, RequestKey request)
+{
+    for (auto it = entry.targets.begin(); it != entry.targets.end() && entry.targets.size() > mostTargets;) {
+        if (it->second)
+            m_fresh.erase({ request, it->first });
+        it = it->second ? entry.targets.erase(it) : std::next(it);
+    }
+}
+
 unsigned CrashLedger::ends(RequestKey request) const
 {
     const auto it = m_entries.find(request);
@@ -79,15 +97,6 @@
     return cleared;
 }
 
-bool CrashLedger::isCleared(const RecordId& id) const
-{
-    const auto entry = m_entries.find(id.first);
-    if (entry == m_entries.end())
-        return true;
-    const auto it = entry->second.targets.find(id.second);
-    return it == entry->second.targets.end() || it->second;
-}
-
 std::vector<CrashRecord> CrashLedger::tell()
 {
     std::set<CrashRecord> told;
@@ -96,7 +105,8 @@
         if (it == m_fresh.end())
             it = m_fresh.begin();
         m_lastFresh = it->first;
-        told.insert({ it->first.first, it->first.second, isCleared(it->first) });
+        const auto& [request, target] = it->first;
+        told.insert({ request, target, m_entries.at(request).targets.at(target) });
         if (--it->second == 0)
             m_fresh.erase(it);
     }
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -250,6 +250,45 @@
     CHECK(ledger.tell().size() <= 28);
 }
 
+TEST_CASE("a router that forgets a request for want of room doesn't tell others that it is cleared")
+{
+    CrashLedger forgetting;
+    CrashLedger other;
+    const TimePoint now { 100s };
+    other.merge(now, { crashing, first, false }, 1);
+    forgetting.merge(now, { crashing, first, false }, ownTellings);
+    for (RequestKey it = 1000; it < 6000; ++it)
+        forgetting.merge(now + 1s, { it, first, false }, 1);
+    REQUIRE(forgetting.ends(crashing) == 0);
+    for (int i = 0; i < 500; ++i) {
+        for (const CrashRecord& it : forgetting.tell()) {
+            if (it.request == crashing)
+                other.merge(now, it, 1);
+        }
+    }
+    CHECK(other.ends(crashing) == 1);
+}
+
+TEST_CASE("a request that is cleared again and again takes no more memory")
+{
+    CrashLedger ledger;
+    const TimePoint now { 100s };
+    for (TargetKey it = 0; it < 1000; ++it) {
+        ledger.merge(now, { innocent, it, false }, 1);
+        ledger.clear(innocent);
+        ledger.tell();
+    }
+    ledger.merge(now, { innocent, 2000, false }, 1);
+    ledger.merge(now, { innocent, 2001, false }, 1);
+    std::set<TargetKey> told;
+    for (int i = 0; i < 500; ++i) {
+        for (const CrashRecord& it : ledger.tell())
+            told.insert(it.target);
+    }
+    CHECK(told.size() <= 32);
+    CHECK(ledger.ends(innocent) == 2);
+}
+
 TEST_CASE("all ends of a lost rack are told, a few with each report")
 {
     constexpr std::size_t requests = 2000;
