--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -18,7 +18,7 @@
 /// Names a request by what it asks, whatever the identity of the attempt that carries it.
 using RequestKey = std::uint64_t;
 
-/// What a request asks. The views outlive the call only.
+/// What a request asks. Its views are read during the call only.
 struct RequestContent {
     CustomerId customer; ///< Empty on a public route.
     std::string_view method;
--- a/tests/CrashPlacementTest.cpp
+++ b/tests/CrashPlacementTest.cpp
@@ -141,3 +141,18 @@
     world.publish();
     CHECK(world.ends() == 0);
 }
+
+TEST_CASE("a load report of a release that knows no crashes is read")
+{
+    LoadReport report;
+    report.serial = 5;
+    std::string bytes = encode(report);
+    constexpr char sixRows = '\x96';
+    constexpr char fiveRows = '\x95';
+    REQUIRE(bytes.front() == sixRows);
+    bytes.front() = fiveRows;
+    bytes.pop_back();
+    const absl::StatusOr<LoadReport> read = decodeLoadReport(bytes);
+    REQUIRE(read.ok());
+    CHECK(read->serial == 5);
+}
