Let routers take records of crashes in one way, and look one request up

Dispatcher::learnCrashes stood beside crashes().learn, and three places looped over records: learn() takes any range now. A verdict listed and sorted all requests to find its own: CrashLedger::find(), which cases() uses, too. A check for no broken attempt was covered by the one after it.

--- a/apps/sagechute-edge/CrashJournal.cpp
+++ b/apps/sagechute-edge/CrashJournal.cpp
@@ -128,10 +128,7 @@
             m_written.erase(it);
     }
     const TimePoint now = steadyNow();
-    m_state.withDispatcher([&](dispatch::Dispatcher& it) {
-        for (const quarantine::CrashRecord& record : news.records)
-            it.crashes().learn(now, record);
-    });
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.crashes().learn(now, news.records); });
 }
 
 std::vector<quarantine::CrashCase> CrashJournal::unwritten()
--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -305,7 +305,7 @@
         return;
     if (m_plan.isRelay) {
         // A relay passes on what it has learned, a part with each report; a sum of all parts has no bound.
-        m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.learnCrashes(now, *load); });
+        m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.crashes().learn(now, load->crashes); });
         load->crashes.clear();
     }
     if (heartbeat->scope == HeartbeatScope::Zone) {
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -384,9 +384,6 @@
     virtual LoadReport report(TimePoint now) = 0;
     virtual void peerReported(TimePoint now, const VmId& peer, const LoadReport&) = 0;
 
-    /// Takes no more of a report than what it tells of requests that crash targets.
-    virtual void learnCrashes(TimePoint now, const LoadReport&) = 0;
-
     /// @param n routers that are known, this one included.
     virtual void setRouterCount(unsigned n) = 0;
 
--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -159,6 +159,9 @@
     /// @return targets that ended under the request and were not cleared.
     unsigned ends(RequestKey) const;
 
+    /// @return the request with its targets that were not cleared.
+    CrashCase find(RequestKey) const;
+
     /// The request is asked for: of quarantined requests those that nobody asks for are forgotten first.
     void asked(TimePoint now, RequestKey);
 
@@ -236,8 +239,12 @@
     /// @return what to tell the other routers with the next report.
     std::vector<CrashRecord> tell() { return m_ledger.tell(); }
 
-    /// Takes what another router or the store knows.
-    void learn(TimePoint now, const CrashRecord&);
+    /// Takes what another router or the store knows. @param records any range of CrashRecord.
+    template <typename Records> void learn(TimePoint now, const Records& records)
+    {
+        for (const CrashRecord& it : records)
+            merge(now, it, passedOnTellings);
+    }
 
     /// An operator takes a quarantine back, or what leads to one. @return whether there was anything to take back.
     bool release(RequestKey request) { return clear(request); }
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -503,12 +503,6 @@
     return report;
 }
 
-void LocalDispatcher::learnCrashes(TimePoint now, const LoadReport& report)
-{
-    for (const quarantine::CrashRecord& it : report.crashes)
-        m_crashes.learn(now, it);
-}
-
 void LocalDispatcher::peerReported(TimePoint now, const VmId& peer, const LoadReport& report)
 {
     for (auto& [life, model] : m_targets) {
@@ -518,7 +512,7 @@
             model->peerPlaced(placed->second);
     }
     m_shares.peerUse(now, peer, report.customers, report.age);
-    learnCrashes(now, report);
+    m_crashes.learn(now, report.crashes);
     for (const auto& [key, placed] : report.placed) {
         for (const auto& [prompt, tokens] : placed.shared)
             heardOf(now, prompt);
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -24,7 +24,6 @@
     void ended(TimePoint now, AttemptId, AttemptEnd) override;
     LoadReport report(TimePoint now) override;
     void peerReported(TimePoint now, const VmId& peer, const LoadReport&) override;
-    void learnCrashes(TimePoint now, const LoadReport&) override;
     void setRouterCount(unsigned n) override;
     bool hasTargets() const override;
     SharesView shares(TimePoint now) const override;
--- a/src/quarantine/CrashGuard.cpp
+++ b/src/quarantine/CrashGuard.cpp
@@ -1,7 +1,5 @@
 #include <sagechute/Quarantine.h>
 
-#include <algorithm>
-
 namespace sagechute::quarantine {
 
 Standing CrashGuard::standing(TimePoint now, RequestKey request)
@@ -57,8 +55,6 @@
     }
 }
 
-void CrashGuard::learn(TimePoint now, const CrashRecord& record) { merge(now, record, passedOnTellings); }
-
 void CrashGuard::merge(TimePoint now, const CrashRecord& record, unsigned tellings)
 {
     const bool wasQuarantined = m_ledger.ends(record.request) >= quarantineEnds;
@@ -68,10 +64,7 @@
         m_news.released.push_back(record.request);
     if (wasQuarantined || !isQuarantined)
         return;
-    const std::vector<CrashCase> cases = m_ledger.cases();
-    const auto it = std::find_if(
-        cases.begin(), cases.end(), [&](const CrashCase& known) { return known.request == record.request; });
-    m_news.quarantined.push_back(*it);
+    m_news.quarantined.push_back(m_ledger.find(record.request));
 }
 
 bool CrashGuard::clear(RequestKey request)
--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -74,6 +74,19 @@
     return it == m_entries.end() ? 0 : it->second.ends;
 }
 
+CrashCase CrashLedger::find(RequestKey request) const
+{
+    CrashCase found { request, {} };
+    const auto entry = m_entries.find(request);
+    if (entry == m_entries.end())
+        return found;
+    for (const auto& [target, isCleared] : entry->second.targets) {
+        if (!isCleared)
+            found.targets.push_back(target);
+    }
+    return found;
+}
+
 void CrashLedger::asked(TimePoint now, RequestKey request)
 {
     if (const auto it = m_entries.find(request); it != m_entries.end())
@@ -131,14 +144,8 @@
 {
     std::vector<CrashCase> found;
     for (const auto& [request, entry] : m_entries) {
-        if (entry.ends == 0)
-            continue;
-        CrashCase it { request, {} };
-        for (const auto& [target, isCleared] : entry.targets) {
-            if (!isCleared)
-                it.targets.push_back(target);
-        }
-        found.push_back(std::move(it));
+        if (entry.ends)
+            found.push_back(find(request));
     }
     std::stable_sort(found.begin(), found.end(),
         [](const CrashCase& a, const CrashCase& b) { return a.targets.size() > b.targets.size(); });
--- a/src/quarantine/EndDetector.cpp
+++ b/src/quarantine/EndDetector.cpp
@@ -96,7 +96,7 @@
             attempt.isExplained |= attempt.at <= check.due;
         return;
     }
-    if (result == CheckResult::NoAnswer || watch.broken.empty())
+    if (result == CheckResult::NoAnswer)
         return;
     const auto first = std::find_if(
         watch.broken.begin(), watch.broken.end(), [](const BrokenAttempt& attempt) { return !attempt.isExplained; });
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -61,11 +61,7 @@
     Standing standing(RequestKey request) { return guard.standing(now, request); }
 };
 
-void tell(Router& from, Router& to)
-{
-    for (const CrashRecord& it : from.guard.tell())
-        to.guard.learn(to.now, it);
-}
+void tell(Router& from, Router& to) { to.guard.learn(to.now, from.guard.tell()); }
 
 } // namespace
 
