Tell in a request's line what targets say of themselves with their answers

Callers saw requests go on to a target that had said that it leaves, and to some that had asked for a pause.

The head of every answer is now decoded for both, in platform/, into plain types; the request's line shows them beside the attempt that got them, and sagechute_edge_target_signals_total counts them, those of answers that nobody waits for included. No decision changes.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -36,6 +36,10 @@
                      .Name("sagechute_edge_attempts_total")
                      .Help("Attempts on targets, by how they ended")
                      .Register(metrics.registry()))
+    , m_signals(prometheus::BuildCounter()
+                    .Name("sagechute_edge_target_signals_total")
+                    .Help("Answers of targets that say that they leave or ask for a pause, by which they say")
+                    .Register(metrics.registry()))
     , m_refusals(prometheus::BuildCounter()
                      .Name("sagechute_edge_refusals_total")
                      .Help("Requests turned away without having run, by reason")
@@ -126,6 +130,14 @@
     m_attempts.Add({ { "end", std::string(toString(end)) } }).Increment();
 }
 
+void EdgeMetrics::targetSaid(const dispatch::TargetSignals& signals)
+{
+    if (signals.isDraining)
+        m_signals.Add({ { "signal", "draining" } }).Increment();
+    if (signals.backoff)
+        m_signals.Add({ { "signal", "backoff" } }).Increment();
+}
+
 void EdgeMetrics::refusal(dispatch::RefusalReason reason)
 {
     m_refusals.Add({ { "reason", std::string(toString(reason)) } }).Increment();
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -17,6 +17,7 @@
     void request(std::string_view route, int status, Duration lasted);
     void firstEvent(Duration sinceArrival, Duration predictionError);
     void attempt(dispatch::AttemptEnd);
+    void targetSaid(const dispatch::TargetSignals&);
     void refusal(dispatch::RefusalReason);
     void targetEnded(quarantine::EndEvidence);
     prometheus::Gauge& quarantined() { return m_quarantined; }
@@ -33,6 +34,7 @@
 private:
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_signals;
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_targetEnds;
     prometheus::Gauge& m_quarantined;
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -137,9 +137,9 @@
 
 void Relay::onHead(unsigned number, int status, const std::vector<net::Field>& fields)
 {
-    handle([&](relay::RequestFlow& flow, TimePoint now) {
-        flow.head(now, number, m_tools.targets.decodeHead(status, fields));
-    });
+    TargetAnswerHead head = m_tools.targets.decodeHead(status, fields);
+    m_tools.metrics.targetSaid(head.signals);
+    handle([&](relay::RequestFlow& flow, TimePoint now) { flow.head(now, number, std::move(head)); });
 }
 
 void Relay::onBytes(unsigned number, std::string_view bytes)
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -213,6 +213,17 @@
     quarantine::RequestKey key = 0; ///< See requestKeyOf().
 };
 
+/// What a target says of itself with an answer, whichever request it answers.
+struct TargetSignals {
+    bool isDraining = false; ///< It is about to leave: no new requests, those at work go on.
+    std::optional<Duration> backoff; ///< It wants no request of this router for so long.
+
+    bool any() const { return isDraining || backoff; }
+};
+
+/// @return "+draining" and "+backoff:MILLISECONDS", each where it was said.
+std::string toString(const TargetSignals&);
+
 /// Names a placed attempt until it ended.
 using AttemptId = std::uint64_t;
 
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -47,6 +47,7 @@
     bool isOtherTarget = false; ///< Another target has the address.
     bool isSigned = false; ///< It bears the target's signature: a result, not an error on the way.
     std::vector<net::Field> relayed; ///< What concerns the caller.
+    dispatch::TargetSignals signals; ///< Of the target that the request was meant for; none where it is another.
 };
 
 /// A request as it goes to a target.
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -25,6 +25,15 @@
     return "";
 }
 
+std::string toString(const TargetSignals& signals)
+{
+    std::string text = signals.isDraining ? "+draining" : "";
+    if (signals.backoff)
+        text += "+backoff:"
+            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*signals.backoff).count());
+    return text;
+}
+
 std::string_view toString(RefusalReason reason)
 {
     switch (reason) {
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -221,6 +221,8 @@
     m_inFlight = false;
     m_port.attemptEnded(now, m_record.placement.attempt, end);
     m_record.trace += " " + toString(m_record.placement.target.life()) + ":" + std::string(toString(end));
+    if (m_head)
+        m_record.trace += toString(m_head->signals);
     if (!certainlyHasNotRun(end)) {
         m_mayHaveRun = true;
         ++m_runs;
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -281,6 +281,43 @@
     CHECK(head.relayed.size() == 3);
 }
 
+TEST_CASE("the head of any answer tells what the target says of itself")
+{
+    const auto protocol = platform::makeTargetProtocol();
+    const auto signalsOf = [&](int status, const std::vector<net::Field>& fields) {
+        return protocol->decodeHead(status, fields).signals;
+    };
+    CHECK_FALSE(signalsOf(200, {}).any());
+    for (const int status : { 200, 404, 429, 500, 503 })
+        CHECK(signalsOf(status, { { "server-leaving", "1" } }).isDraining);
+    CHECK_FALSE(signalsOf(200, { { "Server-Leaving", "0" } }).isDraining);
+    const auto both = signalsOf(503, { { "Server-Leaving", "1" }, { "Retry-After", "2.5" } });
+    CHECK(both.isDraining);
+    CHECK(both.backoff == Duration(2500ms));
+    CHECK(dispatch::toString(both) == "+draining+backoff:2500");
+    CHECK(signalsOf(503, { { "Retry-After", "0" } }).backoff == Duration::zero());
+    CHECK_FALSE(signalsOf(429, { { "Retry-After", "3" } }).backoff);
+}
+
+TEST_CASE("another target at the address says nothing of the one that was meant")
+{
+    const auto head
+        = platform::makeTargetProtocol()->decodeHead(421, { { "Server-Leaving", "1" }, { "Retry-After", "3" } });
+    CHECK_FALSE(head.signals.any());
+}
+
+TEST_CASE("a time that is no number of seconds asks for nothing, and an absurd one is bounded")
+{
+    const auto protocol = platform::makeTargetProtocol();
+    const auto backoffOf = [&](const char* text) {
+        return protocol->decodeHead(503, { { "Retry-After", text } }).signals.backoff;
+    };
+    for (const char* text : { "", "soon", "-1", "3 s", "nan", "Fri, 04 Dec 2026 12:00:00 GMT" })
+        CHECK_FALSE(backoffOf(text));
+    for (const char* text : { "1e300", "inf", "99999999999" })
+        CHECK(backoffOf(text) == Duration(24h));
+}
+
 TEST_CASE("a refusal says in fractions of a second when to come back")
 {
     const auto refusal = platform::makeCallerProtocol()->refusal(503, "overloaded", Duration(250ms));
