Send nothing to a target whose own answers say that it leaves

What callers saw: none was harmed yet, but requests went on to an engine for 2.0 s and longer after its answers had said that it leaves; it could exit under them at any time.

Cause: routers learned that a target leaves from the store alone. The store answered nobody for 13 s, the target's word of it included, while its answers, which reached the same router each second, said so all the time.

A life of a target that says so in any answer is now marked in the list of targets as if a record had said it: it gets nothing new, what runs goes on, and no older record, no list of another router and no lapse of its entry takes that back; its next life is not bound. The answer counts also where its caller has left, the attempt was given up or it belongs to another request, as it speaks of the target at the far end of the connection. One line, target-draining, tells when a router first heard of it.

--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -70,6 +70,17 @@
     return missing;
 }
 
+dispatch::TargetSignals EdgeState::targetSaid(
+    TimePoint /*now*/, const dispatch::TargetLife& target, const dispatch::TargetSignals& signals)
+{
+    dispatch::TargetSignals news;
+    std::lock_guard lock(m_mutex);
+    if (signals.isDraining)
+        changeTargetsLocked(
+            [&](news::TargetRoster& roster) { news.isDraining = roster.saidDraining(unsuspendedNow(), target); });
+    return news;
+}
+
 bool EdgeState::canServe() const
 {
     if (isStopping || !table())
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -36,12 +36,12 @@
     template <typename Change> void changeTargets(Change&& change)
     {
         std::lock_guard lock(m_mutex);
-        const std::uint64_t before = m_roster.revision();
-        change(m_roster);
-        if (m_roster.revision() != before)
-            m_dispatcher->setTargets(steadyNow(), m_roster.targets());
+        changeTargetsLocked(std::forward<Change>(change));
     }
 
+    /// Puts in force what a target said of itself. @return what of it was not known.
+    dispatch::TargetSignals targetSaid(TimePoint now, const dispatch::TargetLife&, const dispatch::TargetSignals&);
+
     /// Calls @p use with the list of targets.
     template <typename Use> auto withTargets(Use&& use) const
     {
@@ -83,6 +83,14 @@
     std::atomic<int> activeRequests { 0 };
 
 private:
+    template <typename Change> void changeTargetsLocked(Change&& change)
+    {
+        const std::uint64_t before = m_roster.revision();
+        change(m_roster);
+        if (m_roster.revision() != before)
+            m_dispatcher->setTargets(steadyNow(), m_roster.targets());
+    }
+
     news::Knowledge knowledgeLocked() const;
 
     std::atomic<std::shared_ptr<const dispatch::RoutingTable>> m_table;
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -138,7 +138,6 @@
 void Relay::onHead(unsigned number, int status, const std::vector<net::Field>& fields)
 {
     TargetAnswerHead head = m_tools.targets.decodeHead(status, fields);
-    m_tools.metrics.targetSaid(head.signals);
     handle([&](relay::RequestFlow& flow, TimePoint now) { flow.head(now, number, std::move(head)); });
 }
 
@@ -168,6 +167,15 @@
     m_tools.metrics.attempt(end);
 }
 
+void Relay::targetSaid(TimePoint now, const dispatch::TargetLife& target, const dispatch::TargetSignals& signals)
+{
+    m_tools.metrics.targetSaid(signals);
+    const dispatch::TargetSignals news = m_tools.state.targetSaid(now, target, signals);
+    if (news.isDraining)
+        process::log(process::LogLevel::Info, "target-draining",
+            { { "target", toString(target) }, { "source", "answer" }, { "request", m_order.facts.id } });
+}
+
 void Relay::send(const relay::AttemptOrder& order)
 {
     net::ClientRequest request = m_tools.targets.encode(
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -57,6 +57,7 @@
     dispatch::Decision place(TimePoint now, const dispatch::Demand&, dispatch::Round) override;
     void firstAnswer(TimePoint now, dispatch::AttemptId) override;
     void attemptEnded(TimePoint now, dispatch::AttemptId, dispatch::AttemptEnd) override;
+    void targetSaid(TimePoint now, const dispatch::TargetLife&, const dispatch::TargetSignals&) override;
     void send(const relay::AttemptOrder&) override;
     void cancel() override;
     void startStream(int status, const std::vector<net::Field>&) override;
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -150,6 +150,10 @@
     /// as if their entries had just lapsed.
     void applyAll(TimePoint now, const std::vector<TargetChange>&);
 
+    /// A life of a target said itself that it leaves; no record has to say so.
+    /// @return whether that was not known.
+    bool saidDraining(TimePoint now, const dispatch::TargetLife&);
+
     /// Replaces everything by a whole list. @param end all entries that are missing had gone before this record.
     void replace(TimePoint now, const std::vector<TargetChange>& all, LogOffset end);
 
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -40,6 +40,9 @@
     virtual void firstAnswer(TimePoint now, dispatch::AttemptId) = 0;
     virtual void attemptEnded(TimePoint now, dispatch::AttemptId, dispatch::AttemptEnd) = 0;
 
+    /// A target said something of itself, whether or not its answer is of use.
+    virtual void targetSaid(TimePoint now, const dispatch::TargetLife&, const dispatch::TargetSignals&) = 0;
+
     // Towards the target.
     virtual void send(const AttemptOrder&) = 0;
 
@@ -114,6 +117,7 @@
     void place(TimePoint now, Round);
     void send(TimePoint now, const dispatch::Placement&);
     void finishAttempt(TimePoint now, AttemptEnd);
+    void passOnSignals(TimePoint now, unsigned number, const dispatch::TargetSignals&);
     void follow(TimePoint now, AttemptEnd);
     void cancelAs(TimePoint now, AttemptEnd);
     void takeStreamBytes(TimePoint now, std::string_view);
@@ -146,8 +150,7 @@
     std::optional<edge::EventSplitter> m_splitter;
 
     // Over all attempts.
-    std::set<dispatch::TargetLife> m_tried;
-    unsigned m_tries = 0;
+    std::vector<dispatch::TargetLife> m_sentTo; ///< By the attempt's number, from 1 on.
     unsigned m_runs = 0;
     bool m_mayHaveRun = false;
     bool m_hasStarted = false;
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -114,6 +114,21 @@
     }
 }
 
+bool TargetRoster::saidDraining(TimePoint now, const dispatch::TargetLife& life)
+{
+    const auto known = m_lives.find(life.id);
+    if (known == m_lives.end() || known->second.born != life.born || known->second.isLeaving)
+        return false;
+    known->second.isLeaving = true;
+    known->second.at = now;
+    const auto it = m_entries.find(life.id);
+    if (it != m_entries.end() && it->second.target.born == life.born) {
+        it->second.target.draining = true;
+        ++m_revision;
+    }
+    return true;
+}
+
 void TargetRoster::set(TimePoint now, const TargetChange& change)
 {
     LifeMemory& life = m_lives[change.id];
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -94,7 +94,7 @@
         return;
     }
     const dispatch::Demand demand { m_facts.customer, m_facts.service, m_facts.route, m_facts.prompt, m_facts.bytes,
-        m_facts.arrived, m_facts.due, m_tried, m_facts.key };
+        m_facts.arrived, m_facts.due, { m_sentTo.begin(), m_sentTo.end() }, m_facts.key };
     const dispatch::Decision decision = m_port.place(now, demand, round);
     if (const auto* placement = std::get_if<dispatch::Placement>(&decision)) {
         m_record.isRefused = false;
@@ -121,9 +121,8 @@
     m_body.clear();
     m_isForeign = false;
     m_splitter.emplace(m_lastEventId);
-    m_tried.insert(placement.target.life());
-    ++m_tries;
-    ++m_number;
+    m_sentTo.push_back(placement.target.life());
+    m_number = static_cast<unsigned>(m_sentTo.size());
     m_inFlight = true;
     m_silenceCheck = now + patience(now);
     m_port.send({ m_number, placement, m_facts.due - now, m_hasStarted ? m_lastEventId : std::string() });
@@ -154,6 +153,7 @@
 
 void RequestFlow::head(TimePoint now, unsigned number, TargetAnswerHead head)
 {
+    passOnSignals(now, number, head.signals);
     if (!isOf(number))
         return;
     m_head = std::move(head);
@@ -165,6 +165,13 @@
         m_port.firstAnswer(now, m_record.placement.attempt);
 }
 
+void RequestFlow::passOnSignals(TimePoint now, unsigned number, const dispatch::TargetSignals& signals)
+{
+    // They hold for the target, whoever waits for the answer: its caller may have left, or another attempt have begun.
+    if (signals.any() && number >= 1 && number <= m_sentTo.size())
+        m_port.targetSaid(now, m_sentTo[number - 1], signals);
+}
+
 void RequestFlow::bytes(TimePoint now, unsigned number, std::string_view bytes)
 {
     if (!isOf(number) || m_isForeign || !m_head)
@@ -242,7 +249,7 @@
         m_failedBody = m_body;
     }
     const dispatch::AttemptFacts facts { m_facts.route->kind, m_facts.route->isResumable, m_hasStarted, m_runs,
-        m_facts.route->attempts, m_tries, end, m_mayHaveRun };
+        m_facts.route->attempts, m_number, end, m_mayHaveRun };
     switch (m_rules.next(facts)) {
     case NextStep::Relay:
         if (isStreamed()) {
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -108,6 +108,10 @@
     dispatch::Decision place(TimePoint, const dispatch::Demand&, dispatch::Round) override { return placement; }
     void firstAnswer(TimePoint, dispatch::AttemptId) override { }
     void attemptEnded(TimePoint, dispatch::AttemptId, AttemptEnd end) override { ends.push_back(end); }
+    void targetSaid(TimePoint, const dispatch::TargetLife& life, const dispatch::TargetSignals& signals) override
+    {
+        said.emplace_back(life, signals);
+    }
     void send(const AttemptOrder& order) override { orders.push_back(order); }
     void cancel() override { ++cancels; }
     void startStream(int, const std::vector<net::Field>&) override { }
@@ -120,6 +124,7 @@
     dispatch::Placement placement { 1, { { "t" }, { "s" }, "127.0.0.1:1", { "z" }, 8, false }, 0, 50ms };
     std::vector<AttemptOrder> orders;
     std::vector<AttemptEnd> ends;
+    std::vector<std::pair<dispatch::TargetLife, dispatch::TargetSignals>> said;
     unsigned cancels = 0;
     unsigned aborts = 0;
     int refused = 0;
@@ -196,3 +201,40 @@
     flow.head(at + 1ms, 1, { 200, "id", false, false, true, {} });
     CHECK_FALSE(flow.isDone());
 }
+
+TEST_CASE("what a target says of itself is passed on though nobody waits for its answer any more")
+{
+    dispatch::Route route;
+    route.kind = GENERATE(RequestKind::Once, RequestKind::Stream);
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    flow.callerGone(start + 10ms);
+    edge::TargetAnswerHead head { 200, "id", false, false, true, {} };
+    head.signals.isDraining = true;
+    flow.head(start + 20ms, 1, head);
+    REQUIRE(port.said.size() == 1);
+    CHECK(port.said.front().first == dispatch::TargetLife { { "t" } });
+    CHECK(port.said.front().second.isDraining);
+}
+
+TEST_CASE("what a target says of itself counts for that one, in whichever answer on its connection it comes")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Idempotent;
+    route.attempts = 2;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    port.placement.target.id = { "other" };
+    flow.wake(flow.nextWake());
+    REQUIRE(port.orders.size() == 2);
+    edge::TargetAnswerHead head { 503, "of another request", true, false, false, {} };
+    head.signals.backoff = 3s;
+    flow.head(start + 2s, 1, head);
+    flow.head(start + 2s, 2, head);
+    flow.head(start + 2s, 3, head);
+    REQUIRE(port.said.size() == 2);
+    CHECK(port.said[0].first.id.value == "t");
+    CHECK(port.said[1].first.id.value == "other");
+}
--- a/tests/RelayWorld.cpp
+++ b/tests/RelayWorld.cpp
@@ -102,6 +102,7 @@
     {
         dispatcher.ended(now, it, end);
     }
+    void targetSaid(TimePoint, const dispatch::TargetLife&, const dispatch::TargetSignals&) override { }
     void send(const AttemptOrder& order) override { owner.deliver(*this, order); }
     void cancel() override { cancelled = lastNumber; }
 
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -564,3 +564,31 @@
     late.expire(start + 1h); // It is forgotten that there was such a target.
     CHECK_FALSE(late.changesSince(11));
 }
+
+TEST_CASE("a life that said itself that it leaves does so, whatever a record or another router says")
+{
+    TargetRoster roster;
+    roster.apply(start, entry("t", false, 1000, 5));
+    const std::uint64_t revision = roster.revision();
+    CHECK(roster.saidDraining(start, { { "t" }, 1000 }));
+    CHECK(roster.targets().front().draining);
+    CHECK(roster.revision() > revision);
+    CHECK_FALSE(roster.saidDraining(start, { { "t" }, 1000 }));
+    roster.apply(start + 1s, entry("t", false, 1000, 6));
+    roster.replace(start + 2s, { entry("t", false, 1000, 7) }, 8);
+    CHECK(roster.targets().front().draining);
+    roster.apply(start + 3s, gone("t", 8));
+    roster.apply(start + 4s, entry("t", false, 1000, 9));
+    CHECK(roster.targets().front().draining);
+    roster.apply(start + 5s, entry("t", false, 2000, 10));
+    CHECK_FALSE(roster.targets().front().draining);
+}
+
+TEST_CASE("a life that has ended says nothing of the next one")
+{
+    TargetRoster roster;
+    CHECK_FALSE(roster.saidDraining(start, { { "t" }, 1000 }));
+    roster.apply(start, entry("t", false, 2000));
+    CHECK_FALSE(roster.saidDraining(start, { { "t" }, 1000 }));
+    CHECK_FALSE(roster.targets().front().draining);
+}
