Send nothing to a target before the end of the pause that it asked for

The targets got up to 69 such requests of one router in 2.5 s.

Cause: Retry-After of a target's 503 was not read, and a 503 that did not run made the target free for the next request at once. It still counted as a failure, so that after some of them the target got nothing under light load though it served again.

A router now keeps apart, for each life of a target, when the pause ends that it asked for. Nothing is placed there before, whatever speaks for it, on the second look for a target neither; no answer shortens the pause, a later one may lengthen it, and ten minutes bound a wrong value. When it is over one request tries the target, and the others follow when that one is served. Where all targets pause, a request is refused at once, with the time of the first that is back, spread over half a second; so is one that was offered to as many targets as it may be. What a target turns away with a time is no failure of it.

--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -174,6 +174,14 @@
     if (news.isDraining)
         process::log(process::LogLevel::Info, "target-draining",
             { { "target", toString(target) }, { "source", "answer" }, { "request", m_order.facts.id } });
+    if (news.backoff)
+        process::log(process::LogLevel::Info, "target-backoff",
+            { { "target", toString(target) }, { "ms", milliseconds(*news.backoff) }, { "request", m_order.facts.id } });
+}
+
+dispatch::Refusal Relay::giveUp(TimePoint now, const ServiceId& service)
+{
+    return m_tools.state.withDispatcher([&](dispatch::Dispatcher& it) { return it.giveUp(now, service); });
 }
 
 void Relay::send(const relay::AttemptOrder& order)
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -58,6 +58,7 @@
     void firstAnswer(TimePoint now, dispatch::AttemptId) override;
     void attemptEnded(TimePoint now, dispatch::AttemptId, dispatch::AttemptEnd) override;
     void targetSaid(TimePoint now, const dispatch::TargetLife&, const dispatch::TargetSignals&) override;
+    dispatch::Refusal giveUp(TimePoint now, const ServiceId&) override;
     void send(const relay::AttemptOrder&) override;
     void cancel() override;
     void startStream(int status, const std::vector<net::Field>&) override;
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -252,6 +252,7 @@
     Overloaded,
     OverShare,
     RetryBudget,
+    Backoff, ///< All targets that could take it asked for a pause.
     Quarantined, ///< Targets end when they run it; see quarantine::CrashGuard.
 };
 
@@ -391,6 +392,13 @@
     virtual void firstAnswer(TimePoint now, AttemptId) = 0;
     virtual void ended(TimePoint now, AttemptId, AttemptEnd) = 0;
 
+    /// A target asked this router for a pause. It gets no request before its end.
+    /// @return whether it was not known to pause.
+    virtual bool backOff(TimePoint now, const TargetLife&, Duration) = 0;
+
+    /// @return how a request is turned away that was offered to as many targets as it may be.
+    virtual Refusal giveUp(TimePoint now, const ServiceId&) = 0;
+
     /// @return this router's own part, for the others. Prefixes are told in two reports, as one may be lost.
     virtual LoadReport report(TimePoint now) = 0;
     virtual void peerReported(TimePoint now, const VmId& peer, const LoadReport&) = 0;
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -42,6 +42,7 @@
 
     /// A target said something of itself, whether or not its answer is of use.
     virtual void targetSaid(TimePoint now, const dispatch::TargetLife&, const dispatch::TargetSignals&) = 0;
+    virtual dispatch::Refusal giveUp(TimePoint now, const ServiceId&) = 0;
 
     // Towards the target.
     virtual void send(const AttemptOrder&) = 0;
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -48,6 +48,12 @@
     constexpr Duration leastComeBack = std::chrono::milliseconds(100);
     constexpr Duration mostComeBack = std::chrono::seconds(3);
 
+    /// Targets turned the request away one after the other; by then their queues have moved.
+    constexpr Duration offeredComeBack = std::chrono::milliseconds(300);
+
+    /// Callers that wait for the same target to end its pause return over so long.
+    constexpr Duration returnSpread = std::chrono::milliseconds(500);
+
     /// After so long a list of targets that lost one is read again.
     constexpr Duration noTargetComeBack = std::chrono::milliseconds(700);
 
@@ -217,7 +223,7 @@
     }
     std::optional<Candidate> best = choose(now, demand, prefixes);
     if (!best)
-        return refuse(RefusalReason::NoTarget, noTargetComeBack);
+        return refuseUnplaced(now, demand.service, noTargetComeBack);
     if (const std::optional<Refusal> refusal = admit(now, demand, *best))
         return *refusal;
     if (round == Round::AfterArrival && !retries(demand.service).take(now, m_mostRouters))
@@ -258,9 +264,10 @@
     std::vector<TargetModel*> usable;
     usable.reserve(m_targets.size());
     for (const auto& [life, model] : m_targets) {
-        if (model->target().service != demand.service || model->target().draining)
+        if (model->target().service != demand.service || model->target().draining || m_backoffs.isPaused(now, life))
             continue;
-        if (isPicky && (model->isAvoided(now) || demand.tried.contains(life)))
+        const bool isAvoided = model->isAvoided(now) || m_backoffs.isOnTrial(now, life);
+        if (isPicky && (isAvoided || demand.tried.contains(life)))
             continue;
         usable.push_back(model.get());
     }
@@ -413,12 +420,46 @@
     return { reason, std::clamp(spreadOut, leastComeBack, mostComeBack), admission };
 }
 
+std::optional<TimePoint> LocalDispatcher::allPausedUntil(TimePoint now, const ServiceId& service) const
+{
+    std::optional<TimePoint> first;
+    for (const auto& [life, model] : m_targets) {
+        if (model->target().service != service || model->target().draining)
+            continue;
+        const std::optional<TimePoint> end = m_backoffs.end(now, life);
+        if (!end)
+            return std::nullopt;
+        first = std::min(first.value_or(*end), *end);
+    }
+    return first;
+}
+
+Refusal LocalDispatcher::refuseUnplaced(TimePoint now, const ServiceId& service, Duration otherwise)
+{
+    const std::optional<TimePoint> until = allPausedUntil(now, service);
+    if (!until)
+        return refuse(RefusalReason::NoTarget, otherwise);
+    const auto spread = std::chrono::duration_cast<Duration>(m_random.fraction() * returnSpread);
+    return { RefusalReason::Backoff, *until - now + spread, {} };
+}
+
+Refusal LocalDispatcher::giveUp(TimePoint now, const ServiceId& service)
+{
+    return refuseUnplaced(now, service, offeredComeBack);
+}
+
+bool LocalDispatcher::backOff(TimePoint now, const TargetLife& life, Duration pause)
+{
+    return m_backoffs.ask(now, life, pause);
+}
+
 Placement LocalDispatcher::commit(
     TimePoint now, const Demand& demand, const Candidate& best, const std::vector<PrefixKey>& prefixes)
 {
     const std::uint32_t memoryTokens = demand.prompt.tokensIn + demand.prompt.tokensOut;
     best.model->placed(now, best.tokensToRead, memoryTokens, prefixes, best.predictedFirst);
     const TargetLife life = best.model->target().life();
+    m_backoffs.placed(now, life, m_settings.avoidAfterFailure);
     notePlaced(now, best.model->key(), prefixes);
     m_crashes.sent(now, best.model->key(), best.model->target().address);
     m_attempts[++m_lastAttempt]
@@ -450,6 +491,7 @@
         return;
     Attempt& attempt = it->second;
     attempt.hasFirst = true;
+    m_backoffs.served(now, attempt.target);
     if (TargetModel* model = find(attempt.target))
         model->firstAnswer(attempt.placedAt, attempt.tokensToRead, attempt.predictedFirst, now - attempt.placedAt);
 }
@@ -463,12 +505,18 @@
     m_attempts.erase(it);
     TargetModel* model = find(attempt.target);
     noteEnd(now, attempt, model != nullptr && !model->target().draining, end);
+    if (end == AttemptEnd::Answered)
+        m_backoffs.served(now, attempt.target);
     if (!model)
         return;
     // No first event: what it would have read isn't ahead of others any more, and teaches nothing of its speed.
     if (!attempt.hasFirst)
         model->firstAnswer(attempt.placedAt, attempt.tokensToRead, Duration::zero(), Duration::zero());
-    model->ended(now, end, attempt.memoryTokens, now - attempt.placedAt);
+    // A target that says when it takes requests again has not failed.
+    const bool hasAskedForPause = end == AttemptEnd::NotRun && m_backoffs.isPaused(now, attempt.target);
+    model->released(attempt.memoryTokens);
+    if (!hasAskedForPause)
+        model->judged(now, end, now - attempt.placedAt);
 }
 
 void LocalDispatcher::noteEnd(TimePoint now, const Attempt& attempt, bool isListed, AttemptEnd end)
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/BackoffTable.h"
 #include "dispatch/CustomerShares.h"
 #include "dispatch/HomeOrder.h"
 #include "dispatch/KindBalance.h"
@@ -22,6 +23,8 @@
     void turnedAway(TimePoint now, const CustomerId&, const PromptSize&) override;
     void firstAnswer(TimePoint now, AttemptId) override;
     void ended(TimePoint now, AttemptId, AttemptEnd) override;
+    bool backOff(TimePoint now, const TargetLife&, Duration) override;
+    Refusal giveUp(TimePoint now, const ServiceId&) override;
     LoadReport report(TimePoint now) override;
     void peerReported(TimePoint now, const VmId& peer, const LoadReport&) override;
     void setRouterCount(unsigned n) override;
@@ -49,6 +52,12 @@
         Admission admission;
     };
 
+    /// @return when the first of the service's targets takes requests again; absent if one does now, or none will.
+    std::optional<TimePoint> allPausedUntil(TimePoint now, const ServiceId&) const;
+
+    /// Turns away a request for which no target was found. @param otherwise when to come back if they don't all pause.
+    Refusal refuseUnplaced(TimePoint now, const ServiceId&, Duration otherwise);
+
     /// @param isPicky without those that were tried or are avoided.
     std::vector<TargetModel*> usableTargets(TimePoint now, const Demand&, bool isPicky) const;
 
@@ -98,6 +107,7 @@
     std::map<TargetLife, std::unique_ptr<TargetModel>> m_targets;
     std::set<TargetLife> m_listed; ///< In the last list.
     std::unordered_map<AttemptId, Attempt> m_attempts;
+    BackoffTable m_backoffs;
     std::map<ServiceId, RetryWindow> m_retries;
     CustomerShares m_shares;
     quarantine::CrashGuard m_crashes;
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -45,6 +45,8 @@
         return "over-share";
     case RefusalReason::RetryBudget:
         return "retry-budget";
+    case RefusalReason::Backoff:
+        return "backoff";
     case RefusalReason::Quarantined:
         return "quarantined";
     }
--- a/src/dispatch/TargetModel.cpp
+++ b/src/dispatch/TargetModel.cpp
@@ -140,10 +140,14 @@
     m_speed.slowness = std::clamp(m_speed.slowness * (1 + learnRate * (ratio - 1)), leastSlowness, mostSlowness);
 }
 
-void TargetModel::ended(TimePoint now, AttemptEnd end, std::uint32_t memoryTokens, Duration lasted)
+void TargetModel::released(std::uint32_t memoryTokens)
 {
     m_own.active -= std::min(m_own.active, 1U);
     m_own.memoryTokens -= std::min(m_own.memoryTokens, memoryTokens);
+}
+
+void TargetModel::judged(TimePoint now, AttemptEnd end, Duration lasted)
+{
     if (end == AttemptEnd::CallerGone || end == AttemptEnd::WrongTarget)
         return;
     const bool isAnswer = end == AttemptEnd::Answered;
--- a/src/dispatch/TargetModel.h
+++ b/src/dispatch/TargetModel.h
@@ -59,7 +59,12 @@
     void placed(TimePoint now, std::uint32_t tokensToRead, std::uint32_t memoryTokens, const std::vector<PrefixKey>&,
         Duration predictedFirst);
     void firstAnswer(TimePoint placedAt, std::uint32_t tokensToRead, Duration predicted, Duration seen);
-    void ended(TimePoint now, AttemptEnd, std::uint32_t memoryTokens, Duration lasted);
+
+    /// A request is not there any more.
+    void released(std::uint32_t memoryTokens);
+
+    /// Learns from how a request ended. @param lasted since it was placed.
+    void judged(TimePoint now, AttemptEnd, Duration lasted);
 
     void peerUse(TimePoint now, const VmId& peer, const TargetUse&);
     void peerPlaced(const PlacedPrompts&);
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -33,9 +33,6 @@
     /// Least time that is worth an attempt.
     constexpr Duration leastLeft = std::chrono::milliseconds(15);
 
-    /// Targets refused the request one after the other; by then their queues have moved.
-    constexpr Duration comeBackAfterRefusals = std::chrono::milliseconds(300);
-
     bool echoesRequest(const TargetAnswerHead& head, const std::string& requestId)
     {
         return head.requestId ? *head.requestId == requestId : head.hasNotRun;
@@ -263,7 +260,9 @@
         place(now, end == AttemptEnd::Unreachable ? Round::AfterNothing : Round::AfterArrival);
         return;
     case NextStep::Refuse:
-        refuse({ dispatch::RefusalReason::NoTarget, comeBackAfterRefusals });
+        m_record.isRefused = true;
+        m_record.refusal = m_port.giveUp(now, m_facts.service);
+        refuse(m_record.refusal);
         return;
     case NextStep::Fail:
         if (m_failedHead && !m_hasStarted)
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -105,13 +105,18 @@
 
 /// A port that counts.
 struct CountingPort final : FlowPort {
-    dispatch::Decision place(TimePoint, const dispatch::Demand&, dispatch::Round) override { return placement; }
+    dispatch::Decision place(TimePoint, const dispatch::Demand&, dispatch::Round round) override
+    {
+        rounds.push_back(round);
+        return placement;
+    }
     void firstAnswer(TimePoint, dispatch::AttemptId) override { }
     void attemptEnded(TimePoint, dispatch::AttemptId, AttemptEnd end) override { ends.push_back(end); }
     void targetSaid(TimePoint, const dispatch::TargetLife& life, const dispatch::TargetSignals& signals) override
     {
         said.emplace_back(life, signals);
     }
+    dispatch::Refusal giveUp(TimePoint, const ServiceId&) override { return lastRefusal; }
     void send(const AttemptOrder& order) override { orders.push_back(order); }
     void cancel() override { ++cancels; }
     void startStream(int, const std::vector<net::Field>&) override { }
@@ -119,15 +124,22 @@
     void finish() override { }
     void abort() override { ++aborts; }
     void respond(const edge::TargetAnswerHead&, std::string) override { }
-    void refuse(int status, std::string_view, std::optional<Duration>) override { refused = status; }
+    void refuse(int status, std::string_view, std::optional<Duration> told) override
+    {
+        refused = status;
+        comeBack = told;
+    }
 
     dispatch::Placement placement { 1, { { "t" }, { "s" }, "127.0.0.1:1", { "z" }, 8, false }, 0, 50ms };
+    dispatch::Refusal lastRefusal;
+    std::vector<dispatch::Round> rounds;
     std::vector<AttemptOrder> orders;
     std::vector<AttemptEnd> ends;
     std::vector<std::pair<dispatch::TargetLife, dispatch::TargetSignals>> said;
     unsigned cancels = 0;
     unsigned aborts = 0;
     int refused = 0;
+    std::optional<Duration> comeBack;
     std::string written;
 };
 
@@ -238,3 +250,20 @@
     CHECK(port.said[0].first.id.value == "t");
     CHECK(port.said[1].first.id.value == "other");
 }
+
+TEST_CASE("a request that all its targets turned away is refused as the dispatcher says")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Once;
+    CountingPort port;
+    port.lastRefusal = { dispatch::RefusalReason::Backoff, 2s, {} };
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    for (unsigned number = 1; number <= dispatch::mostTries; ++number) {
+        flow.head(start + 5ms, number, { 503, "id", true, false, false, {} });
+        flow.ended(start + 5ms, number, net::TransferEnd::Completed);
+    }
+    CHECK(port.refused == 503);
+    CHECK(port.comeBack == Duration(2s));
+    CHECK(flow.record().refusal.reason == dispatch::RefusalReason::Backoff);
+}
--- a/tests/RelayWorld.cpp
+++ b/tests/RelayWorld.cpp
@@ -103,6 +103,10 @@
         dispatcher.ended(now, it, end);
     }
     void targetSaid(TimePoint, const dispatch::TargetLife&, const dispatch::TargetSignals&) override { }
+    dispatch::Refusal giveUp(TimePoint now, const ServiceId& service) override
+    {
+        return dispatcher.giveUp(now, service);
+    }
     void send(const AttemptOrder& order) override { owner.deliver(*this, order); }
     void cancel() override { cancelled = lastNumber; }
 
