Withdraw a request from a target that stops taking them before it is sent

A request that is placed waits for its connection, and on a slow router for its turn, for up to some hundred milliseconds. What the target says in that time, in an answer to another request, came too late for it: it was sent though the router knew better.

Just before a request leaves, where its caller's presence is asked for, the target is asked for as well: one that leaves, pauses or has gone gets it no more. The request goes to another as if the attempt had not been made, as no byte of it left; the retry budget counts nothing, and the target isn't taken to be unreachable. RelayFlowTest and BackoffTest have the cases.

--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -47,14 +47,15 @@
 
     class AttemptSink final : public net::TransferSink {
     public:
-        AttemptSink(std::shared_ptr<Relay> relay, unsigned number)
+        AttemptSink(std::shared_ptr<Relay> relay, unsigned number, dispatch::TargetLife target)
             : m_relay(std::move(relay))
             , m_number(number)
+            , m_target(std::move(target))
         {
         }
 
     private:
-        bool onBeforeRequest() override { return m_relay->isStillWanted(); }
+        bool onBeforeRequest() override { return m_relay->isStillWanted(m_number, m_target); }
         void onHeaders(int status, const std::vector<net::Field>& fields) override
         {
             m_relay->onHead(m_number, status, fields);
@@ -68,6 +69,7 @@
 
         const std::shared_ptr<Relay> m_relay;
         const unsigned m_number;
+        const dispatch::TargetLife m_target;
     };
 
 } // namespace
@@ -127,12 +129,17 @@
     });
 }
 
-bool Relay::isStillWanted()
+bool Relay::isStillWanted(unsigned number, const dispatch::TargetLife& target)
 {
-    if (m_order.exchange->isCallerThere())
-        return true;
-    handle([](relay::RequestFlow& flow, TimePoint now) { flow.callerGone(now); });
-    return false;
+    if (!m_order.exchange->isCallerThere()) {
+        handle([](relay::RequestFlow& flow, TimePoint now) { flow.callerGone(now); });
+        return false;
+    }
+    const bool maySend
+        = m_tools.state.withDispatcher([&](const dispatch::Dispatcher& it) { return it.maySend(steadyNow(), target); });
+    if (!maySend)
+        handle([&](relay::RequestFlow& flow, TimePoint now) { flow.withdrawn(now, number); });
+    return maySend;
 }
 
 void Relay::onHead(unsigned number, int status, const std::vector<net::Field>& fields)
@@ -191,8 +198,8 @@
     request.connectTimeout = connectTimeout;
     request.unackedTimeout = unackedTimeout;
     request.sendOnce = true;
-    m_transfer
-        = m_tools.client.start(std::move(request), std::make_unique<AttemptSink>(shared_from_this(), order.number));
+    m_transfer = m_tools.client.start(std::move(request),
+        std::make_unique<AttemptSink>(shared_from_this(), order.number, order.placement.target.life()));
 }
 
 void Relay::cancel() { m_tools.client.cancel(m_transfer); }
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -45,8 +45,9 @@
 
     /// Just before a request leaves: a router that lags behind for seconds would send on requests whose callers have
     /// left, and targets would work for nobody.
-    /// @return false when its caller has gone.
-    bool isStillWanted();
+    /// What its target said meanwhile counts as well.
+    /// @return false when its caller has gone, or its target takes no more requests.
+    bool isStillWanted(unsigned number, const dispatch::TargetLife&);
 
     // From the attempt's sink.
     void onHead(unsigned number, int status, const std::vector<net::Field>&);
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -280,6 +280,7 @@
     NotRun, ///< The target says that it did not and will not run it.
     WrongTarget, ///< Another target has the address; it did not run it.
     Unreachable, ///< No byte of the request left.
+    Withdrawn, ///< Not sent: the target said meanwhile that it wants no more, or has gone.
     Broken, ///< It may have run; the answer is lost or no answer to this request.
     Silent, ///< As Broken, after a time limit.
     CallerGone,
@@ -396,6 +397,9 @@
     /// @return whether it was not known to pause.
     virtual bool backOff(TimePoint now, const TargetLife&, Duration) = 0;
 
+    /// @return whether a request that was placed there may leave now: the target takes requests still.
+    virtual bool maySend(TimePoint now, const TargetLife&) const = 0;
+
     /// @return how a request is turned away that was offered to as many targets as it may be.
     virtual Refusal giveUp(TimePoint now, const ServiceId&) = 0;
 
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -102,6 +102,9 @@
     void bytes(TimePoint now, unsigned number, std::string_view);
     void ended(TimePoint now, unsigned number, net::TransferEnd);
 
+    /// The attempt was not sent, as its target takes no requests any more.
+    void withdrawn(TimePoint now, unsigned number);
+
     void callerGone(TimePoint now);
 
     /// To be called at nextWake() or later.
@@ -118,6 +121,9 @@
     void place(TimePoint now, Round);
     void send(TimePoint now, const dispatch::Placement&);
     void finishAttempt(TimePoint now, AttemptEnd);
+
+    /// Ends the attempt that runs, and goes on unless nobody waits any more.
+    void endAttempt(TimePoint now, AttemptEnd);
     void passOnSignals(TimePoint now, unsigned number, const dispatch::TargetSignals&);
     void follow(TimePoint now, AttemptEnd);
     void cancelAs(TimePoint now, AttemptEnd);
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -181,7 +181,7 @@
     return view;
 }
 
-TargetModel* LocalDispatcher::find(const TargetLife& life)
+TargetModel* LocalDispatcher::find(const TargetLife& life) const
 {
     const auto it = m_targets.find(life);
     return it == m_targets.end() ? nullptr : it->second.get();
@@ -453,6 +453,12 @@
     return m_backoffs.ask(now, life, pause);
 }
 
+bool LocalDispatcher::maySend(TimePoint now, const TargetLife& life) const
+{
+    const TargetModel* model = find(life);
+    return model && !model->target().draining && !m_backoffs.isPaused(now, life);
+}
+
 Placement LocalDispatcher::commit(
     TimePoint now, const Demand& demand, const Candidate& best, const std::vector<PrefixKey>& prefixes)
 {
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -24,6 +24,7 @@
     void firstAnswer(TimePoint now, AttemptId) override;
     void ended(TimePoint now, AttemptId, AttemptEnd) override;
     bool backOff(TimePoint now, const TargetLife&, Duration) override;
+    bool maySend(TimePoint now, const TargetLife&) const override;
     Refusal giveUp(TimePoint now, const ServiceId&) override;
     LoadReport report(TimePoint now) override;
     void peerReported(TimePoint now, const VmId& peer, const LoadReport&) override;
@@ -95,7 +96,7 @@
     void notePlaced(TimePoint now, TargetKey, const std::vector<PrefixKey>&);
     double windowCapacity() const;
     RetryWindow& retries(const ServiceId&);
-    TargetModel* find(const TargetLife&);
+    TargetModel* find(const TargetLife&) const;
 
     /// @return the mean speed of the service's targets.
     TargetSpeed typicalSpeed(const ServiceId&) const;
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -15,6 +15,8 @@
         return "wrong-target";
     case AttemptEnd::Unreachable:
         return "unreachable";
+    case AttemptEnd::Withdrawn:
+        return "withdrawn";
     case AttemptEnd::Broken:
         return "broken";
     case AttemptEnd::Silent:
@@ -63,6 +65,7 @@
     case AttemptEnd::NotRun:
     case AttemptEnd::WrongTarget:
     case AttemptEnd::Unreachable:
+    case AttemptEnd::Withdrawn:
         // Nothing ran on this target, so that trying another can't make it run twice.
         if (hasTriesLeft)
             return NextStep::TryElsewhere;
--- a/src/dispatch/TargetModel.cpp
+++ b/src/dispatch/TargetModel.cpp
@@ -148,7 +148,7 @@
 
 void TargetModel::judged(TimePoint now, AttemptEnd end, Duration lasted)
 {
-    if (end == AttemptEnd::CallerGone || end == AttemptEnd::WrongTarget)
+    if (end == AttemptEnd::CallerGone || end == AttemptEnd::WrongTarget || end == AttemptEnd::Withdrawn)
         return;
     const bool isAnswer = end == AttemptEnd::Answered;
     m_failureShare += learnRate * ((isAnswer ? 0 : 1) - m_failureShare);
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -66,9 +66,11 @@
         return head->status >= firstServerFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
     }
 
+    bool hasNotArrived(AttemptEnd end) { return end == AttemptEnd::Unreachable || end == AttemptEnd::Withdrawn; }
+
     bool certainlyHasNotRun(AttemptEnd end)
     {
-        return end == AttemptEnd::Unreachable || end == AttemptEnd::NotRun || end == AttemptEnd::WrongTarget;
+        return hasNotArrived(end) || end == AttemptEnd::NotRun || end == AttemptEnd::WrongTarget;
     }
 
 } // namespace
@@ -213,7 +215,17 @@
 {
     if (!m_inFlight || number != m_number)
         return;
-    const AttemptEnd end = m_isForeign ? AttemptEnd::Broken : m_rules.judge(transferEnd, m_head);
+    endAttempt(now, m_isForeign ? AttemptEnd::Broken : m_rules.judge(transferEnd, m_head));
+}
+
+void RequestFlow::withdrawn(TimePoint now, unsigned number)
+{
+    if (m_inFlight && number == m_number)
+        endAttempt(now, AttemptEnd::Withdrawn);
+}
+
+void RequestFlow::endAttempt(TimePoint now, AttemptEnd end)
+{
     finishAttempt(now, end);
     // A request that goes on after its caller left is followed no further.
     if (!m_done)
@@ -257,7 +269,7 @@
         }
         return;
     case NextStep::TryElsewhere:
-        place(now, end == AttemptEnd::Unreachable ? Round::AfterNothing : Round::AfterArrival);
+        place(now, hasNotArrived(end) ? Round::AfterNothing : Round::AfterArrival);
         return;
     case NextStep::Refuse:
         m_record.isRefused = true;
--- a/tests/BackoffTest.cpp
+++ b/tests/BackoffTest.cpp
@@ -74,6 +74,8 @@
     CHECK(std::get<Placement>(retried).target.id.value == "t1");
     world.dispatcher->ended(start + 1s, std::get<Placement>(retried).attempt, AttemptEnd::Unreachable);
     CHECK(world.serve(start + 1s) == "t1");
+    CHECK_FALSE(world.dispatcher->maySend(start + 2999ms, world.targets[0].life()));
+    CHECK(world.dispatcher->maySend(start + 3s, world.targets[0].life()));
 }
 
 TEST_CASE("a pause is made longer by what a target asks for later, and never shorter")
@@ -161,3 +163,25 @@
         served += world.serve(start + 30s + i * 100ms) == "t0" ? 1 : 0;
     CHECK(served >= 5);
 }
+
+TEST_CASE("a pause outlasts the absence of the target's entry, and not the target's life")
+{
+    World world(2);
+    world.pause(start, 0, 3s);
+    world.dispatcher->setTargets(start + 1s, { world.targets[1] });
+    world.dispatcher->setTargets(start + 2s, world.targets);
+    CHECK_FALSE(world.dispatcher->maySend(start + 2s, world.targets[0].life()));
+    world.targets[0].born = 5;
+    world.dispatcher->setTargets(start + 2s, world.targets);
+    CHECK(world.dispatcher->maySend(start + 2s, world.targets[0].life()));
+}
+
+TEST_CASE("a request is not sent to a target that leaves, pauses or has gone since it was placed")
+{
+    World world(3);
+    world.pause(start, 0, 1s);
+    world.targets[1].draining = true;
+    world.dispatcher->setTargets(start, { world.targets[0], world.targets[1] });
+    for (const Target& it : world.targets)
+        CHECK_FALSE(world.dispatcher->maySend(start, it.life()));
+}
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -251,6 +251,22 @@
     CHECK(port.said[1].first.id.value == "other");
 }
 
+TEST_CASE("an attempt that is withdrawn before it is sent goes elsewhere as if it had not been made")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Once;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    flow.withdrawn(start + 5ms, 1);
+    CHECK(port.ends == std::vector { AttemptEnd::Withdrawn });
+    CHECK(port.orders.size() == 2);
+    CHECK(port.rounds == std::vector { dispatch::Round::First, dispatch::Round::AfterNothing });
+    // Its transfer ends after that, and means nothing.
+    flow.ended(start + 6ms, 1, net::TransferEnd::NothingSent);
+    CHECK(port.orders.size() == 2);
+}
+
 TEST_CASE("a request that all its targets turned away is refused as the dispatcher says")
 {
     dispatch::Route route;
