Hold a customer to be far above others only, not above itself

What callers saw, in a run of TargetSignalsTest: all engines had asked for a pause of 2.5 s, and after it 227 requests of the only customer were refused as over its share, share-percent=100 and far-above=yes, while the engines were there again.

Cause: a customer whose requests are mostly turned away for want of routers' cores counts as one that waits, and nobody may be granted more than 1.6 times as much as one that waits; the customer itself was compared, too. In the pause it was granted next to nothing, so that it was held to next to nothing for the seconds after.

The ones that wait are kept by name and a customer is compared with others only.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -161,16 +161,16 @@
     m_waiting.clear();
     for (const auto& [id, use] : m_sum) {
         if (use.turnedAway > use.granted)
-            m_waiting.push_back(use);
+            m_waiting.emplace(id, use);
     }
 }
 
-std::optional<double> CustomerShares::mostBesideWaiting(const CustomerUse& self) const
+std::optional<double> CustomerShares::mostBesideWaiting(const CustomerId& customer, const CustomerUse& self) const
 {
     std::optional<double> most;
-    for (const CustomerUse& it : m_waiting) {
-        const double limit = mostAbove * it.granted + leastAbove;
-        if (it.asked + it.turnedAway >= self.granted && self.asked > limit)
+    for (const auto& [id, use] : m_waiting) {
+        const double limit = mostAbove * use.granted + leastAbove;
+        if (id != customer && use.asked + use.turnedAway >= self.granted && self.asked > limit)
             most = std::min(most.value_or(limit), limit);
     }
     return most;
@@ -198,7 +198,7 @@
 bool CustomerShares::isFarAboveOthers(TimePoint now, const CustomerId& customer)
 {
     const auto self = m_sum.find(customer);
-    const std::optional<double> most = self == m_sum.end() ? std::nullopt : mostBesideWaiting(self->second);
+    const std::optional<double> most = self == m_sum.end() ? std::nullopt : mostBesideWaiting(customer, self->second);
     if (!most) {
         m_allowances.erase(customer);
         return false;
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -81,8 +81,8 @@
         double perSecond = 0;
     };
 
-    /// @return tokens in the window that the customer may have beside those that wait; absent: none waits for its sake.
-    std::optional<double> mostBesideWaiting(const CustomerUse&) const;
+    /// @return tokens in the window that the customer may have beside others that wait; absent: none waits for its sake.
+    std::optional<double> mostBesideWaiting(const CustomerId&, const CustomerUse&) const;
 
     /// @param most tokens in the window that all routers together may grant.
     /// @return whether nothing is left of this router's part.
@@ -100,7 +100,7 @@
     std::map<CustomerId, CustomerUse> m_sum; ///< Of all routers, at that time.
     double m_level = 0;
     /// Of customers whose requests are mostly turned away for want of routers' cores.
-    std::vector<CustomerUse> m_waiting;
+    std::map<CustomerId, CustomerUse> m_waiting;
     std::map<CustomerId, Allowance> m_allowances;
 };
 
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -395,6 +395,33 @@
     CHECK(ask("roaming"));
 }
 
+// Guards against a customer that is turned away from idle engines for being far above itself.
+TEST_CASE("a customer that waits is not far above itself when engines take requests again")
+{
+    World world;
+    for (const Target& it : world.targets)
+        world.dispatcher->backOff(start, it.life(), 3s);
+    Duration now {};
+    const auto ask = [&] {
+        auto demand = world.demand("alone", prompt(2, 1000, 200));
+        demand.arrived = start + now;
+        const Decision decision = world.dispatcher->place(start + now, demand, Round::First);
+        if (const Placement* placement = placed(decision)) {
+            world.dispatcher->firstAnswer(start + now, placement->attempt);
+            world.dispatcher->ended(start + now, placement->attempt, AttemptEnd::Answered);
+        }
+        return placed(decision) != nullptr;
+    };
+    for (; now < 3s; now += 10ms) {
+        CHECK_FALSE(ask());
+        world.dispatcher->turnedAway(start + now, { "alone" }, prompt(1, 1000, 200));
+    }
+    unsigned taken = 0;
+    for (int i = 0; i < 200; ++i, now += 10ms)
+        taken += ask() ? 1 : 0;
+    CHECK(taken == 200);
+}
+
 // Load pattern: 64 routers whose reports are half a second old, and targets that are all alike to them.
 TEST_CASE("routers of a large fleet do not all choose the same idle target")
 {
