Let soak and demo meet targets that leave or ask for a pause in their answers

Requests that reach a target more than 2 s after a router passed on that it leaves, and more than two in a pause, are broken promises; a router's stop or freeze excuses both, a cut the latter.

--- a/tools/platform-demo.py
+++ b/tools/platform-demo.py
@@ -6,9 +6,11 @@
 import collections
 import sys
 import threading
+import time
 import uuid
 
 from platform_fleet import Fleet, events_of
+from target_signals import SignalCheck
 
 CALLERS = 8
 REQUESTS_EACH = 30
@@ -23,11 +25,15 @@
     return status in (0, 429, 500, 502, 503)
 
 
-def caller(fleet, number, ends, wrong):
+def caller(fleet, number, ends, wrong, signals):
     for i in range(REQUESTS_EACH):
         path, method = PATHS[i % len(PATHS)]
         request = uuid.uuid4().hex[:16]
-        status, _, body = fleet.send(path, request, router=(number + i) % len(fleet.routers), method=method)
+        router = (number + i) % len(fleet.routers)
+        signals.note_send(request, time.monotonic())
+        status, fields, body = fleet.send(path, request, router=router, method=method,
+                                          headers={"X-Trial-Router": str(router)})
+        signals.note_answer(str(router), fields, time.monotonic())
         ends[(path, status)] += 1
         runs, _ = fleet.runs(request)
         is_doubled = path.startswith(("/posts", "/chats")) and runs > 1
@@ -41,12 +47,15 @@
     with Fleet(sys.argv[1], routers=3, engines=3, applications=2) as fleet:
         fleet.wait_ready()
         fleet.wait_until("each router gives all three", lambda: all(len(fleet.locate(i)) == 3 for i in range(3)))
-        print("== callers send; an engine breaks streams, an application loses answers, the store goes away")
+        print("== callers send; engines break streams, one asks for a pause, one leaves; an application loses answers, "
+              "the store goes away")
         fleet.fault_all("engine", "break", 5)
+        fleet.command(fleet.workers["engine-1"]["address"], "/standin/fault?kind=shed&count=5&retry-after-ms=1500")
+        fleet.command(fleet.workers["engine-2"]["address"], "/standin/drain?store=untold")
         fleet.fault("app-0", "lose", 5)
         fleet.command(fleet.store, "/standin/fault?kind=reset")
-        ends, wrong = collections.Counter(), []
-        threads = [threading.Thread(target=caller, args=(fleet, n, ends, wrong)) for n in range(CALLERS)]
+        ends, wrong, signals = collections.Counter(), [], SignalCheck()
+        threads = [threading.Thread(target=caller, args=(fleet, n, ends, wrong, signals)) for n in range(CALLERS)]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -55,8 +64,12 @@
         print(f"{'path':12} {'status':>6} {'requests':>8}   (status 0: the answer visibly ends early)")
         for (path, status), n in sorted(ends.items()):
             print(f"{path:12} {status:6} {n:8}")
-        print(f"{sum(ends.values())} answers, {len(wrong)} wrong {wrong[:5]}")
-        return 1 if wrong else 0
+        for name in fleet.workers:
+            signals.note_ledger(name, fleet.ledger(name)["arrivals"])
+        unwanted = signals.after_draining() + signals.in_backoff()
+        print(f"{sum(ends.values())} answers, {len(wrong)} wrong {wrong[:5]}; {len(signals.told)} routers told of the engine "
+              f"that leaves; {len(unwanted)} requests that an engine did not want {unwanted[:5]}")
+        return 1 if wrong or unwanted else 0
 
 
 if __name__ == "__main__":
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import http.client
+import json
 import os
 import random
 import re
@@ -18,8 +19,9 @@
 import threading
 import time
 
-from platform_fleet import HOST, KEY, Fleet, events_of
+from platform_fleet import HOST, KEY, Fleet, call, events_of
 from soak_proxy import Proxy
+from target_signals import SignalCheck, overlaps
 
 ALL_EVENTS = list(range(1, 11))
 NOT_RUN = (408, 421, 429, 503)
@@ -27,6 +29,8 @@
 EXTRA_KEY = "key-that-comes-and-goes"
 REVOKE_SECONDS = 3.0  # After the store's acknowledgement; the platform allows 2 s to routers in touch.
 RECOVERY_SECONDS = 12.0
+CUT_LASTS_SECONDS = 4.0  # A connection that was cut stays so until the request on it is given up.
+ALWAYS = 1_000_000  # Requests that a worker turns away until it is told otherwise.
 HERE = os.path.dirname(os.path.abspath(__file__))
 SEEDS_FILE = os.path.join(HERE, "..", "tests", "soak-seeds.txt")
 
@@ -53,8 +57,8 @@
     def is_stream(self):
         return self.path in ("/answers/x", "/chats/x")
 
-    def headers(self):
-        fields = {"Host": HOST, "X-Sagechute-Attempt-Id": self.id, "X-Sagechute-Deadline-Ms": "3000",
+    def headers(self, router):
+        fields = {"Host": HOST, "X-Trial-Router": router, "X-Sagechute-Attempt-Id": self.id, "X-Sagechute-Deadline-Ms": "3000",
                   "Api-Key": self.key}
         if self.is_stream():
             fields.update({"X-Sagechute-Model": "m", "X-Sagechute-Token-Usage": "1000,10",
@@ -88,16 +92,18 @@
 
     def _send(self, request):
         request.sent_at = time.monotonic()
+        self._soak.signals.note_send(request.id, request.sent_at)
         try:
             if not self._connection:
                 self._connect()
             self._connection.request(request.method, request.path, body="pay" if request.method == "POST" else None,
-                                     headers=request.headers())
+                                     headers=request.headers(self._address))
             answer = self._connection.getresponse()
             request.fields = {name.lower(): value for name, value in answer.getheaders()}
             request.status = answer.status
             request.body = answer.read()
             request.is_whole = True
+            self._soak.signals.note_answer(self._address, request.fields, time.monotonic())
             if answer.will_close:
                 self._drop()
         except http.client.IncompleteRead as error:
@@ -115,8 +121,12 @@
 class Soak:
     """One seed: a fleet behind proxies, callers, and a schedule of overlapping faults."""
 
-    def __init__(self, build, seed, seconds):
+    def __init__(self, build, seed, seconds, has_signals=True):
+        """has_signals: workers also leave and ask for pauses by their answers alone."""
         self.seed = seed
+        self.signals = SignalCheck()
+        self._has_signals = has_signals
+        self._ended_lives = []  # (worker, its ledger) of workers that were started again.
         self.is_over = threading.Event()
         self.breaches = []
         self._seconds = seconds
@@ -166,7 +176,10 @@
 
     def _disturb(self):
         end = time.monotonic() + self._seconds
-        pending = []
+        signalling = threading.Thread(target=self._signal, args=(end,), daemon=True)
+        pending = [signalling] if self._has_signals else []
+        for thread in pending:
+            thread.start()
         while time.monotonic() < end:
             fault = self._rng.choice(self.FAULTS)
             lasts = self._rng.uniform(0.3, 2.5)
@@ -178,6 +191,41 @@
         for thread in pending:
             thread.join(timeout=20)
 
+    def _signal(self, end):
+        """Beside the other faults, with chances of its own, so that these come as they do without it."""
+        rng = random.Random(f"signals of {self.seed}")
+        while time.monotonic() < end:
+            signal_of = rng.choice((self._leave_and_return, self._ask_for_pause))
+            name, lasts = rng.choice(sorted(self._fleet.workers)), rng.uniform(1.0, 4.0)
+            self._history.append(f"{signal_of.__name__} {name} for {lasts:.1f} s")
+            signal_of(name, lasts)
+            time.sleep(rng.uniform(0.1, 1.0))
+
+    def _leave_and_return(self, name, lasts):
+        worker = self._fleet.workers[name]
+        told = "told" if lasts < 2 else "untold"
+        call(worker["address"], "POST", f"/standin/drain?store={told}")
+        time.sleep(lasts)
+        status, _, ledger = call(worker["address"], "POST", "/standin/ledger")
+        if status == 200:
+            self._ended_lives.append((name, json.loads(ledger)))
+        self._unplanned_for(0)
+        worker["process"].end()
+        worker["process"].start()
+        self._fleet.wait_until("a worker is there again",
+                               lambda: call(worker["address"], "POST", "/standin/ledger", timeout=1.0)[0] == 200)
+
+    def _ask_for_pause(self, name, lasts):
+        """All workers of a service where the time is long, else one: the others are then better anyway."""
+        service = name.split("-")[0]
+        asking = [it for it in self._fleet.workers if it == name or (lasts > 2 and it.startswith(service))]
+        for it in asking:
+            call(self._fleet.workers[it]["address"], "POST",
+                 f"/standin/fault?kind=shed&count={ALWAYS}&retry-after-ms={int(lasts * 600)}")
+        time.sleep(lasts)
+        for it in asking:
+            self._fault(it, "none", 0)
+
     def _unplanned_for(self, seconds):
         now = time.monotonic()
         self._unplanned.append((now - 0.2, now + seconds + 3.0))
@@ -191,13 +239,16 @@
         process, restart = self._restarting()
         with restart:
             self._unplanned_for(lasts)
+            begun = time.monotonic()
             process.end()
             time.sleep(lasts)
             process.start()
+            self._note_stop(process, begun)
 
     def _stop_router(self, lasts):
         process, restart = self._restarting()
         with restart:
+            begun = time.monotonic()
             process.send(signal.SIGTERM)
             try:
                 process.wait()
@@ -206,13 +257,20 @@
                 process.end()
             time.sleep(lasts / 4)
             process.start()
+            self._note_stop(process, begun)
 
     def _pause_router(self, lasts):
         self._unplanned_for(lasts)
         process = self._rng.choice(self._fleet.routers)["process"]
+        begun = time.monotonic()
         process.send(signal.SIGSTOP)
         time.sleep(lasts)
         process.send(signal.SIGCONT)
+        self._note_stop(process, begun)
+
+    def _note_stop(self, process, begun):
+        router = next(it for it in self._fleet.routers if it["process"] is process)
+        self.signals.note_stop(router["front"], begun, time.monotonic())
 
     def _hang_up(self, lasts):
         for router in self._fleet.routers:
@@ -222,9 +280,11 @@
     def _harm_connections(self, lasts):
         self._unplanned_for(lasts)
         proxy = self._rng.choice(self._proxies)
+        begun = time.monotonic()
         proxy.set_mode(self._rng.choice(("delay", "reset", "silence", "cut-up", "cut-down")))
         time.sleep(lasts)
         proxy.set_mode("pass")
+        self.signals.note_cut(begun, time.monotonic() + CUT_LASTS_SECONDS)
 
     def _harm_store(self, lasts):
         kind = self._rng.choice(("reset", "busy", "silent", "lost"))
@@ -242,9 +302,13 @@
         self._unplanned_for(lasts)
         name = self._rng.choice(sorted(self._fleet.workers))
         kind = self._rng.choice(("lose", "shed", "break", "foreign", "fail"))
-        self._fleet.fault(name, kind, self._rng.randint(1, 20))
+        self._fault(name, kind, self._rng.randint(1, 20))
         time.sleep(lasts)
-        self._fleet.fault(name, "none", 0)
+        self._fault(name, "none", 0)
+
+    def _fault(self, name, kind, count):
+        """On a worker that may be starting again just now."""
+        call(self._fleet.workers[name]["address"], "POST", f"/standin/fault?kind={kind}&count={count}")
 
     def _pause_worker(self, lasts):
         self._unplanned_for(lasts)
@@ -295,8 +359,9 @@
 
     def _check(self):
         runs = {}
-        for name in self._fleet.workers:
-            for request_id, count in self._fleet.ledger(name)["runs"].items():
+        for name, ledger in self._ended_lives + [(it, self._fleet.ledger(it)) for it in self._fleet.workers]:
+            self.signals.note_ledger(name, ledger["arrivals"])
+            for request_id, count in ledger["runs"].items():
                 runs[request_id] = runs.get(request_id, 0) + count
         logs = "".join(router["process"].log() for router in self._fleet.routers)
         self._read_ids = set(re.findall(r" request id=([0-9a-f]+)", logs))
@@ -305,8 +370,13 @@
             for request in thread.requests:
                 self._check_request(request, runs.get(request.id, 0))
                 served += request.status == 200 and request.is_whole
+        for router, target, seconds in self.signals.after_draining():
+            self.breaches.append(f"{target} got a request {seconds} s after {router} had passed on that it leaves")
+        for router, target, count in self.signals.in_backoff():
+            self.breaches.append(f"{target} got {count} requests of {router} in the pause that it had asked for")
         total = sum(len(thread.requests) for thread in self._threads)
         print(f"seed {self.seed}: {total} requests, {served} served, {len(self._history)} faults, "
+              f"{len(self.signals.told)} times told of a leaving target, "
               f"{len(self.breaches)} promises broken", flush=True)
 
     def _check_request(self, request, runs):
@@ -352,12 +422,8 @@
         return overlaps(self._unplanned, request.sent_at, request.ended_at)
 
 
-def overlaps(spans, begin, end):
-    return any(first < end and begin < last for first, last in spans)
-
-
-def run_seed(build, seed, seconds):
-    soak = Soak(build, seed, seconds)
+def run_seed(build, seed, seconds, has_signals):
+    soak = Soak(build, seed, seconds, has_signals)
     breaches = soak.run()
     for breach in breaches[:20]:
         print(f"  {breach}", flush=True)
@@ -367,14 +433,16 @@
 
 
 def seeds_of(arguments):
+    """Returns (seed, whether workers signal) of each soak; those that ever failed are played as they were."""
     seeds = []
     if arguments.regressions:
         with open(SEEDS_FILE, encoding="utf-8") as file:
-            seeds += [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
+            lines = [line.split() for line in file if line.strip() and not line.startswith("#")]
+        seeds += [(int(words[0]), words[1] == "signals") for words in lines]
     if arguments.seeds:
         first, last = arguments.seeds.split("-")
-        seeds += range(int(first), int(last) + 1)
-    return seeds or [arguments.seed]
+        seeds += [(it, True) for it in range(int(first), int(last) + 1)]
+    return seeds or [(arguments.seed, True)]
 
 
 def main():
@@ -385,7 +453,8 @@
     parser.add_argument("--seconds", type=float, default=15.0, help="how long faults come, for each seed")
     parser.add_argument("--regressions", action="store_true", help="the seeds that ever failed")
     arguments = parser.parse_args()
-    failed = [seed for seed in seeds_of(arguments) if not run_seed(arguments.build, seed, arguments.seconds)]
+    failed = [seed for seed, has_signals in seeds_of(arguments)
+              if not run_seed(arguments.build, seed, arguments.seconds, has_signals)]
     print(f"failed seeds: {failed or 'none'}")
     sys.exit(1 if failed else 0)
 
--- a/tools/target_signals.py
+++ b/tools/target_signals.py
@@ -19,7 +19,8 @@
     def __init__(self):
         self.sent = {}  # By the request's id: when its caller sent it.
         self.told = {}  # By router and target: when a caller had the first answer that says that the target leaves.
-        self.restarts = collections.defaultdict(list)  # By router: when it was restarted, paused or cut off.
+        self.stops = collections.defaultdict(list)  # By router: spans in which it was restarted or paused.
+        self.cuts = []  # Spans in which answers of targets may not have come to the routers.
         self.arrivals = collections.defaultdict(list)  # By router and target's life: what came there.
 
     def note_send(self, request_id, sent_at):
@@ -30,8 +31,11 @@
         if target and fields.get("server-leaving") == "1":
             self.told.setdefault((router, target), ended_at)
 
-    def note_restart(self, router, at):
-        self.restarts[router].append(at)
+    def note_stop(self, router, begin, end):
+        self.stops[router].append((begin, end))
+
+    def note_cut(self, begin, end):
+        self.cuts.append((begin, end))
 
     def note_ledger(self, target, arrivals):
         """To be called once for each life of a target."""
@@ -39,10 +43,8 @@
         for it in arrivals:
             by_router[it["sender"]].append(it)
         for router, found in by_router.items():
-            self.arrivals[(router, target)].append(found)
-
-    def _is_excused(self, router, begin, end):
-        return any(begin <= it <= end for it in self.restarts[router])
+            if router:
+                self.arrivals[(router, target)].append(found)
 
     def after_draining(self):
         """(router, target, seconds) of requests that came to a target long after the router had passed on that it leaves."""
@@ -53,7 +55,7 @@
                     continue
                 for it in life:
                     late = self.sent.get(it["id"], 0) - told_at
-                    if late > DRAIN_SECONDS and not self._is_excused(router, told_at, it["at"]):
+                    if late > DRAIN_SECONDS and not overlaps(self.stops[router], told_at, it["at"]):
                         found.append((router, target, round(late, 2)))
         return found
 
@@ -68,6 +70,10 @@
                         continue
                     end = it["at"] + it["backoff"]
                     count = bisect.bisect_left(times, end) - bisect.bisect_right(times, it["at"] + BACKOFF_GRACE_SECONDS)
-                    if count > MOST_IN_BACKOFF and not self._is_excused(router, it["at"], end):
+                    if count > MOST_IN_BACKOFF and not overlaps(self.stops[router] + self.cuts, it["at"], end):
                         found.append((router, target, count))
         return found
+
+
+def overlaps(spans, begin, end):
+    return any(first < end and begin < last for first, last in spans)
