--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -73,14 +73,14 @@
 dispatch::TargetSignals EdgeState::targetSaid(
     TimePoint now, const dispatch::TargetLife& target, const dispatch::TargetSignals& signals)
 {
-    dispatch::TargetSignals news;
+    dispatch::TargetSignals unknown;
     std::lock_guard lock(m_mutex);
     if (signals.isDraining)
         changeTargetsLocked(
-            [&](news::TargetRoster& roster) { news.isDraining = roster.saidDraining(unsuspendedNow(), target); });
+            [&](news::TargetRoster& roster) { unknown.isDraining = roster.saidDraining(unsuspendedNow(), target); });
     if (signals.backoff && m_dispatcher->backOff(now, target, *signals.backoff))
-        news.backoff = signals.backoff;
-    return news;
+        unknown.backoff = signals.backoff;
+    return unknown;
 }
 
 bool EdgeState::canServe() const
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -177,13 +177,14 @@
 void Relay::targetSaid(TimePoint now, const dispatch::TargetLife& target, const dispatch::TargetSignals& signals)
 {
     m_tools.metrics.targetSaid(signals);
-    const dispatch::TargetSignals news = m_tools.state.targetSaid(now, target, signals);
-    if (news.isDraining)
+    const dispatch::TargetSignals unknown = m_tools.state.targetSaid(now, target, signals);
+    if (unknown.isDraining)
         process::log(process::LogLevel::Info, "target-draining",
             { { "target", toString(target) }, { "source", "answer" }, { "request", m_order.facts.id } });
-    if (news.backoff)
+    if (unknown.backoff)
         process::log(process::LogLevel::Info, "target-backoff",
-            { { "target", toString(target) }, { "ms", milliseconds(*news.backoff) }, { "request", m_order.facts.id } });
+            { { "target", toString(target) }, { "ms", milliseconds(*unknown.backoff) },
+                { "request", m_order.facts.id } });
 }
 
 dispatch::Refusal Relay::giveUp(TimePoint now, const ServiceId& service)
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -44,8 +44,7 @@
     ~Relay() override;
 
     /// Just before a request leaves: a router that lags behind for seconds would send on requests whose callers have
-    /// left, and targets would work for nobody.
-    /// What its target said meanwhile counts as well.
+    /// left or whose targets have asked for no more.
     /// @return false when its caller has gone, or its target takes no more requests.
     bool isStillWanted(unsigned number, const dispatch::TargetLife&);
 
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -42,6 +42,8 @@
 
     /// A target said something of itself, whether or not its answer is of use.
     virtual void targetSaid(TimePoint now, const dispatch::TargetLife&, const dispatch::TargetSignals&) = 0;
+
+    /// @return how a request is turned away that was offered to as many targets as it may be.
     virtual dispatch::Refusal giveUp(TimePoint now, const ServiceId&) = 0;
 
     // Towards the target.
