--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -81,7 +81,8 @@
         double perSecond = 0;
     };
 
-    /// @return tokens in the window that the customer may have beside others that wait; absent: none waits for its sake.
+    /// @return tokens in the window that the customer may have beside others that wait; absent: none waits for its
+    /// sake.
     std::optional<double> mostBesideWaiting(const CustomerId&, const CustomerUse&) const;
 
     /// @param most tokens in the window that all routers together may grant.
