Judge each life of a target by its own answers in the soak

The trace shows that the check was wrong: the engine left twice, in two lives; the router marked each at its first answer, and what it sent was to the second life before that one left (target-draining lines at 12.883 and 20.278 s, requests to the second life from 16.8 to 20.4 s). The check took the time that the first life's answer gave for the second life, as both have the same name.

An answer now counts for the life that got its request.

--- a/tools/platform-demo.py
+++ b/tools/platform-demo.py
@@ -33,7 +33,7 @@
         signals.note_send(request, time.monotonic())
         status, fields, body = fleet.send(path, request, router=router, method=method,
                                           headers={"X-Trial-Router": str(router)})
-        signals.note_answer(str(router), fields, time.monotonic())
+        signals.note_answer(str(router), request, fields, time.monotonic())
         ends[(path, status)] += 1
         runs, _ = fleet.runs(request)
         is_doubled = path.startswith(("/posts", "/chats")) and runs > 1
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -103,7 +103,7 @@
             request.status = answer.status
             request.body = answer.read()
             request.is_whole = True
-            self._soak.signals.note_answer(self._address, request.fields, time.monotonic())
+            self._soak.signals.note_answer(self._address, request.id, request.fields, time.monotonic())
             if answer.will_close:
                 self._drop()
         except http.client.IncompleteRead as error:
--- a/tools/target_signals.py
+++ b/tools/target_signals.py
@@ -18,7 +18,7 @@
 
     def __init__(self):
         self.sent = {}  # By the request's id: when its caller sent it.
-        self.told = {}  # By router and target: when a caller had the first answer that says that the target leaves.
+        self.told = collections.defaultdict(dict)  # By router and target: requests whose answer said that it leaves, and when.
         self.stops = collections.defaultdict(list)  # By router: spans in which it was restarted or paused.
         self.cuts = []  # Spans in which answers of targets may not have come to the routers.
         self.arrivals = collections.defaultdict(list)  # By router and target's life: what came there.
@@ -26,10 +26,10 @@
     def note_send(self, request_id, sent_at):
         self.sent[request_id] = sent_at
 
-    def note_answer(self, router, fields, ended_at):
+    def note_answer(self, router, request_id, fields, ended_at):
         target = fields.get("x-sagechute-response-signature", "").removeprefix(SIGNER)
         if target and fields.get("server-leaving") == "1":
-            self.told.setdefault((router, target), ended_at)
+            self.told[(router, target)][request_id] = ended_at
 
     def note_stop(self, router, begin, end):
         self.stops[router].append((begin, end))
@@ -49,9 +49,11 @@
     def after_draining(self):
         """(router, target, seconds) of requests that came to a target long after the router had passed on that it leaves."""
         found = []
-        for (router, target), told_at in self.told.items():
+        for (router, target), told in self.told.items():
             for life in self.arrivals[(router, target)]:
-                if not any(it["draining"] for it in life):
+                # Only the answers of this life: the one before may have left, too.
+                told_at = min((told[it["id"]] for it in life if it["id"] in told), default=None)
+                if told_at is None:
                     continue
                 for it in life:
                     late = self.sent.get(it["id"], 0) - told_at
