--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -160,7 +160,7 @@
 // Symptom: in six calm seconds a customer that is turned away by its only router gets less than half of what another
 // one gets. Sequence: the other one's requests come to all of 65 routers, somewhat more than it may have. Cause: a
 // margin made for sums that are told directly, where they come over relays.
-TEST_CASE("where sums come over relays less is left above a customer that is turned away")
+TEST_CASE("a flood before a customer that is turned away is bound where sums come over relays")
 {
     const Granted it = SharesWorld({ 65, 240ms, 4e6, 1e6, 5e6 }).play(16);
     for (std::size_t from = floodFrom; from + 6 <= it.flooding.size(); ++from)
