Ask in one place whether a target takes requests

The choice of a target and the question just before a request leaves each spelled out that it neither leaves nor pauses; a third reason would have had to be added twice. No behaviour changes, and no name is copied for it on the way of a request: the caller passes the life that it has.

BackoffTest, DispatchTest, CrashPlacementTest, DispatchReplayTest, CustomerSharesTest, CustomerSharesFloodTest, StarvedCustomerTest, RelayFlowTest and TargetSignalsTest pass as before; linter clean on the file.

--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -264,7 +264,7 @@
     std::vector<TargetModel*> usable;
     usable.reserve(m_targets.size());
     for (const auto& [life, model] : m_targets) {
-        if (model->target().service != demand.service || model->target().draining || m_backoffs.isPaused(now, life))
+        if (model->target().service != demand.service || !takesRequests(now, life, *model))
             continue;
         const bool isAvoided = model->isAvoided(now) || m_backoffs.isOnTrial(now, life);
         if (isPicky && (isAvoided || demand.tried.contains(life)))
@@ -456,7 +456,12 @@
 bool LocalDispatcher::maySend(TimePoint now, const TargetLife& life) const
 {
     const TargetModel* model = find(life);
-    return model && !model->target().draining && !m_backoffs.isPaused(now, life);
+    return model && takesRequests(now, life, *model);
+}
+
+bool LocalDispatcher::takesRequests(TimePoint now, const TargetLife& life, const TargetModel& model) const
+{
+    return !model.target().draining && !m_backoffs.isPaused(now, life);
 }
 
 Placement LocalDispatcher::commit(
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -53,6 +53,9 @@
         Admission admission;
     };
 
+    /// @return whether the target neither leaves nor pauses.
+    bool takesRequests(TimePoint now, const TargetLife&, const TargetModel&) const;
+
     /// @return when the first of the service's targets takes requests again; absent if one does now, or none will.
     std::optional<TimePoint> allPausedUntil(TimePoint now, const ServiceId&) const;
 
