Name the trials' router header once, and a test after its failure

The header by which callers tell stand-ins their router stood as a literal in soak, demo and test; SignalCheck's file has it now. A case of BackoffTest spoke of a target that was told to be busy; it asks for pauses.

--- a/tests/BackoffTest.cpp
+++ b/tests/BackoffTest.cpp
@@ -146,7 +146,7 @@
     CHECK(std::get<Placement>(world.place(start + 2010ms)).target.id.value == "t0");
 }
 
-TEST_CASE("a target that was told to be busy for a time gets its part of a light load afterwards")
+TEST_CASE("a target that often paused gets its part of a light load afterwards")
 {
     World world(2);
     for (int i = 0; i < 20; ++i) {
--- a/tests/target_signals_test.py
+++ b/tests/target_signals_test.py
@@ -12,7 +12,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
 from platform_fleet import Fleet, events_of  # noqa: E402
-from target_signals import DRAIN_SECONDS, SignalCheck  # noqa: E402
+from target_signals import DRAIN_SECONDS, ROUTER_HEADER, SignalCheck  # noqa: E402
 
 BUILD = "build"
 ROUTERS = 3
@@ -44,7 +44,7 @@
     def send(self, turn):
         while not self.is_stopping:
             router, request = turn % ROUTERS, fresh()
-            headers = {"X-Trial-Router": str(router),
+            headers = {ROUTER_HEADER: str(router),
                        "X-Sagechute-Prompt-Prefix": f"{request[:8]}:800,{request[8:]}:200"}
             sent_at = time.monotonic()
             self.check.note_send(request, sent_at)
--- a/tools/platform-demo.py
+++ b/tools/platform-demo.py
@@ -10,7 +10,7 @@
 import uuid
 
 from platform_fleet import Fleet, events_of
-from target_signals import SignalCheck
+from target_signals import ROUTER_HEADER, SignalCheck
 
 CALLERS = 8
 REQUESTS_EACH = 30
@@ -32,7 +32,7 @@
         router = (number + i) % len(fleet.routers)
         signals.note_send(request, time.monotonic())
         status, fields, body = fleet.send(path, request, router=router, method=method,
-                                          headers={"X-Trial-Router": str(router)})
+                                          headers={ROUTER_HEADER: str(router)})
         signals.note_answer(str(router), request, fields, time.monotonic())
         ends[(path, status)] += 1
         runs, _ = fleet.runs(request)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -21,7 +21,7 @@
 
 from platform_fleet import HOST, KEY, Fleet, call, events_of
 from soak_proxy import Proxy
-from target_signals import SignalCheck, overlaps
+from target_signals import ROUTER_HEADER, SignalCheck, overlaps
 
 ALL_EVENTS = list(range(1, 11))
 NOT_RUN = (408, 421, 429, 503)
@@ -58,7 +58,7 @@
         return self.path in ("/answers/x", "/chats/x")
 
     def headers(self, router):
-        fields = {"Host": HOST, "X-Trial-Router": router, "X-Sagechute-Attempt-Id": self.id, "X-Sagechute-Deadline-Ms": "3000",
+        fields = {"Host": HOST, ROUTER_HEADER: router, "X-Sagechute-Attempt-Id": self.id, "X-Sagechute-Deadline-Ms": "3000",
                   "Api-Key": self.key}
         if self.is_stream():
             fields.update({"X-Sagechute-Model": "m", "X-Sagechute-Token-Usage": "1000,10",
--- a/tools/target_signals.py
+++ b/tools/target_signals.py
@@ -11,6 +11,7 @@
 BACKOFF_GRACE_SECONDS = 0.5  # What is on its way when the target asks for a pause may still reach it.
 MOST_IN_BACKOFF = 2
 SIGNER = "signed-by."
+ROUTER_HEADER = "X-Trial-Router"  # Callers name in it the router that they send to; stand-ins write it down.
 
 
 class SignalCheck:
