Tell in a request's line and a metric what ended its answer

Callers got broken streams as complete ones; the routers' lines call both kinds answered, and the transfer's end was the same word for a body as long as announced and for one whose connection closed.

A transfer that ends with its connection now ends as Closed; every reader takes it as before (isUncut). An attempt in the request's line gains +closed and +cut:BYTES, and sagechute_edge_unframed_answers_total counts both. No decision changes. A case of NetPathTest expects Closed in place of Completed, which is stricter. RelayFlowTest has a new case; it, Net*, Load, Edge, Platform, Steward, Api and Ctl tests pass.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -36,6 +36,10 @@
                      .Name("sagechute_edge_attempts_total")
                      .Help("Attempts on targets, by how they ended")
                      .Register(metrics.registry()))
+    , m_answerEnds(prometheus::BuildCounter()
+                       .Name("sagechute_edge_unframed_answers_total")
+                       .Help("Answers of targets that ended with their connection, and streams cut inside an event")
+                       .Register(metrics.registry()))
     , m_signals(prometheus::BuildCounter()
                     .Name("sagechute_edge_target_signals_total")
                     .Help("Answers of targets that say that they leave or ask for a pause, by which they say")
@@ -130,6 +134,14 @@
     m_attempts.Add({ { "end", std::string(toString(end)) } }).Increment();
 }
 
+void EdgeMetrics::answerEnded(const relay::AnswerEnd& end)
+{
+    if (end.isClosed || end.cutBytes)
+        m_answerEnds
+            .Add({ { "framing", end.isClosed ? "connection" : "announced" }, { "cut", end.cutBytes ? "yes" : "no" } })
+            .Increment();
+}
+
 void EdgeMetrics::targetSaid(const dispatch::TargetSignals& signals)
 {
     if (signals.isDraining)
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <sagechute/Dispatch.h>
 #include <sagechute/Process.h>
+#include <sagechute/Relay.h>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -17,6 +17,9 @@
     void request(std::string_view route, int status, Duration lasted);
     void firstEvent(Duration sinceArrival, Duration predictionError);
     void attempt(dispatch::AttemptEnd);
+
+    /// Counts those whose framing did not say where they end, and those cut inside an event.
+    void answerEnded(const relay::AnswerEnd&);
     void targetSaid(const dispatch::TargetSignals&);
     void refusal(dispatch::RefusalReason);
     void targetEnded(quarantine::EndEvidence);
@@ -34,6 +37,7 @@
 private:
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_answerEnds;
     prometheus::Family<prometheus::Counter>& m_signals;
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_targetEnds;
--- a/apps/sagechute-edge/PeerFollower.cpp
+++ b/apps/sagechute-edge/PeerFollower.cpp
@@ -105,7 +105,7 @@
 void PeerFollower::take(const PeerAnswer& answer)
 {
     const net::TransferResult& result = answer.response.result;
-    const bool isAnswered = result.end == net::TransferEnd::Completed && result.httpStatus == okStatus;
+    const bool isAnswered = net::isUncut(result.end) && result.httpStatus == okStatus;
     m_requests.ended(answer.peer.vm, unsuspendedNow(), isAnswered);
     ++(isAnswered ? tries().answered : tries().unanswered);
     if (!isAnswered) {
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -168,10 +168,12 @@
     m_tools.state.withDispatcher([&](dispatch::Dispatcher& it) { it.firstAnswer(now, attempt); });
 }
 
-void Relay::attemptEnded(TimePoint now, dispatch::AttemptId attempt, dispatch::AttemptEnd end)
+void Relay::attemptEnded(
+    TimePoint now, dispatch::AttemptId attempt, dispatch::AttemptEnd end, const relay::AnswerEnd& answerEnd)
 {
     m_tools.state.withDispatcher([&](dispatch::Dispatcher& it) { it.ended(now, attempt, end); });
     m_tools.metrics.attempt(end);
+    m_tools.metrics.answerEnded(answerEnd);
 }
 
 void Relay::targetSaid(TimePoint now, const dispatch::TargetLife& target, const dispatch::TargetSignals& signals)
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -56,7 +56,7 @@
 private:
     dispatch::Decision place(TimePoint now, const dispatch::Demand&, dispatch::Round) override;
     void firstAnswer(TimePoint now, dispatch::AttemptId) override;
-    void attemptEnded(TimePoint now, dispatch::AttemptId, dispatch::AttemptEnd) override;
+    void attemptEnded(TimePoint now, dispatch::AttemptId, dispatch::AttemptEnd, const relay::AnswerEnd&) override;
     void targetSaid(TimePoint now, const dispatch::TargetLife&, const dispatch::TargetSignals&) override;
     dispatch::Refusal giveUp(TimePoint now, const ServiceId&) override;
     void send(const relay::AttemptOrder&) override;
--- a/apps/sagechute-load/AnswerChecker.cpp
+++ b/apps/sagechute-load/AnswerChecker.cpp
@@ -135,7 +135,7 @@
             fail(SendEnd::Unreachable, result.detail);
         else if (result.end == net::TransferEnd::TimedOut)
             fail(SendEnd::Lost, result.detail);
-        else if (result.end != net::TransferEnd::Completed)
+        else if (!net::isUncut(result.end))
             fail(SendEnd::CutOff, result.detail);
         else if (m_outcomeHeader == streamingOutcome)
             fail(SendEnd::CutOff, "the stream ended without an outcome event");
--- a/apps/sagechute-load/Client.cpp
+++ b/apps/sagechute-load/Client.cpp
@@ -83,7 +83,7 @@
 
 void Client::onAnswer(const net::ClientResponse& response)
 {
-    if (response.result.end != net::TransferEnd::Completed || response.result.httpStatus != 200)
+    if (!net::isUncut(response.result.end) || response.result.httpStatus != 200)
         return askAgainLater();
     absl::StatusOr<Location> location = parseLocation(response.body);
     if (!location.ok())
--- a/apps/sagechute-load/Sampler.cpp
+++ b/apps/sagechute-load/Sampler.cpp
@@ -13,7 +13,7 @@
 
     bool answered(const net::ClientResponse& response)
     {
-        return response.result.end == net::TransferEnd::Completed && response.result.httpStatus == 200;
+        return net::isUncut(response.result.end) && response.result.httpStatus == 200;
     }
 
 } // namespace
--- a/apps/sagechute-path-load/main.cpp
+++ b/apps/sagechute-path-load/main.cpp
@@ -103,7 +103,7 @@
         }
         void onEnd(const net::TransferResult& result) override
         {
-            const bool isWhole = result.end == net::TransferEnd::Completed;
+            const bool isWhole = net::isUncut(result.end);
             m_observations.ended(result.httpStatus, isWhole, m_firstMs, msSince(m_startedAt), m_bytes);
         }
 
--- a/apps/sagechute-router/Attempt.cpp
+++ b/apps/sagechute-router/Attempt.cpp
@@ -32,6 +32,7 @@
     {
         switch (result.end) {
         case net::TransferEnd::Completed:
+        case net::TransferEnd::Closed:
             return AttemptEnd::Completed;
         case net::TransferEnd::NothingSent:
             return AttemptEnd::NothingSent;
--- a/apps/sagechute-router/CacheWatcher.cpp
+++ b/apps/sagechute-router/CacheWatcher.cpp
@@ -57,7 +57,7 @@
 
     void onEnd(const net::TransferResult& result) override
     {
-        const bool answered = result.end == net::TransferEnd::Completed && m_status == 200;
+        const bool answered = net::isUncut(result.end) && m_status == 200;
         if (!answered || !take(json::parse(m_body, nullptr, false)))
             m_inbox.push(routing::PrefixesUnknown { m_target });
         m_watch->asking.store(false, std::memory_order_release);
--- a/apps/sagechute-steward/TargetClient.cpp
+++ b/apps/sagechute-steward/TargetClient.cpp
@@ -52,7 +52,7 @@
 
     bool isAnswer(const net::ClientResponse& response, int status)
     {
-        return response.result.end == net::TransferEnd::Completed && response.result.httpStatus == status;
+        return net::isUncut(response.result.end) && response.result.httpStatus == status;
     }
 
     std::string textIn(const json& document, const char* name)
--- a/bench/NetBench.cpp
+++ b/bench/NetBench.cpp
@@ -107,7 +107,7 @@
         bool onBody(std::string_view) override { return true; }
         void onEnd(const TransferResult& result) override
         {
-            if (result.end != TransferEnd::Completed)
+            if (!isUncut(result.end))
                 ++m_loop.m_failures;
             m_loop.next();
             m_loop.m_ended.down();
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -166,14 +166,18 @@
 
 /// How a transfer ended.
 enum class TransferEnd {
-    Completed, ///< The whole answer arrived, framed as the server announced; without a length it ends with its
-               ///< connection.
+    Completed, ///< The whole answer arrived, framed as the server announced.
+    Closed, ///< The answer announced no length, and the server closed the connection: only the body can tell whether
+            ///< that is its end.
     NothingSent, ///< It failed before a byte of the request left: refused, unreachable, connect timeout.
     BrokenAfterSend, ///< The connection broke or the answer was cut after the request may have left.
     TimedOut, ///< The total or the silence limit passed after the request may have left.
     Cancelled,
 };
 
+/// @return whether nothing in an answer's framing says that it was cut.
+inline bool isUncut(TransferEnd end) { return end == TransferEnd::Completed || end == TransferEnd::Closed; }
+
 /// Result of a transfer.
 struct TransferResult {
     TransferEnd end = TransferEnd::Completed;
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -30,6 +30,15 @@
     std::string resumeAfter; ///< Identity of the last event that the caller has; empty: from the beginning.
 };
 
+/// What ended an attempt's answer, as far as its bytes tell.
+struct AnswerEnd {
+    bool isClosed = false; ///< The end of its connection: it had neither a length nor chunks.
+    std::size_t cutBytes = 0; ///< A stream's, behind its last whole event.
+};
+
+/// @return "+closed" and "+cut:BYTES", each where it is so.
+std::string toString(const AnswerEnd&);
+
 /// What a flow does outside. No call waits; none calls back into the flow.
 class FlowPort {
 public:
@@ -38,7 +47,7 @@
     // Towards the decisions on all requests.
     virtual dispatch::Decision place(TimePoint now, const dispatch::Demand&, dispatch::Round) = 0;
     virtual void firstAnswer(TimePoint now, dispatch::AttemptId) = 0;
-    virtual void attemptEnded(TimePoint now, dispatch::AttemptId, dispatch::AttemptEnd) = 0;
+    virtual void attemptEnded(TimePoint now, dispatch::AttemptId, dispatch::AttemptEnd, const AnswerEnd&) = 0;
 
     /// A target said something of itself, whether or not its answer is of use.
     virtual void targetSaid(TimePoint now, const dispatch::TargetLife&, const dispatch::TargetSignals&) = 0;
@@ -122,10 +131,10 @@
 
     void place(TimePoint now, Round);
     void send(TimePoint now, const dispatch::Placement&);
-    void finishAttempt(TimePoint now, AttemptEnd);
+    void finishAttempt(TimePoint now, AttemptEnd, const AnswerEnd& = {});
 
     /// Ends the attempt that runs, and goes on unless nobody waits any more.
-    void endAttempt(TimePoint now, AttemptEnd);
+    void endAttempt(TimePoint now, AttemptEnd, const AnswerEnd& = {});
     void passOnSignals(TimePoint now, unsigned number, const dispatch::TargetSignals&);
     void follow(TimePoint now, AttemptEnd);
     void cancelAs(TimePoint now, AttemptEnd);
@@ -134,6 +143,7 @@
     void endStream(TimePoint now);
     void disown();
     bool isStreamed() const;
+    AnswerEnd answerEnd(net::TransferEnd) const;
     bool isOf(unsigned number) const { return !m_done && m_inFlight && number == m_number; }
     Duration patience(TimePoint now) const;
     void checkSilence(TimePoint now);
--- a/src/logservice/HttpLog.cpp
+++ b/src/logservice/HttpLog.cpp
@@ -22,7 +22,7 @@
         return config::logUnavailable(concat("The platform's log could not ", what, ": ", cause), isSent);
     }
 
-    bool isWhole(const net::ClientResponse& response) { return response.result.end == net::TransferEnd::Completed; }
+    bool isWhole(const net::ClientResponse& response) { return net::isUncut(response.result.end); }
 
     /// Refusals that no repeat will change.
     bool isRefused(int status) { return status >= 400 && status < 500 && status != 408 && status != 429; }
--- a/src/logservice/VmList.cpp
+++ b/src/logservice/VmList.cpp
@@ -45,7 +45,7 @@
     request.url = baseUrl + "/v1/vms";
     request.totalTimeout = timeout;
     const net::ClientResponse response = client.perform(std::move(request));
-    if (response.result.end != net::TransferEnd::Completed || response.result.httpStatus != okStatus)
+    if (!net::isUncut(response.result.end) || response.result.httpStatus != okStatus)
         return badList(
             response.result.httpStatus ? concat("status ", response.result.httpStatus) : response.result.detail);
     const absl::StatusOr<json> document = parseJsonStrictly(response.body, answerDepth);
--- a/src/net/ClientConnection.cpp
+++ b/src/net/ClientConnection.cpp
@@ -276,7 +276,8 @@
     const bool isReusable
         = isWhole && !hasMore && m_reader->keepsConnection() && !m_transfer->request().freshConnection;
     m_isUsed = true;
-    m_pool.ended(*this, *m_transfer, { TransferEnd::Completed, m_transfer->status, {} }, isReusable);
+    const TransferEnd end = m_reader->endsWithConnection() ? TransferEnd::Closed : TransferEnd::Completed;
+    m_pool.ended(*this, *m_transfer, { end, m_transfer->status, {} }, isReusable);
 }
 
 void ClientConnection::fail(bool isTimeout, const std::string& detail)
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -139,7 +139,7 @@
     std::unique_lock lock(waiter.mutex);
     waiter.changed.wait(lock, [&] { return waiter.response.has_value(); });
     // One that is too large has not ended yet.
-    if (waiter.response->result.end != TransferEnd::Completed)
+    if (!isUncut(waiter.response->result.end))
         cancel(id);
     return std::move(*waiter.response);
 }
--- a/src/net/HttpReader.h
+++ b/src/net/HttpReader.h
@@ -94,6 +94,9 @@
     bool isInterim() const { return m_status >= 100 && m_status < 200; }
     bool hasHead() const { return is_header_done(); }
     bool keepsConnection() const { return keep_alive(); }
+
+    /// @return whether nothing but the end of the connection ends the body.
+    bool endsWithConnection() const { return need_eof(); }
     int status() const { return m_status; }
 
 private:
--- a/src/operators/FleetPoller.cpp
+++ b/src/operators/FleetPoller.cpp
@@ -44,7 +44,7 @@
 
     absl::StatusOr<RouterStatus> judge(const net::TransferResult& result, const std::string& body)
     {
-        if (result.end != net::TransferEnd::Completed)
+        if (!net::isUncut(result.end))
             return unreached(result.detail.empty() ? "no answer in time" : result.detail);
         if (result.httpStatus != 200)
             return unreached("HTTP status " + std::to_string(result.httpStatus));
--- a/src/operators/HttpApiPort.cpp
+++ b/src/operators/HttpApiPort.cpp
@@ -93,7 +93,7 @@
                 request.body = body;
                 request.totalTimeout = callTimeout;
                 const net::ClientResponse response = m_client->perform(std::move(request));
-                const bool isWhole = response.result.end == net::TransferEnd::Completed;
+                const bool isWhole = net::isUncut(response.result.end);
                 const bool nothingSent = response.result.end == net::TransferEnd::NothingSent;
                 answer
                     = { isWhole ? response.result.httpStatus : 0, response.body, nothingSent, response.result.detail };
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -55,6 +55,7 @@
             // The head alone is a promise that it has not run.
             return head && head->hasNotRun ? notRunEnd(*head) : AttemptEnd::Broken;
         case net::TransferEnd::Completed:
+        case net::TransferEnd::Closed:
             break;
         }
         if (!head)
@@ -75,6 +76,14 @@
 
 } // namespace
 
+std::string toString(const AnswerEnd& end)
+{
+    std::string text = end.isClosed ? "+closed" : "";
+    if (end.cutBytes)
+        text += "+cut:" + std::to_string(end.cutBytes);
+    return text;
+}
+
 FlowRules FlowRules::standard() { return { dispatch::nextStep, echoesRequest, judgeTransfer }; }
 
 RequestFlow::RequestFlow(FlowPort& port, RequestFacts facts, const FlowRules& rules)
@@ -215,7 +224,13 @@
 {
     if (!m_inFlight || number != m_number)
         return;
-    endAttempt(now, m_isForeign ? AttemptEnd::Broken : m_rules.judge(transferEnd, m_head));
+    const AttemptEnd end = m_isForeign ? AttemptEnd::Broken : m_rules.judge(transferEnd, m_head);
+    endAttempt(now, end, answerEnd(transferEnd));
+}
+
+AnswerEnd RequestFlow::answerEnd(net::TransferEnd transferEnd) const
+{
+    return { transferEnd == net::TransferEnd::Closed, isStreamed() ? m_splitter->rest().size() : 0 };
 }
 
 void RequestFlow::withdrawn(TimePoint now, unsigned number)
@@ -224,19 +239,20 @@
         endAttempt(now, AttemptEnd::Withdrawn);
 }
 
-void RequestFlow::endAttempt(TimePoint now, AttemptEnd end)
+void RequestFlow::endAttempt(TimePoint now, AttemptEnd end, const AnswerEnd& answerEnd)
 {
-    finishAttempt(now, end);
+    finishAttempt(now, end, answerEnd);
     // A request that goes on after its caller left is followed no further.
     if (!m_done)
         follow(now, end);
 }
 
-void RequestFlow::finishAttempt(TimePoint now, AttemptEnd end)
+void RequestFlow::finishAttempt(TimePoint now, AttemptEnd end, const AnswerEnd& answerEnd)
 {
     m_inFlight = false;
-    m_port.attemptEnded(now, m_record.placement.attempt, end);
-    m_record.trace += " " + toString(m_record.placement.target.life()) + ":" + std::string(toString(end));
+    m_port.attemptEnded(now, m_record.placement.attempt, end, answerEnd);
+    m_record.trace
+        += " " + toString(m_record.placement.target.life()) + ":" + std::string(toString(end)) + toString(answerEnd);
     if (m_head)
         m_record.trace += toString(m_head->signals);
     if (!certainlyHasNotRun(end)) {
--- a/tests/NetPathTest.cpp
+++ b/tests/NetPathTest.cpp
@@ -225,7 +225,7 @@
     const auto response = makeClient()->perform(requestTo(target.endpoint()));
     serving.join();
     REQUIRE(response.body == "all of it");
-    REQUIRE(response.result.end == (resets ? TransferEnd::BrokenAfterSend : TransferEnd::Completed));
+    REQUIRE(response.result.end == (resets ? TransferEnd::BrokenAfterSend : TransferEnd::Closed));
 }
 
 // Symptom: a request that must not run twice is said to have been lost although no byte of it left.
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -111,7 +111,11 @@
         return placement;
     }
     void firstAnswer(TimePoint, dispatch::AttemptId) override { }
-    void attemptEnded(TimePoint, dispatch::AttemptId, AttemptEnd end) override { ends.push_back(end); }
+    void attemptEnded(TimePoint, dispatch::AttemptId, AttemptEnd end, const AnswerEnd& how) override
+    {
+        ends.push_back(end);
+        answerEnds.push_back(how);
+    }
     void targetSaid(TimePoint, const dispatch::TargetLife& life, const dispatch::TargetSignals& signals) override
     {
         said.emplace_back(life, signals);
@@ -135,6 +139,7 @@
     std::vector<dispatch::Round> rounds;
     std::vector<AttemptOrder> orders;
     std::vector<AttemptEnd> ends;
+    std::vector<AnswerEnd> answerEnds;
     std::vector<std::pair<dispatch::TargetLife, dispatch::TargetSignals>> said;
     unsigned cancels = 0;
     unsigned aborts = 0;
@@ -283,3 +288,23 @@
     CHECK(port.comeBack == Duration(2s));
     CHECK(flow.record().refusal.reason == dispatch::RefusalReason::Backoff);
 }
+
+TEST_CASE("a request's record says what ended the answer of its attempt")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Stream;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
+    flow.bytes(start + 6ms, 1, "id: 1\ndata: a\n\nid: 2\nda");
+    const auto [transferEnd, text] = GENERATE(table<net::TransferEnd, std::string>({
+        { net::TransferEnd::Closed, "+closed+cut:8" },
+        { net::TransferEnd::Completed, "+cut:8" },
+        { net::TransferEnd::BrokenAfterSend, "+cut:8" },
+    }));
+    flow.ended(start + 7ms, 1, transferEnd);
+    REQUIRE(port.answerEnds.size() == 1);
+    CHECK(port.answerEnds.front().cutBytes == 8);
+    CHECK_THAT(flow.record().trace, Catch::EndsWith(text));
+}
--- a/tests/RelayWorld.cpp
+++ b/tests/RelayWorld.cpp
@@ -98,7 +98,7 @@
         return dispatcher.place(now, demand, round);
     }
     void firstAnswer(TimePoint now, dispatch::AttemptId it) override { dispatcher.firstAnswer(now, it); }
-    void attemptEnded(TimePoint now, dispatch::AttemptId it, dispatch::AttemptEnd end) override
+    void attemptEnded(TimePoint now, dispatch::AttemptId it, dispatch::AttemptEnd end, const AnswerEnd&) override
     {
         dispatcher.ended(now, it, end);
     }
