End an answer without chunks whose end comes after its last bytes

Cause: writeAnswer returned while there was nothing to write, before flush, which alone ends an answer. With chunks the last one is something to write; without them the end of a stream adds no bytes. The existing test of HTTP/1.0 writes and finishes in one go.

The new case of NetPathTest failed before (no end within 5 s for HTTP/1.0 GET and HEAD and for HEAD with HTTP/1.1), and passes now, as do NetTest and NetClientTest. No other place of src/net asks whether there are bytes in order to find out whether there is an end.

--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -281,7 +281,8 @@
         return;
     if (m_isStreaming && !m_isWhole && !fillStream())
         return;
-    if (m_out.empty())
+    // The end of an answer may add no bytes.
+    if (m_out.empty() && !m_isWhole)
         return;
     flush();
     if (m_exchange && m_isStreaming && m_out.empty())
--- a/tests/NetFixtures.h
+++ b/tests/NetFixtures.h
@@ -141,16 +141,21 @@
         return text;
     }
 
-    std::string readToEnd() { return readUntil(std::string_view("\0never\0", 7)); }
-    /// @return whether the connection ends by a reset; waits for its end.
-    bool endsByReset()
+    /// Reading gives up after so long without a byte.
+    void endReadingAfter(std::chrono::seconds time)
     {
-        char c = 0;
-        ssize_t n = 0;
-        while ((n = recv(m_fd.value(), &c, 1, 0)) > 0) { }
-        return n < 0 && errno == ECONNRESET;
+        const timeval limit { time.count(), 0 };
+        setsockopt(m_fd.value(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     }
 
+    std::string readToEnd() { return readUntil(std::string_view("\0never\0", 7)); }
+
+    /// @return whether the connection ends by a reset; waits for its end.
+    bool endsByReset() { return readPastAll() < 0 && errno == ECONNRESET; }
+
+    /// @return whether the connection is closed properly; waits for its end.
+    bool endsInOrder() { return readPastAll() == 0; }
+
     /// The connection will end by a reset instead of a proper close.
     void resetOnClose()
     {
@@ -161,6 +166,14 @@
     void endSending() { shutdown(m_fd.value(), SHUT_WR); }
 
 private:
+    ssize_t readPastAll()
+    {
+        char c = 0;
+        ssize_t n = 0;
+        while ((n = recv(m_fd.value(), &c, 1, 0)) > 0) { }
+        return n;
+    }
+
     FileDescriptor m_fd;
 };
 
--- a/tests/NetPathTest.cpp
+++ b/tests/NetPathTest.cpp
@@ -131,6 +131,26 @@
     REQUIRE(caller.endsByReset() == aborts);
 }
 
+// Guards against an answer without chunks that is never ended, as its end comes after its last bytes have left.
+TEST_CASE("A caller that gets no chunks sees the end of a stream that comes when all its bytes have left")
+{
+    Promised<ExchangePointer> arrived;
+    auto server = makeServer([&](const ExchangePointer& exchange) {
+        exchange->startStream(200, {});
+        exchange->write("all");
+        arrived.set(exchange);
+    });
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.endReadingAfter(std::chrono::seconds(5));
+    caller.send(GENERATE("GET / HTTP/1.0\r\n\r\n", "HEAD / HTTP/1.0\r\n\r\n",
+        "HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+    caller.readUntil("\r\n\r\n");
+    const ExchangePointer exchange = arrived.wait();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    exchange->finish();
+    REQUIRE(caller.endsInOrder());
+}
+
 // Symptom: connections hang in the kernel's queue for seconds. Sequence: more callers connect than a router may hold.
 // Cause: those beyond its bound were left in the queue, before others that could have been served.
 TEST_CASE("A connection beyond the bound is closed at once, and the others are served")
