--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -100,6 +100,10 @@
     /// Starts a chunked answer.
     virtual void startStream(int status, std::vector<Field> headers) = 0;
 
+    /// Starts an answer whose bytes go out as they are written, its head included: stand-ins break the protocol with
+    /// it. finish() then closes the connection in order, and abort() resets it.
+    virtual void startRaw() = 0;
+
     /// Queues bytes of a started stream. Without bytes it only tells how many are queued.
     /// @return bytes now queued and not yet taken by the socket; the writer stops at its own limit and waits for
     /// onDrained.
--- a/src/net/Exchange.cpp
+++ b/src/net/Exchange.cpp
@@ -62,6 +62,16 @@
     wake();
 }
 
+void Exchange::startRaw()
+{
+    std::lock_guard lock(m_mutex);
+    if (isOver() || m_phase != Phase::Unanswered)
+        return;
+    m_phase = Phase::Streaming;
+    m_isRaw = true;
+    wake();
+}
+
 std::size_t Exchange::write(std::string_view bytes)
 {
     std::lock_guard lock(m_mutex);
@@ -127,6 +137,8 @@
         return Next::Close;
     if (m_phase == Phase::Unanswered)
         return Next::Wait;
+    if (m_isRaw)
+        return Next::SendRaw;
     response = std::move(m_response);
     return m_phase == Phase::Whole ? Next::SendWhole : Next::SendStream;
 }
--- a/src/net/Exchange.h
+++ b/src/net/Exchange.h
@@ -21,6 +21,7 @@
         Wait, ///< Nothing to send yet.
         SendWhole,
         SendStream,
+        SendRaw,
         Close,
     };
 
@@ -34,6 +35,7 @@
     const ServerRequest& request() const override { return m_request; }
     void respond(ServerResponse) override;
     void startStream(int status, std::vector<Field> headers) override;
+    void startRaw() override;
     std::size_t write(std::string_view bytes) override;
     void finish() override;
     void abort() override;
@@ -70,6 +72,7 @@
     std::mutex m_mutex;
     ServerConnection* m_connection; ///< Used on the loop's thread only; null once detached.
     Phase m_phase = Phase::Unanswered;
+    bool m_isRaw = false;
     bool m_isPosted = false; ///< The loop has been woken and has not looked yet.
     bool m_gone = false;
     bool m_detached = false;
--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -305,9 +305,15 @@
         m_isWhole = true;
         return true;
     case Exchange::Next::SendStream:
+        m_isChunked = !m_isOldVersion;
         appendHead(response, true);
         m_isStreaming = true;
         return true;
+    case Exchange::Next::SendRaw:
+        m_isChunked = false;
+        m_keepsConnection = false;
+        m_isStreaming = true;
+        return true;
     }
     return false;
 }
@@ -316,7 +322,7 @@
 {
     const Exchange::StreamState state = m_exchange->takeQueued(m_piece);
     if (state == Exchange::StreamState::Aborted) {
-        if (m_isOldVersion) {
+        if (!m_isChunked) {
             // Without chunks the end of the connection is the end of the answer; only a reset looks broken.
             const linger reset { 1, 0 };
             setsockopt(m_fd.value(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -324,18 +330,17 @@
         close();
         return false;
     }
-    const bool isChunked = !m_isOldVersion;
     if (!m_piece.empty() && !m_isHead) {
-        if (isChunked) {
+        if (m_isChunked) {
             appendNumber(m_out, m_piece.size(), 16);
             m_out += "\r\n";
         }
         m_out += m_piece;
-        if (isChunked)
+        if (m_isChunked)
             m_out += "\r\n";
     }
     if (state == Exchange::StreamState::Finished) {
-        if (isChunked && !m_isHead)
+        if (m_isChunked && !m_isHead)
             m_out += "0\r\n\r\n";
         m_isWhole = true;
     }
@@ -363,7 +368,7 @@
     if (!m_keepsConnection && !hasOwnClose)
         m_out += "Connection: close\r\n";
     const bool hasBody = response.status != noContent && response.status != notModified;
-    if (isStream && !m_isOldVersion) {
+    if (isStream && m_isChunked) {
         m_out += "Transfer-Encoding: chunked\r\n";
     } else if (!isStream && hasBody) {
         m_out += "Content-Length: ";
--- a/src/net/ServerConnection.h
+++ b/src/net/ServerConnection.h
@@ -72,6 +72,7 @@
 
     // Writing.
     bool m_isStreaming = false;
+    bool m_isChunked = false;
     bool m_isWhole = false; ///< All of the answer is in m_out.
     std::string m_out;
     std::size_t m_outStart = 0;
--- a/tests/ApiWorld.h
+++ b/tests/ApiWorld.h
@@ -185,6 +185,7 @@
         m_changed.notify_all();
     }
 
+    void startRaw() override { }
     void startStream(int, std::vector<net::Field>) override
     {
         const std::lock_guard lock(m_mutex);
--- a/tests/StandinDeliveryTest.cpp
+++ b/tests/StandinDeliveryTest.cpp
@@ -15,6 +15,7 @@
 public:
     const net::ServerRequest& request() const override { return m_request; }
     void respond(net::ServerResponse response) override { body = std::move(response.body); }
+    void startRaw() override { }
     void startStream(int, std::vector<net::Field> fields) override { headers = std::move(fields); }
     std::size_t write(std::string_view bytes) override
     {
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -88,10 +88,12 @@
         return sum(results) / max(1, len(results))
 
 
-class CrashingRequestTest(unittest.TestCase):
+class CrashingTargetsCase(unittest.TestCase):
+    worker_arguments = ["--crash-marker", MARKER, "--work", "60ms"]
+
     def setUp(self):
         self.fleet = Fleet(BUILD, routers=ROUTERS, engines=ENGINES, applications=0,
-                           worker_arguments=["--crash-marker", MARKER, "--work", "60ms"])
+                           worker_arguments=self.worker_arguments)
         self.addCleanup(self.fleet.__exit__)
         self.fleet.wait_ready()
         self.keeper = Keeper(self.fleet)
@@ -129,6 +131,8 @@
         self.assertGreaterEqual(len(self.keeper.ends), 3, "the request crashed no targets")
         self.assertLessEqual(self.keeper.ends_too_many(), MOST_MORE, f"{len(self.keeper.ends)} ended in all")
 
+
+class CrashingRequestTest(CrashingTargetsCase):
     def test_a_request_that_crashes_targets_is_repeated_at_all_routers(self):
         """Guards against a request that ends a target each time it comes, whichever router it comes to."""
         self.repeat(11)
@@ -195,6 +199,16 @@
         return [it["key"] for it in json.loads(body)["requests"] if it["quarantined"]]
 
 
+class CrashInsideEventTest(CrashingTargetsCase):
+    worker_arguments = CrashingTargetsCase.worker_arguments + ["--crash-in-event"]
+
+    def test_a_request_that_crashes_targets_inside_an_event_is_taken_for_answered(self):
+        """Guards against a crash that is held to be a complete run, as the connection of its answer was closed in order."""
+        self.repeat(11)
+        self.check()
+        self.assertEqual(self.answers[-1][0], 503)
+
+
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
     unittest.main(verbosity=2)
