Hold a stream that ends inside an event to be broken off

The engine's record called the run answered, so that a request that crashes engines inside an event was never quarantined: 24 engines ended by one (CrashInsideEventTest).

Cause: an attempt was judged by its transfer and its answer's head alone, and a transfer calls an answer without length and chunks whole as soon as the other side closes. What the body itself says of its end was not asked; what was left of an event was written to the caller, and the answer finished. The same held for chunks that end properly inside an event.

An attempt's judgement now has what ended its answer (AnswerEnd): the transfer, whether the stream stopped inside an event, and whether it had any. Inside an event it is broken, whatever its framing; so is one whose connection closes before its first event, as a run has one at least. All else follows from that, as for any break: on at another target after the last whole event where the route may be resumed and the retry budget lets it; else a visibly broken answer, or 502 before the first event; a broken attempt in the target's record, the line, the metrics, the crash ledger. Comments behind the last event, empty streams that are framed, and unframed streams that end between events are whole as before: nothing is held back.

RelayFlowTest: three new cases; the world of random faults closes connections inside events, and a judge that takes any close for the end is caught by it.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -136,9 +136,10 @@
 
 void EdgeMetrics::answerEnded(const relay::AnswerEnd& end)
 {
-    if (end.isClosed || end.cutBytes)
+    const bool isClosed = end.transfer == net::TransferEnd::Closed;
+    if (isClosed || end.cutBytes)
         m_answerEnds
-            .Add({ { "framing", end.isClosed ? "connection" : "announced" }, { "cut", end.cutBytes ? "yes" : "no" } })
+            .Add({ { "framing", isClosed ? "connection" : "announced" }, { "cut", end.cutBytes ? "yes" : "no" } })
             .Increment();
 }
 
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -32,8 +32,9 @@
 
 /// What ended an attempt's answer, as far as its bytes tell.
 struct AnswerEnd {
-    bool isClosed = false; ///< The end of its connection: it had neither a length nor chunks.
-    std::size_t cutBytes = 0; ///< A stream's, behind its last whole event.
+    net::TransferEnd transfer = net::TransferEnd::Cancelled;
+    std::size_t cutBytes = 0; ///< Of an event that a stream ends inside of.
+    bool isWithoutEvent = false; ///< A stream that ends before its first whole event.
 };
 
 /// @return "+closed" and "+cut:BYTES", each where it is so.
@@ -83,8 +84,8 @@
     /// kept connection.
     bool (*isAnswerTo)(const edge::TargetAnswerHead&, const std::string& requestId) = nullptr;
 
-    /// @return how an attempt ended, by its transfer's end and its answer's head.
-    dispatch::AttemptEnd (*judge)(net::TransferEnd, const std::optional<edge::TargetAnswerHead>&) = nullptr;
+    /// @return how an attempt ended, by its answer's head and end.
+    dispatch::AttemptEnd (*judge)(const AnswerEnd&, const std::optional<edge::TargetAnswerHead>&) = nullptr;
 
     static FlowRules standard();
 };
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -43,9 +43,16 @@
         return head.isOtherTarget ? AttemptEnd::WrongTarget : AttemptEnd::NotRun;
     }
 
-    AttemptEnd judgeTransfer(net::TransferEnd end, const std::optional<TargetAnswerHead>& head)
+    /// An engine's run has one event at least, so that a connection that closes before it is no end of an answer. A
+    /// stream that is framed as empty is the target's own word.
+    bool isCutShort(const AnswerEnd& end)
     {
-        switch (end) {
+        return end.cutBytes > 0 || (end.transfer == net::TransferEnd::Closed && end.isWithoutEvent);
+    }
+
+    AttemptEnd judgeAnswer(const AnswerEnd& end, const std::optional<TargetAnswerHead>& head)
+    {
+        switch (end.transfer) {
         case net::TransferEnd::NothingSent:
             return AttemptEnd::Unreachable;
         case net::TransferEnd::TimedOut:
@@ -58,7 +65,7 @@
         case net::TransferEnd::Closed:
             break;
         }
-        if (!head)
+        if (!head || isCutShort(end))
             return AttemptEnd::Broken;
         if (head->hasNotRun)
             return notRunEnd(*head);
@@ -78,13 +85,13 @@
 
 std::string toString(const AnswerEnd& end)
 {
-    std::string text = end.isClosed ? "+closed" : "";
+    std::string text = end.transfer == net::TransferEnd::Closed ? "+closed" : "";
     if (end.cutBytes)
         text += "+cut:" + std::to_string(end.cutBytes);
     return text;
 }
 
-FlowRules FlowRules::standard() { return { dispatch::nextStep, echoesRequest, judgeTransfer }; }
+FlowRules FlowRules::standard() { return { dispatch::nextStep, echoesRequest, judgeAnswer }; }
 
 RequestFlow::RequestFlow(FlowPort& port, RequestFacts facts, const FlowRules& rules)
     : m_port(port)
@@ -224,13 +231,18 @@
 {
     if (!m_inFlight || number != m_number)
         return;
-    const AttemptEnd end = m_isForeign ? AttemptEnd::Broken : m_rules.judge(transferEnd, m_head);
-    endAttempt(now, end, answerEnd(transferEnd));
+    const AnswerEnd end = answerEnd(transferEnd);
+    endAttempt(now, m_isForeign ? AttemptEnd::Broken : m_rules.judge(end, m_head), end);
 }
 
 AnswerEnd RequestFlow::answerEnd(net::TransferEnd transferEnd) const
 {
-    return { transferEnd == net::TransferEnd::Closed, isStreamed() ? m_splitter->rest().size() : 0 };
+    AnswerEnd end { transferEnd };
+    if (isStreamed()) {
+        end.cutBytes = m_splitter->isInsideEvent() ? m_splitter->rest().size() : 0;
+        end.isWithoutEvent = m_splitter->events() == 0;
+    }
+    return end;
 }
 
 void RequestFlow::withdrawn(TimePoint now, unsigned number)
@@ -303,8 +315,9 @@
 
 void RequestFlow::endStream(TimePoint now)
 {
-    // Also where the target closed it without an event: an empty stream is a whole answer.
+    // Also where it has no event: an empty stream is a whole answer.
     startStream(now);
+    // Comments; a stream that ends inside an event isn't whole.
     m_port.write(m_splitter->rest());
     m_port.finish();
     conclude(m_head->status, "completed");
--- a/tests/RelayWorld.h
+++ b/tests/RelayWorld.h
@@ -28,6 +28,8 @@
     double unreachable = 0.05; ///< The connection is refused.
     double lostRequest = 0.05; ///< It breaks after the request left; the target never saw it.
     double lostAnswer = 0.1; ///< The target runs it, and its connection breaks at some point of the answer.
+    double closedInEvent
+        = 0.05; ///< As lostAnswer, but inside an event of a stream whose end is that of its connection.
     double silent = 0.05; ///< The target runs it and says nothing.
     double refused = 0.1; ///< The target says that it has not run and will not run it.
     double otherTarget = 0.03; ///< Another target has the address by now.
@@ -61,6 +63,9 @@
     void after(Duration most, std::function<void()>);
     void deliver(Send&, const AttemptOrder&);
     void answer(Send&, unsigned number, const std::string& runTag, const std::string& resumeAfter, double brokenPart);
+
+    /// @return a place inside an event of @p body.
+    std::size_t placeInEvent(const std::string& body);
     void checkEnds();
     bool chance(double probability) { return m_random.fraction() < probability; }
 
