Pass on an answer of another type on a route of streams as it is

A JSON document would wait for an empty line, and be held to be cut inside an event now. It is gathered like any plain answer, and its framing says where it ends. No Content-Type, or an empty one, is a stream.

RelayFlowTest and PlatformTest have a case each; no target was seen to send such answers.

--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -48,6 +48,7 @@
     bool isSigned = false; ///< It bears the target's signature: a result, not an error on the way.
     std::vector<net::Field> relayed; ///< What concerns the caller.
     dispatch::TargetSignals signals; ///< Of the target that the request was meant for; none where it is another.
+    bool isEventStream = true; ///< Unless it says that its body is of another type.
 };
 
 /// A request as it goes to a target.
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -157,7 +157,8 @@
 
 bool RequestFlow::isStreamed() const
 {
-    return m_facts.route->kind == RequestKind::Stream && m_head && m_head->status < firstFailure && !m_head->hasNotRun;
+    return m_facts.route->kind == RequestKind::Stream && m_head && m_head->isEventStream
+        && m_head->status < firstFailure && !m_head->hasNotRun;
 }
 
 void RequestFlow::disown()
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -281,6 +281,15 @@
     CHECK(head.relayed.size() == 3);
 }
 
+TEST_CASE("an answer is a stream of events unless it says that it is something else")
+{
+    const auto protocol = platform::makeTargetProtocol();
+    CHECK(protocol->decodeHead(200, {}).isEventStream);
+    CHECK(protocol->decodeHead(200, { { "content-type", "Text/Event-Stream; charset=utf-8" } }).isEventStream);
+    CHECK_FALSE(protocol->decodeHead(200, { { "Content-Type", "application/json" } }).isEventStream);
+    CHECK(protocol->decodeHead(200, { { "Content-Type", "" } }).isEventStream);
+}
+
 TEST_CASE("the head of any answer tells what the target says of itself")
 {
     const auto protocol = platform::makeTargetProtocol();
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -135,7 +135,7 @@
     void write(std::string_view bytes) override { written += bytes; }
     void finish() override { ++finishes; }
     void abort() override { ++aborts; }
-    void respond(const edge::TargetAnswerHead&, std::string) override { }
+    void respond(const edge::TargetAnswerHead&, std::string) override { ++responses; }
     void refuse(int status, std::string_view, std::optional<Duration> told) override
     {
         refused = status;
@@ -152,6 +152,7 @@
     unsigned cancels = 0;
     unsigned aborts = 0;
     unsigned finishes = 0;
+    unsigned responses = 0;
     int refused = 0;
     std::optional<Duration> comeBack;
     std::string written;
@@ -355,6 +356,29 @@
     CHECK(port.finishes == 1);
 }
 
+// Guards against events that are looked for in an answer that has none.
+TEST_CASE("an answer of another type on a route of streams is passed on as it is")
+{
+    const auto [transferEnd, responses] = GENERATE(table<net::TransferEnd, unsigned>({
+        { net::TransferEnd::Completed, 1U },
+        { net::TransferEnd::Closed, 1U },
+        { net::TransferEnd::BrokenAfterSend, 0U },
+    }));
+    dispatch::Route route;
+    route.kind = RequestKind::Stream;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    edge::TargetAnswerHead head { 200, "id", false, false, true, {} };
+    head.isEventStream = false;
+    flow.head(start + 5ms, 1, head);
+    flow.bytes(start + 6ms, 1, "{}");
+    flow.ended(start + 7ms, 1, transferEnd);
+    CHECK(port.responses == responses);
+    CHECK(port.refused == (responses ? 0 : 502));
+    CHECK(port.written.empty());
+}
+
 TEST_CASE("a request's record says what ended the answer of its attempt")
 {
     dispatch::Route route;
