Don't resume a stream whose last event has no identity

Where events have none, a stream that broke was taken up from its beginning, and where some have, behind an earlier one: the caller would get events twice (ORDER). Such a stream now ends visibly broken, and isn't given up for its silence; platform targets give each event an identity, so that nothing changes for them.

The new case of RelayFlowTest failed before (a second order for both streams) and passes.

--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -107,6 +107,10 @@
     /// @return identity of the last whole event, or what the constructor was given.
     const std::string& lastId() const { return m_lastId; }
 
+    /// @return whether that names the last event with data; a stream that is taken up after another one would repeat
+    /// it.
+    bool knowsLastEvent() const { return m_knowsLastEvent; }
+
     /// @return whether an event came again or before an earlier one, or is larger than any may be; it and all after it
     ///         are held back.
     bool isDisordered() const { return m_isDisordered; }
@@ -117,6 +121,7 @@
     /// What is known of the event that the rest is part of.
     struct Partial {
         bool hasField = false;
+        bool hasData = false;
         std::optional<std::string> id;
     };
 
@@ -135,6 +140,7 @@
     bool m_isFirstLine = true;
     Partial m_partial;
     std::string m_lastId;
+    bool m_knowsLastEvent = true;
     std::uint64_t m_events = 0;
     bool m_isDisordered = false;
 };
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -144,6 +144,7 @@
     void endStream(TimePoint now);
     void disown();
     bool isStreamed() const;
+    bool isResumable() const { return m_facts.route->isResumable && m_mayResume; }
     AnswerEnd answerEnd(net::TransferEnd) const;
     bool isOf(unsigned number) const { return !m_done && m_inFlight && number == m_number; }
     Duration patience(TimePoint now) const;
@@ -175,6 +176,7 @@
     bool m_mayHaveRun = false;
     bool m_hasStarted = false;
     std::string m_lastEventId;
+    bool m_mayResume = true; ///< The caller's last event is known by its identity.
     std::optional<edge::TargetAnswerHead> m_failedHead; ///< A target's own failure, passed on if nothing better comes.
     std::string m_failedBody;
     FlowRecord m_record;
--- a/src/edge/EventSplitter.cpp
+++ b/src/edge/EventSplitter.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+    constexpr std::string_view dataField = "data";
     constexpr std::string_view idField = "id:";
     constexpr char commentMark = ':';
 
@@ -92,6 +93,7 @@
 void EventSplitter::takeField(std::string_view line)
 {
     m_partial.hasField = true;
+    m_partial.hasData |= line.substr(0, line.find(':')) == dataField;
     if (!line.starts_with(idField))
         return;
     line.remove_prefix(idField.size());
@@ -111,6 +113,8 @@
         }
         m_lastId = *event.id;
     }
+    if (event.hasData || event.id)
+        m_knowsLastEvent = event.id.has_value();
     m_events += event.hasField ? 1 : 0;
 }
 
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -209,6 +209,7 @@
     if (!whole.empty()) {
         startStream(now);
         m_lastEventId = m_splitter->lastId();
+        m_mayResume = m_splitter->knowsLastEvent();
         m_lastEventAt = now;
         m_port.write(whole);
     }
@@ -286,7 +287,7 @@
         m_failedHead = m_head;
         m_failedBody = m_body;
     }
-    const dispatch::AttemptFacts facts { m_facts.route->kind, m_facts.route->isResumable, m_hasStarted, m_runs,
+    const dispatch::AttemptFacts facts { m_facts.route->kind, isResumable(), m_hasStarted, m_runs,
         m_facts.route->attempts, m_number, end, m_mayHaveRun };
     switch (m_rules.next(facts)) {
     case NextStep::Relay:
@@ -375,7 +376,7 @@
     if (m_runs + 1 >= m_facts.route->attempts)
         return;
     const bool isStream = m_facts.route->kind == RequestKind::Stream;
-    if (!isStream && m_head)
+    if (isStream ? !isResumable() : m_head.has_value())
         return;
     const Duration quiet = now - m_lastEventAt;
     if (isStream && m_hasStarted && quiet < streamSilence) {
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -379,6 +379,33 @@
     CHECK(port.written.empty());
 }
 
+// Guards against a stream that begins anew in the middle, as nothing says which events its caller has.
+TEST_CASE("a stream whose events have no identity is not resumed")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Stream;
+    route.isResumable = true;
+    route.attempts = 2;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
+    flow.bytes(start + 6ms, 1, GENERATE("data: a\n\ndata: b\n\n", "id: 1\ndata: a\n\ndata: b\n\n"));
+    SECTION("broken")
+    {
+        flow.ended(start + 7ms, 1, net::TransferEnd::BrokenAfterSend);
+        CHECK(port.aborts == 1);
+    }
+    SECTION("silent")
+    {
+        for (TimePoint now = start; now < start + 2900ms; now = std::max(now + 1ms, flow.nextWake()))
+            flow.wake(now);
+        CHECK_FALSE(flow.isDone());
+        CHECK(port.cancels == 0);
+    }
+    CHECK(port.orders.size() == 1);
+}
+
 TEST_CASE("a request's record says what ended the answer of its attempt")
 {
     dispatch::Route route;
