Let soak and demo meet answers that end early or have no frame

Beside the other faults, with chances of their own, workers now send answers without length or chunks and with other line ends, and cut them by close, reset or a proper last chunk; each answer that is framed as complete is held against the ledgers: some run's answer must have gone out whole.

--- a/tests/broken_answers_test.py
+++ b/tests/broken_answers_test.py
@@ -13,7 +13,7 @@
 import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
-from platform_fleet import HOST, KEY, Fleet, call, events_of  # noqa: E402
+from platform_fleet import HOST, KEY, Fleet, call, events_of, with_line_feeds  # noqa: E402
 
 BUILD = "build"
 ALL_EVENTS = list(range(1, 11))
@@ -33,7 +33,7 @@
 
 def read_events(body):
     """The identities of the whole events, whichever line ends they have."""
-    return events_of(body.replace(b"\r\n", b"\n").replace(b"\r", b"\n"))
+    return events_of(with_line_feeds(body))
 
 
 def send_raw(address, path, request_id, version):
--- a/tools/platform-demo.py
+++ b/tools/platform-demo.py
@@ -47,9 +47,10 @@
     with Fleet(sys.argv[1], routers=3, engines=3, applications=2) as fleet:
         fleet.wait_ready()
         fleet.wait_until("each router gives all three", lambda: all(len(fleet.locate(i)) == 3 for i in range(3)))
-        print("== callers send; engines break streams, one asks for a pause, one leaves; an application loses answers, "
-              "the store goes away")
+        print("== callers send; engines break streams, one as if they were whole, one asks for a pause, one leaves; an "
+              "application loses answers, the store goes away")
         fleet.fault_all("engine", "break", 5)
+        fleet.fault("engine-0", "close-in-event", 5)
         fleet.command(fleet.workers["engine-1"]["address"], "/standin/fault?kind=shed&count=5&retry-after-ms=1500")
         fleet.command(fleet.workers["engine-2"]["address"], "/standin/drain?store=untold")
         fleet.fault("app-0", "lose", 5)
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -267,6 +267,11 @@
         return json.loads(body)["addresses"] if status == 200 else []
 
 
+def with_line_feeds(body):
+    """A stream with each line end as a line feed."""
+    return body.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
+
 def events_of(body):
     """The identities of the whole events of a stream."""
     text = body.decode()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,6 +8,7 @@
 """
 
 import argparse
+import collections
 import http.client
 import json
 import os
@@ -19,7 +20,7 @@
 import threading
 import time
 
-from platform_fleet import HOST, KEY, Fleet, call, events_of
+from platform_fleet import HOST, KEY, Fleet, call, events_of, with_line_feeds
 from soak_proxy import Proxy
 from target_signals import ROUTER_HEADER, SignalCheck, overlaps
 
@@ -31,6 +32,15 @@
 RECOVERY_SECONDS = 12.0
 CUT_LASTS_SECONDS = 4.0  # A connection that was cut stays so until the request on it is given up.
 ALWAYS = 1_000_000  # Requests that a worker turns away until it is told otherwise.
+EXTRAS = ("signals", "answers")  # What came to the soak later; each has chances of its own.
+HARMLESS = ("unframed", "crlf", "unframed-crlf", "cr", "unframed-comment-last")
+# Where an answer has neither a length nor chunks, the end of its connection is its own: in a plain answer anywhere, in a
+# stream between two events. Such cuts are left out.
+ANSWER_FAULTS = {
+    "app": ("unframed", "reset-in-event"),
+    "engine": HARMLESS + ("close-after-head", "close-in-first-event", "close-in-event", "close-before-empty-line",
+                          "close-in-crlf-event", "end-in-event", "reset-in-event", "reset-between-events"),
+}
 HERE = os.path.dirname(os.path.abspath(__file__))
 SEEDS_FILE = os.path.join(HERE, "..", "tests", "soak-seeds.txt")
 
@@ -121,11 +131,11 @@
 class Soak:
     """One seed: a fleet behind proxies, callers, and a schedule of overlapping faults."""
 
-    def __init__(self, build, seed, seconds, has_signals=True):
-        """has_signals: workers also leave and ask for pauses by their answers alone."""
+    def __init__(self, build, seed, seconds, extras=EXTRAS):
+        """extras: what comes beside the faults of each seed."""
         self.seed = seed
         self.signals = SignalCheck()
-        self._has_signals = has_signals
+        self._extras = extras
         self._ended_lives = []  # (worker, its ledger) of workers that were started again.
         self.is_over = threading.Event()
         self.breaches = []
@@ -176,8 +186,8 @@
 
     def _disturb(self):
         end = time.monotonic() + self._seconds
-        signalling = threading.Thread(target=self._signal, args=(end,), daemon=True)
-        pending = [signalling] if self._has_signals else []
+        beside = {"signals": self._signal, "answers": self._spoil_answers}
+        pending = [threading.Thread(target=beside[it], args=(end,), daemon=True) for it in self._extras]
         for thread in pending:
             thread.start()
         while time.monotonic() < end:
@@ -201,6 +211,20 @@
             signal_of(name, lasts)
             time.sleep(rng.uniform(0.1, 1.0))
 
+    def _spoil_answers(self, end):
+        """Beside the other faults, as _signal."""
+        rng = random.Random(f"answers of {self.seed}")
+        while time.monotonic() < end:
+            name, lasts = rng.choice(sorted(self._fleet.workers)), rng.uniform(0.3, 2.0)
+            fault = rng.choice(ANSWER_FAULTS[name.split("-")[0]])
+            self._history.append(f"{fault} of {name} for {lasts:.1f} s")
+            if fault not in HARMLESS:
+                self._unplanned_for(lasts)
+            self._fault(name, fault, rng.randint(1, 40))
+            time.sleep(lasts)
+            self._fault(name, "none", 0)
+            time.sleep(rng.uniform(0.0, 0.5))
+
     def _leave_and_return(self, name, lasts):
         worker = self._fleet.workers[name]
         told = "told" if lasts < 2 else "untold"
@@ -358,17 +382,17 @@
             self.breaches.append(f"router {number} doesn't serve {path} {RECOVERY_SECONDS} s after the last fault")
 
     def _check(self):
-        runs = {}
+        runs, completed = collections.Counter(), collections.Counter()
         for name, ledger in self._ended_lives + [(it, self._fleet.ledger(it)) for it in self._fleet.workers]:
             self.signals.note_ledger(name, ledger["arrivals"])
-            for request_id, count in ledger["runs"].items():
-                runs[request_id] = runs.get(request_id, 0) + count
+            runs.update(ledger["runs"])
+            completed.update(ledger["completed"])
         logs = "".join(router["process"].log() for router in self._fleet.routers)
         self._read_ids = set(re.findall(r" request id=([0-9a-f]+)", logs))
         served = 0
         for thread in self._threads:
             for request in thread.requests:
-                self._check_request(request, runs.get(request.id, 0))
+                self._check_request(request, runs[request.id], completed[request.id])
                 served += request.status == 200 and request.is_whole
         for router, target, seconds in self.signals.after_draining():
             self.breaches.append(f"{target} got a request {seconds} s after {router} had passed on that it leaves")
@@ -379,7 +403,7 @@
               f"{len(self.signals.told)} times told of a leaving target, "
               f"{len(self.breaches)} promises broken", flush=True)
 
-    def _check_request(self, request, runs):
+    def _check_request(self, request, runs, completed):
         def breach(what):
             self.breaches.append(f"{what}: id={request.id} {request.path} status={request.status} runs={runs}")
 
@@ -389,8 +413,11 @@
             breach("said not to have run")
         if request.status == 200 and request.is_whole:
             self._check_answer(request, breach)
+            if not completed:
+                breach("framed as complete, and no target's answer was")
         if request.is_stream() and request.status == 200 and not request.is_whole:
-            if events_of(request.body[:request.body.rfind(b"\n\n") + 2]) != ALL_EVENTS[:request.body.count(b"\n\n")]:
+            events = events_of(whole_events(request.body))
+            if events != ALL_EVENTS[:len(events)]:
                 breach("disorder in a broken stream")
         if request.key == KEY and request.status in (400, 401, 403, 404):
             breach("denied")
@@ -407,7 +434,7 @@
         if request.fields.get("x-sagechute-attempt-id") != request.id:
             breach("another request's answer")
         if request.is_stream():
-            if events_of(request.body) != ALL_EVENTS:
+            if events_of(with_line_feeds(request.body)) != ALL_EVENTS:
                 breach("a whole stream with other events")
         elif request.id.encode() not in request.body:
             breach("another body")
@@ -422,8 +449,13 @@
         return overlaps(self._unplanned, request.sent_at, request.ended_at)
 
 
-def run_seed(build, seed, seconds, has_signals):
-    soak = Soak(build, seed, seconds, has_signals)
+def whole_events(body):
+    text = with_line_feeds(body)
+    return text[:text.rfind(b"\n\n") + 2]
+
+
+def run_seed(build, seed, seconds, extras):
+    soak = Soak(build, seed, seconds, extras)
     breaches = soak.run()
     for breach in breaches[:20]:
         print(f"  {breach}", flush=True)
@@ -433,16 +465,16 @@
 
 
 def seeds_of(arguments):
-    """Returns (seed, whether workers signal) of each soak; those that ever failed are played as they were."""
+    """Returns (seed, extras) of each soak; those that ever failed are played as they were."""
     seeds = []
     if arguments.regressions:
         with open(SEEDS_FILE, encoding="utf-8") as file:
             lines = [line.split() for line in file if line.strip() and not line.startswith("#")]
-        seeds += [(int(words[0]), words[1] == "signals") for words in lines]
+        seeds += [(int(words[0]), EXTRAS[:EXTRAS.index(words[1]) + 1] if words[1] in EXTRAS else ()) for words in lines]
     if arguments.seeds:
         first, last = arguments.seeds.split("-")
-        seeds += [(it, True) for it in range(int(first), int(last) + 1)]
-    return seeds or [(arguments.seed, True)]
+        seeds += [(it, EXTRAS) for it in range(int(first), int(last) + 1)]
+    return seeds or [(arguments.seed, EXTRAS)]
 
 
 def main():
@@ -453,8 +485,8 @@
     parser.add_argument("--seconds", type=float, default=15.0, help="how long faults come, for each seed")
     parser.add_argument("--regressions", action="store_true", help="the seeds that ever failed")
     arguments = parser.parse_args()
-    failed = [seed for seed, has_signals in seeds_of(arguments)
-              if not run_seed(arguments.build, seed, arguments.seconds, has_signals)]
+    failed = [seed for seed, extras in seeds_of(arguments)
+              if not run_seed(arguments.build, seed, arguments.seconds, extras)]
     print(f"failed seeds: {failed or 'none'}")
     sys.exit(1 if failed else 0)
 
--- a/tools/soak_proxy.py
+++ b/tools/soak_proxy.py
@@ -88,6 +88,7 @@
         self._client = client
         self._harmed = set()
         self._is_open = True
+        self._was_reset = False
 
     def reset(self):
         self._is_open = False
@@ -106,8 +107,9 @@
                 if not self._pass(key.fileobj):
                     self._is_open = False
         selector.close()
+        is_reset = self._was_reset or self._proxy.mode() == "reset"
         for end in self._ends:
-            reset(end) if self._proxy.mode() == "reset" else end.close()
+            reset(end) if is_reset else end.close()
 
     def _pass(self, source):
         try:
@@ -125,4 +127,6 @@
                 self._ends[source].sendall(data)
             return True
         except OSError:
+            # A reset is passed on as one: closed in order, an answer without a length would look whole.
+            self._was_reset = True
             return False
