--- a/tests/RelayWorld.cpp
+++ b/tests/RelayWorld.cpp
@@ -15,6 +15,7 @@
     constexpr unsigned callerRetries = 2;
     constexpr Duration timeout = 3s;
     constexpr Duration between = 20ms;
+    constexpr double unframedPart = 0.5; ///< Of the streams: they end with their connection.
 
     enum RouteIndex : unsigned { Idempotent, Once, Resumable, Plain, RouteCount };
 
@@ -300,7 +301,8 @@
                 send.flow.bytes(m_now, number, part);
         });
     }
-    const auto wholeEnd = isClosedInEvent ? net::TransferEnd::Closed : net::TransferEnd::Completed;
+    const bool isUnframed = isClosedInEvent || (isStream && chance(unframedPart));
+    const auto wholeEnd = isUnframed ? net::TransferEnd::Closed : net::TransferEnd::Completed;
     const auto end = brokenPart < 1 ? net::TransferEnd::BrokenAfterSend : wholeEnd;
     at(when + 1ms, [this, &send, number, end] {
         send.flow.ended(m_now, number, send.cancelled == number ? net::TransferEnd::Cancelled : end);
