--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -189,7 +189,7 @@
     CHECK(share < 1);
 }
 
-// Guards against a flood that counts as hardly worse than its victim, as both are far over what engines are said to give.
+// Guards against a flood that counts as hardly worse than its victim, as both are over what engines are said to give.
 TEST_CASE("a customer that has less than all were given alike is only just over its share where engines give more")
 {
     CustomerShares shares(4s);
