Pass on no success that lacks the target's signature

Cause: the signature was judged with the answer's end, but a stream is passed on from its head. A success without a signature now counts at its head as another's answer, as a foreign request id does, and is cancelled. A plain answer was held until its end and was refused before, too.

RelayFlowTest's new case failed before (bytes written, no refusal).

--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -33,8 +33,11 @@
     /// Least time that is worth an attempt.
     constexpr Duration leastLeft = std::chrono::milliseconds(15);
 
-    bool echoesRequest(const TargetAnswerHead& head, const std::string& requestId)
+    /// A success is the target's only with its signature; without it somebody on the way made it.
+    bool isSoundAnswerTo(const TargetAnswerHead& head, const std::string& requestId)
     {
+        if (head.status < firstFailure && !head.isSigned)
+            return false;
         return head.requestId ? *head.requestId == requestId : head.hasNotRun;
     }
 
@@ -69,8 +72,6 @@
             return AttemptEnd::Broken;
         if (head->hasNotRun)
             return notRunEnd(*head);
-        if (head->status < firstFailure && !head->isSigned)
-            return AttemptEnd::Broken;
         return head->status >= firstServerFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
     }
 
@@ -91,7 +92,7 @@
     return text;
 }
 
-FlowRules FlowRules::standard() { return { dispatch::nextStep, echoesRequest, judgeAnswer }; }
+FlowRules FlowRules::standard() { return { dispatch::nextStep, isSoundAnswerTo, judgeAnswer }; }
 
 RequestFlow::RequestFlow(FlowPort& port, RequestFacts facts, const FlowRules& rules)
     : m_port(port)
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -356,6 +356,22 @@
     CHECK(port.finishes == 1);
 }
 
+// Guards against a success that reaches its caller before it is known not to be the target's.
+TEST_CASE("a stream without the target's signature goes to nobody")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Stream;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    flow.head(start + 5ms, 1, { 200, "id", false, false, false, {} });
+    flow.bytes(start + 6ms, 1, "id: 1\ndata: a\n\n");
+    flow.ended(start + 7ms, 1, net::TransferEnd::Cancelled);
+    CHECK(port.cancels == 1);
+    CHECK(port.written.empty());
+    CHECK(port.refused == 502);
+}
+
 // Guards against events that are looked for in an answer that has none.
 TEST_CASE("an answer of another type on a route of streams is passed on as it is")
 {
