--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -15,6 +15,8 @@
     constexpr int badGateway = 502;
     constexpr int unavailable = 503;
     constexpr int gatewayTimeout = 504;
+    constexpr int requestTimeout = 408;
+    constexpr int misdirected = 421;
     constexpr int tooManyRequests = 429;
     constexpr int firstFailure = 300;
     constexpr int firstServerFailure = 500;
@@ -33,6 +35,12 @@
     /// Least time that is worth an attempt.
     constexpr Duration leastLeft = std::chrono::milliseconds(15);
 
+    /// @return whether the status promises callers that their request has not run and will not.
+    bool saysNotRun(int status)
+    {
+        return status == tooManyRequests || status == unavailable || status == requestTimeout || status == misdirected;
+    }
+
     /// A success is the target's only with its signature; without it somebody on the way made it.
     bool isSoundAnswerTo(const TargetAnswerHead& head, const std::string& requestId)
     {
@@ -72,6 +80,8 @@
             return AttemptEnd::Broken;
         if (head->hasNotRun)
             return notRunEnd(*head);
+        if (saysNotRun(head->status))
+            return AttemptEnd::Broken;
         return head->status >= firstServerFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
     }
 
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -372,6 +372,22 @@
     CHECK(port.refused == 502);
 }
 
+// Guards against a caller that sends a posting again, as a status told it that it had not run.
+TEST_CASE("a status that promises that nothing has run is not passed on from a target that doesn't say so")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Once;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    const int status = GENERATE(408, 429, 503);
+    flow.head(start + 5ms, 1, { status, "id", false, false, GENERATE(false, true), {} });
+    flow.ended(start + 7ms, 1, net::TransferEnd::Completed);
+    CHECK(port.responses == 0);
+    CHECK(port.refused == 502);
+    CHECK(port.comeBack == std::nullopt);
+}
+
 // Guards against events that are looked for in an answer that has none.
 TEST_CASE("an answer of another type on a route of streams is passed on as it is")
 {
