--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -80,8 +80,8 @@
     /// What follows an attempt.
     dispatch::NextStep (*next)(const dispatch::AttemptFacts&) = dispatch::nextStep;
 
-    /// @return whether an answer's head is the target's to this request. A late extra answer to an earlier request may lie
-    /// on a kept connection.
+    /// @return whether an answer's head is the target's to this request. A late extra answer to an earlier request may
+    /// lie on a kept connection.
     bool (*isAnswerTo)(const edge::TargetAnswerHead&, const std::string& requestId) = nullptr;
 
     /// @return how an attempt ended, by its answer's head and end.
