Read an empty body in chunks whose last chunk comes in pieces

The bytes '0 CR LF', then 'CR', then 'LF' as the whole body of a request or an answer made Beast's parser fail an assertion (n >= 5), which builds of README's commands keep; the platform's Release build leaves it out and read on rightly.

Cause: the parser takes it that whoever gives it a last chunk again has at least five bytes of it, which holds only behind another chunk. The readers now wait for them where no chunk came before.

--- a/src/net/HttpReader.cpp
+++ b/src/net/HttpReader.cpp
@@ -22,6 +22,15 @@
     /// Separators of a field in a message's head.
     constexpr std::size_t fieldOverhead = 4;
 
+    /// The parser's precondition where a body's only chunk is the last one, "0\r\n\r\n".
+    constexpr std::size_t leastLastChunk = 5;
+
+    /// @return whether more of a last chunk that follows no other is needed before the parser may see it.
+    bool isTooShortAsOnlyChunk(std::string_view bytes)
+    {
+        return bytes.size() < leastLastChunk && bytes.substr(0, 1) == "0";
+    }
+
     std::string_view toStd(boost::beast::string_view text) { return { text.data(), text.size() }; }
 
     ReadProblem problemOf(const boost::beast::error_code& ec)
@@ -74,6 +83,8 @@
 
 std::size_t RequestReader::take(std::string_view bytes)
 {
+    if (is_header_done() && chunked() && !m_hasChunk && isTooShortAsOnlyChunk(bytes))
+        return 0;
     ErrorCode ec;
     const std::size_t used = put(boost::asio::const_buffer(bytes.data(), bytes.size()), ec);
     if (m_problem == ReadProblem::None)
@@ -146,6 +157,8 @@
 
 std::size_t AnswerReader::take(std::string_view bytes)
 {
+    if (is_header_done() && chunked() && !m_hasChunk && isTooShortAsOnlyChunk(bytes))
+        return 0;
     ErrorCode ec;
     const std::size_t used = put(boost::asio::const_buffer(bytes.data(), bytes.size()), ec);
     m_problem = problemOf(ec);
--- a/src/net/HttpReader.h
+++ b/src/net/HttpReader.h
@@ -48,7 +48,7 @@
     void on_header_impl(ErrorCode&) override;
     void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override { }
     std::size_t on_body_impl(Text bytes, ErrorCode&) override;
-    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode&) override { }
+    void on_chunk_header_impl(std::uint64_t size, Text, ErrorCode&) override { m_hasChunk |= size > 0; }
     std::size_t on_chunk_body_impl(std::uint64_t, Text bytes, ErrorCode& ec) override
     {
         return on_body_impl(bytes, ec);
@@ -64,6 +64,7 @@
     unsigned m_lengths = 0; ///< Fields that announce the body's length.
     bool m_hasForeignCoding = false; ///< A transfer coding besides chunks.
     bool m_expectsContinue = false;
+    bool m_hasChunk = false; ///< Besides the last one, which is empty.
     int m_version = 0;
 };
 
@@ -109,7 +110,7 @@
     void on_header_impl(ErrorCode&) override;
     void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override { }
     std::size_t on_body_impl(Text bytes, ErrorCode&) override;
-    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode&) override { }
+    void on_chunk_header_impl(std::uint64_t size, Text, ErrorCode&) override { m_hasChunk |= size > 0; }
     std::size_t on_chunk_body_impl(std::uint64_t, Text bytes, ErrorCode& ec) override
     {
         return on_body_impl(bytes, ec);
@@ -120,6 +121,7 @@
     std::vector<Field> m_fields;
     std::size_t m_headBytes = 0;
     ReadProblem m_problem = ReadProblem::None;
+    bool m_hasChunk = false; ///< Besides the last one, which is empty.
     int m_status = 0;
 };
 
