Refuse an answer in another transfer coding than chunks

Requests were refused so before; answers now are, too, and count as broken. HttpReaderTest's new case failed before for all five codings.

--- a/src/net/HttpReader.cpp
+++ b/src/net/HttpReader.cpp
@@ -173,8 +173,13 @@
         put_eof(ec);
 }
 
-void AnswerReader::on_field_impl(http::field, Text name, Text value, ErrorCode& ec)
+void AnswerReader::on_field_impl(http::field id, Text name, Text value, ErrorCode& ec)
 {
+    // Callers would get the bytes of another coding as if they were the body.
+    if (id == http::field::transfer_encoding && !isSameName(toStd(value), "chunked")) {
+        ec = http::error::bad_transfer_encoding;
+        return;
+    }
     m_headBytes += name.size() + value.size() + fieldOverhead;
     if (m_headBytes > mostAnswerHeadBytes)
         ec = http::error::header_limit;
--- a/tests/HttpReaderTest.cpp
+++ b/tests/HttpReaderTest.cpp
@@ -229,6 +229,17 @@
     CHECK(sink.body.empty());
 }
 
+// Guards against bytes of another coding that reach a caller as the body.
+TEST_CASE("an answer in another transfer coding than chunks is refused")
+{
+    const std::string coding = GENERATE("gzip, chunked", "gzip", "identity", "chunked:", "chunked, chunked");
+    Keeping sink;
+    AnswerReader reader(sink, true);
+    feed(reader, "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n1\r\na\r\n0\r\n\r\n", false);
+    CHECK(reader.problem() == ReadProblem::AmbiguousLength);
+    CHECK(sink.heads == 0);
+}
+
 // Guards against an answer that is said to be whole and isn't, or with bytes that are not its own.
 TEST_CASE("an answer is whole only where a simple reader says so, too, however its bytes are split")
 {
