Tell in a request's line why a sound looking answer was not passed on

An answer that is another request's, unsigned, too large, disordered or a bare 'not run' was 'broken' like one that broke off, and nothing told them apart afterwards. The attempt now has +unsound:head, :size, :order or :status.

--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -35,9 +35,10 @@
     net::TransferEnd transfer = net::TransferEnd::Cancelled;
     std::size_t cutBytes = 0; ///< Of an event that a stream ends inside of.
     bool isWithoutEvent = false; ///< A stream that ends before its first whole event.
+    std::string_view unsound; ///< Why it is not passed on though it may have ended; empty: it is.
 };
 
-/// @return "+closed" and "+cut:BYTES", each where it is so.
+/// @return "+closed", "+cut:BYTES" and "+unsound:WHY", each where it is so.
 std::string toString(const AnswerEnd&);
 
 /// What a flow does outside. No call waits; none calls back into the flow.
@@ -142,7 +143,7 @@
     void takeStreamBytes(TimePoint now, std::string_view);
     void startStream(TimePoint now);
     void endStream(TimePoint now);
-    void disown();
+    void disown(std::string_view why);
     bool isStreamed() const;
     bool isResumable() const { return m_facts.route->isResumable && m_mayResume; }
     AnswerEnd answerEnd(net::TransferEnd) const;
@@ -167,7 +168,7 @@
     TimePoint m_silenceCheck; ///< When to look whether the target is silent.
     std::optional<edge::TargetAnswerHead> m_head;
     std::string m_body;
-    bool m_isForeign = false; ///< The answer that came is one to another request, or not a sound one.
+    std::string_view m_unsound; ///< Why nothing more of the answer is passed on; empty: it is.
     std::optional<edge::EventSplitter> m_splitter;
 
     // Over all attempts.
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -41,6 +41,12 @@
         return status == tooManyRequests || status == unavailable || status == requestTimeout || status == misdirected;
     }
 
+    /// Such a status is true only of a target that says so in a header, too.
+    bool isBarePromise(const std::optional<TargetAnswerHead>& head)
+    {
+        return head && !head->hasNotRun && saysNotRun(head->status);
+    }
+
     /// A success is the target's only with its signature; without it somebody on the way made it.
     bool isSoundAnswerTo(const TargetAnswerHead& head, const std::string& requestId)
     {
@@ -76,12 +82,10 @@
         case net::TransferEnd::Closed:
             break;
         }
-        if (!head || isCutShort(end))
+        if (!head || !end.unsound.empty() || isCutShort(end))
             return AttemptEnd::Broken;
         if (head->hasNotRun)
             return notRunEnd(*head);
-        if (saysNotRun(head->status))
-            return AttemptEnd::Broken;
         return head->status >= firstServerFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
     }
 
@@ -99,6 +103,8 @@
     std::string text = end.transfer == net::TransferEnd::Closed ? "+closed" : "";
     if (end.cutBytes)
         text += "+cut:" + std::to_string(end.cutBytes);
+    if (!end.unsound.empty())
+        text += "+unsound:" + std::string(end.unsound);
     return text;
 }
 
@@ -145,7 +151,7 @@
     m_lastEventAt = now;
     m_head.reset();
     m_body.clear();
-    m_isForeign = false;
+    m_unsound = {};
     m_splitter.emplace(m_lastEventId);
     m_sentTo.push_back(placement.target.life());
     m_number = static_cast<unsigned>(m_sentTo.size());
@@ -172,9 +178,9 @@
         && m_head->status < firstFailure && !m_head->hasNotRun;
 }
 
-void RequestFlow::disown()
+void RequestFlow::disown(std::string_view why)
 {
-    m_isForeign = true;
+    m_unsound = why;
     m_port.cancel();
 }
 
@@ -185,7 +191,7 @@
         return;
     m_head = std::move(head);
     if (!m_rules.isAnswerTo(*m_head, m_facts.id)) {
-        disown();
+        disown("head");
         return;
     }
     if (!isStreamed() && !m_head->hasNotRun)
@@ -201,14 +207,14 @@
 
 void RequestFlow::bytes(TimePoint now, unsigned number, std::string_view bytes)
 {
-    if (!isOf(number) || m_isForeign || !m_head)
+    if (!isOf(number) || !m_unsound.empty() || !m_head)
         return;
     if (isStreamed()) {
         takeStreamBytes(now, bytes);
         return;
     }
     if (m_body.size() + bytes.size() > mostBodyBytes) {
-        disown();
+        disown("size");
         return;
     }
     m_body += bytes;
@@ -225,7 +231,7 @@
         m_port.write(whole);
     }
     if (m_splitter->isDisordered())
-        disown();
+        disown("order");
 }
 
 void RequestFlow::startStream(TimePoint now)
@@ -245,12 +251,13 @@
     if (!m_inFlight || number != m_number)
         return;
     const AnswerEnd end = answerEnd(transferEnd);
-    endAttempt(now, m_isForeign ? AttemptEnd::Broken : m_rules.judge(end, m_head), end);
+    endAttempt(now, m_unsound.empty() ? m_rules.judge(end, m_head) : AttemptEnd::Broken, end);
 }
 
 AnswerEnd RequestFlow::answerEnd(net::TransferEnd transferEnd) const
 {
     AnswerEnd end { transferEnd };
+    end.unsound = m_unsound.empty() && isBarePromise(m_head) ? "status" : m_unsound;
     if (isStreamed()) {
         end.cutBytes = m_splitter->isInsideEvent() ? m_splitter->rest().size() : 0;
         end.isWithoutEvent = m_splitter->events() == 0;
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -370,6 +370,7 @@
     CHECK(port.cancels == 1);
     CHECK(port.written.empty());
     CHECK(port.refused == 502);
+    CHECK(flow.record().trace.ends_with("+unsound:head"));
 }
 
 // Guards against a caller that sends a posting again, as a status told it that it had not run.
@@ -386,6 +387,7 @@
     CHECK(port.responses == 0);
     CHECK(port.refused == 502);
     CHECK(port.comeBack == std::nullopt);
+    CHECK(flow.record().trace.ends_with("+unsound:status"));
 }
 
 // Guards against events that are looked for in an answer that has none.
