Resume no stream behind an event that came too early

The router passed 10 on, took the next for a disorder, resumed the stream behind 10 at another engine, which had nothing more, and ended it as complete with one event of ten (ORDER).

Cause: a disordered run was resumed behind its last event, as a broken one is; but where events go back behind one of the run's own, what lies between may never have come. Such a stream is now broken off; one that repeats its last event is resumed as before.

RelayFlowTest's new case failed before (two orders, no abort).

--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -107,8 +107,8 @@
     /// @return identity of the last whole event, or what the constructor was given.
     const std::string& lastId() const { return m_lastId; }
 
-    /// @return whether that names the last event with data; a stream that is taken up after another one would repeat
-    /// it.
+    /// @return whether that names the last event with data, and all events before it have come; a stream that is taken
+    ///         up behind another one would repeat or leave out some.
     bool knowsLastEvent() const { return m_knowsLastEvent; }
 
     /// @return whether an event came again or before an earlier one, or is larger than any may be; it and all after it
--- a/src/edge/EventSplitter.cpp
+++ b/src/edge/EventSplitter.cpp
@@ -109,6 +109,8 @@
         const auto now = parseNumber(*event.id);
         if (before && now && *now <= *before) {
             m_isDisordered = true;
+            // What lies between them may be missing before the event that came too early.
+            m_knowsLastEvent &= m_events == 0 || *now == *before;
             return;
         }
         m_lastId = *event.id;
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -230,8 +230,10 @@
         m_lastEventAt = now;
         m_port.write(whole);
     }
-    if (m_splitter->isDisordered())
-        disown("order");
+    if (!m_splitter->isDisordered())
+        return;
+    m_mayResume &= m_splitter->knowsLastEvent();
+    disown("order");
 }
 
 void RequestFlow::startStream(TimePoint now)
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -440,6 +440,35 @@
     CHECK(port.orders.size() == 1);
 }
 
+// Guards against events that a caller never gets, as the stream was resumed behind one that came too early.
+TEST_CASE("a stream whose events go back behind one of its own is not resumed")
+{
+    dispatch::Route route;
+    route.kind = RequestKind::Stream;
+    route.isResumable = true;
+    route.attempts = 2;
+    CountingPort port;
+    RequestFlow flow(port, factsOf(route));
+    flow.begin(start);
+    flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
+    const std::string first = "id: 10\ndata: a\n\n";
+    SECTION("back")
+    {
+        flow.bytes(start + 6ms, 1, first + "id: 2\ndata: b\n\n");
+        flow.ended(start + 7ms, 1, net::TransferEnd::Cancelled);
+        CHECK(port.orders.size() == 1);
+        CHECK(port.aborts == 1);
+    }
+    SECTION("the same again, which says where the caller is")
+    {
+        flow.bytes(start + 6ms, 1, first + first);
+        flow.ended(start + 7ms, 1, net::TransferEnd::Cancelled);
+        CHECK(port.orders.size() == 2);
+        CHECK(port.aborts == 0);
+    }
+    CHECK(port.written == first);
+}
+
 TEST_CASE("a request's record says what ended the answer of its attempt")
 {
     dispatch::Route route;
