--- a/tools/conformance.py
+++ b/tools/conformance.py
@@ -28,6 +28,8 @@
 CALLERS_REPEAT_SECONDS = 0.05
 LOADS = {"light": (3, 0.08), "full": (20, 0.0)}  # Callers and the longest pause between their requests.
 CALLS_AT_ONCE = 2
+TOGETHER = (("slow-events of engine", "leaves in the answer"), ("slow-events of engine", "half-closed"),
+            ("hang of app", "leaves before the answer"))  # What a row shows only beside another.
 
 
 class Play:
@@ -134,7 +136,8 @@
 
 
 def singles():
-    return [([it], []) for it in FAULTS] + [([], [name]) for name in CALLS]
+    pairs = [([it for it in FAULTS if it.name == fault], [call]) for fault, call in TOGETHER]
+    return [([it], []) for it in FAULTS] + [([], [name]) for name in CALLS] + pairs
 
 
 def pair(rng):
--- a/tools/trial_faults.py
+++ b/tools/trial_faults.py
@@ -9,6 +9,7 @@
 import time
 
 from platform_fleet import KEY, call
+from target_signals import DRAIN_SECONDS
 
 ALWAYS = 1_000_000  # Requests that a worker treats so until it is told otherwise.
 STORE_DELAY_MS = 250
@@ -86,7 +87,7 @@
         call(stage.fleet.workers[name]["address"], "POST", f"/standin/drain?store={told}")
 
         def end():
-            time.sleep(0.5)  # What it runs ends.
+            time.sleep(DRAIN_SECONDS)  # Until a request that still comes is a finding.
             stage.read_ledger(name)
             stage.fleet.workers[name]["process"].end()
             stage.restart_worker(name)
@@ -228,7 +229,7 @@
 
 
 ALLOWED_FRAMES = ("unframed", "length", "http-1-0", "http-1-0-length", "chunk-extensions", "length-and-close", "keep-alive-1",
-                  "interim", "trickle", "crlf", "cr", "unframed-crlf", "comments", "unframed-comment-last", "fields",
+                  "interim", "trickle", "slow-events", "crlf", "cr", "unframed-crlf", "comments", "unframed-comment-last", "fields",
                   "large-events", "all-at-once")
 STREAM_CUTS = ("end-in-event", "close-after-head", "close-in-first-event", "close-in-event", "close-before-empty-line",
                "close-in-crlf-event", "reset-between-events", "doubled-event", "swapped-events", "silent-in-event")
