Begin flows in tests, and interrupt routers in trials, in one place each

The same setup stood in 16 cases of RelayFlowTest, and the same span of a router's stop in three faults; two fields of a fault were never read.

--- a/tests/EventSplitterTest.cpp
+++ b/tests/EventSplitterTest.cpp
@@ -83,9 +83,7 @@
     });
 }
 
-// Symptom: a caller sees an event twice after its stream went on at another target.
-// Sequence: a stream breaks after event 6; the next target sends event 6 again.
-// Cause: the second run's first events were passed on unseen.
+// Guards against an event that a caller sees twice after its stream went on at another target.
 TEST_CASE("an event that the caller has already is held back")
 {
     EventSplitter splitter("6");
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -165,6 +165,22 @@
     return { "id", &route, { "s" }, { "c" }, {}, 0, start, start + 3s };
 }
 
+/// A flow that has begun, on a route of its own.
+struct BegunFlow {
+    explicit BegunFlow(RequestKind kind, bool isResumable = false, unsigned attempts = 1)
+        : flow(port, factsOf(route))
+    {
+        route.kind = kind;
+        route.isResumable = isResumable;
+        route.attempts = attempts;
+        flow.begin(start);
+    }
+
+    dispatch::Route route;
+    CountingPort port;
+    RequestFlow flow;
+};
+
 } // namespace
 
 // Symptom: the fleet's picture of a target shows requests that ended long ago, and it gets fewer and fewer.
@@ -172,11 +188,8 @@
 // Cause: what a flow without a caller hears was ignored.
 TEST_CASE("a request that goes on without its caller is counted as ended when it ends")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Once;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Once);
+    auto& [route, port, flow] = begun;
     flow.callerGone(start + 10ms);
     CHECK(flow.isDone());
     CHECK(port.cancels == 0);
@@ -187,11 +200,8 @@
 
 TEST_CASE("a caller that leaves ends its stream at the target at once")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream);
+    auto& [route, port, flow] = begun;
     flow.callerGone(start + 10ms);
     CHECK(port.cancels == 1);
     CHECK(port.ends == std::vector<AttemptEnd> { AttemptEnd::CallerGone });
@@ -199,11 +209,8 @@
 
 TEST_CASE("a request that is still unanswered at its end is ended then, and not called not run")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Once;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Once);
+    auto& [route, port, flow] = begun;
     CHECK(flow.nextWake() == start + 3s);
     flow.wake(start + 3s);
     CHECK(port.refused == 504);
@@ -212,12 +219,8 @@
 
 TEST_CASE("a silent target's idempotent request goes elsewhere with what time is left")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Idempotent;
-    route.attempts = 2;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Idempotent, false, 2);
+    auto& [route, port, flow] = begun;
     REQUIRE(flow.nextWake() < start + 2s);
     const TimePoint at = flow.nextWake();
     flow.wake(at);
@@ -231,11 +234,8 @@
 
 TEST_CASE("what a target says of itself is passed on though nobody waits for its answer any more")
 {
-    dispatch::Route route;
-    route.kind = GENERATE(RequestKind::Once, RequestKind::Stream);
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(GENERATE(RequestKind::Once, RequestKind::Stream));
+    auto& [route, port, flow] = begun;
     flow.callerGone(start + 10ms);
     edge::TargetAnswerHead head { 200, "id", false, false, true, {} };
     head.signals.isDraining = true;
@@ -247,12 +247,8 @@
 
 TEST_CASE("what a target says of itself counts for that one, in whichever answer on its connection it comes")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Idempotent;
-    route.attempts = 2;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Idempotent, false, 2);
+    auto& [route, port, flow] = begun;
     port.placement.target.id = { "other" };
     flow.wake(flow.nextWake());
     REQUIRE(port.orders.size() == 2);
@@ -268,11 +264,8 @@
 
 TEST_CASE("an attempt that is withdrawn before it is sent goes elsewhere as if it had not been made")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Once;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Once);
+    auto& [route, port, flow] = begun;
     flow.withdrawn(start + 5ms, 1);
     CHECK(port.ends == std::vector { AttemptEnd::Withdrawn });
     CHECK(port.orders.size() == 2);
@@ -303,13 +296,8 @@
 TEST_CASE("a stream that ends inside an event is broken, whatever ended it, and half an event goes to nobody")
 {
     const auto transferEnd = GENERATE(net::TransferEnd::Closed, net::TransferEnd::Completed);
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    route.isResumable = GENERATE(false, true);
-    route.attempts = 2;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream, GENERATE(false, true), 2);
+    auto& [route, port, flow] = begun;
     flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
     flow.bytes(start + 6ms, 1, "id: 1\ndata: a\n\nid: 2\nda");
     flow.ended(start + 7ms, 1, transferEnd);
@@ -323,11 +311,8 @@
 
 TEST_CASE("a stream that ends inside its first event is no success")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream);
+    auto& [route, port, flow] = begun;
     flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
     flow.bytes(start + 6ms, 1, GENERATE("id: 1\nda", ""));
     flow.ended(start + 7ms, 1, net::TransferEnd::Closed);
@@ -343,11 +328,8 @@
         { ": nothing\n", net::TransferEnd::Completed },
         { "", net::TransferEnd::Completed },
     }));
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream);
+    auto& [route, port, flow] = begun;
     flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
     flow.bytes(start + 6ms, 1, bytes);
     flow.ended(start + 7ms, 1, transferEnd);
@@ -359,11 +341,8 @@
 // Guards against a success that reaches its caller before it is known not to be the target's.
 TEST_CASE("a stream without the target's signature goes to nobody")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream);
+    auto& [route, port, flow] = begun;
     flow.head(start + 5ms, 1, { 200, "id", false, false, false, {} });
     flow.bytes(start + 6ms, 1, "id: 1\ndata: a\n\n");
     flow.ended(start + 7ms, 1, net::TransferEnd::Cancelled);
@@ -376,11 +355,8 @@
 // Guards against a caller that sends a posting again, as a status told it that it had not run.
 TEST_CASE("a status that promises that nothing has run is not passed on from a target that doesn't say so")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Once;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Once);
+    auto& [route, port, flow] = begun;
     const int status = GENERATE(408, 429, 503);
     flow.head(start + 5ms, 1, { status, "id", false, false, GENERATE(false, true), {} });
     flow.ended(start + 7ms, 1, net::TransferEnd::Completed);
@@ -398,11 +374,8 @@
         { net::TransferEnd::Closed, 1U },
         { net::TransferEnd::BrokenAfterSend, 0U },
     }));
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream);
+    auto& [route, port, flow] = begun;
     edge::TargetAnswerHead head { 200, "id", false, false, true, {} };
     head.isEventStream = false;
     flow.head(start + 5ms, 1, head);
@@ -416,13 +389,8 @@
 // Guards against a stream that begins anew in the middle, as nothing says which events its caller has.
 TEST_CASE("a stream whose events have no identity is not resumed")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    route.isResumable = true;
-    route.attempts = 2;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream, true, 2);
+    auto& [route, port, flow] = begun;
     flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
     flow.bytes(start + 6ms, 1, GENERATE("data: a\n\ndata: b\n\n", "id: 1\ndata: a\n\ndata: b\n\n"));
     SECTION("broken")
@@ -443,13 +411,8 @@
 // Guards against events that a caller never gets, as the stream was resumed behind one that came too early.
 TEST_CASE("a stream whose events go back behind one of its own is not resumed")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    route.isResumable = true;
-    route.attempts = 2;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream, true, 2);
+    auto& [route, port, flow] = begun;
     flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
     const std::string first = "id: 10\ndata: a\n\n";
     SECTION("back")
@@ -471,11 +434,8 @@
 
 TEST_CASE("a request's record says what ended the answer of its attempt")
 {
-    dispatch::Route route;
-    route.kind = RequestKind::Stream;
-    CountingPort port;
-    RequestFlow flow(port, factsOf(route));
-    flow.begin(start);
+    BegunFlow begun(RequestKind::Stream);
+    auto& [route, port, flow] = begun;
     flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
     flow.bytes(start + 6ms, 1, "id: 1\ndata: a\n\nid: 2\nda");
     const auto [transferEnd, text] = GENERATE(table<net::TransferEnd, std::string>({
--- a/tools/trial_faults.py
+++ b/tools/trial_faults.py
@@ -19,11 +19,9 @@
 class Fault:
     """One line of the table."""
 
-    def __init__(self, name, subject, rules, begin, breaks=True, loses_ledger=False, excludes=()):
-        """rules: that it can break; breaks: requests may fail through it; loses_ledger: a target's life may end with
-        answers of which its ledger was not read; excludes: faults that can't come beside it."""
-        self.name, self.subject, self.rules, self.begin = name, subject, rules, begin
-        self.breaks, self.loses_ledger, self.excludes = breaks, loses_ledger, excludes
+    def __init__(self, name, subject, rules, begin, breaks=True):
+        """rules: that it can break; breaks: requests may fail through it."""
+        self.name, self.subject, self.rules, self.begin, self.breaks = name, subject, rules, begin, breaks
 
 
 class Stage:
@@ -175,38 +173,23 @@
     return stage.fleet.configure
 
 
-def stopped(stage):
-    router = stage.router()
-    begun = time.monotonic()
-    router["process"].send(signal.SIGTERM)
-
-    def end():
-        router["process"].wait()
-        stage.restart_router(router)
-        stage.signals.note_stop(router["front"], begun, time.monotonic())
-    return end
-
-
-def killed(stage):
-    router = stage.router()
-    begun = time.monotonic()
-    router["process"].end()
-
-    def end():
-        stage.restart_router(router)
-        stage.signals.note_stop(router["front"], begun, time.monotonic())
-    return end
+def interrupted(begin, end):
+    """A router does not run, or not for long, until the fault's end."""
+    def begin_on(stage):
+        router = stage.router()
+        begun = time.monotonic()
+        begin(router["process"])
 
+        def end_of():
+            end(stage, router)
+            stage.signals.note_stop(router["front"], begun, time.monotonic())
+        return end_of
+    return begin_on
 
-def router_frozen(stage):
-    router = stage.router()
-    begun = time.monotonic()
-    router["process"].send(signal.SIGSTOP)
 
-    def end():
-        router["process"].send(signal.SIGCONT)
-        stage.signals.note_stop(router["front"], begun, time.monotonic())
-    return end
+def restart_stopped(stage, router):
+    router["process"].wait()
+    stage.restart_router(router)
 
 
 def hung_up(stage):
@@ -253,9 +236,9 @@
         Fault("drain told to the store", "targets", "DRAIN", drained("told"), breaks=False),
         Fault("drain in answers only", "targets", "DRAIN", drained("untold"), breaks=False),
         Fault("unlisted and serving", "targets", "ROUTE LOST", unlisted, breaks=False),
-        Fault("crash", "targets", "ORDER TWICE BUDGET", crashed, loses_ledger=True),
+        Fault("crash", "targets", "ORDER TWICE BUDGET", crashed),
         Fault("frozen target", "targets", "TWICE GONE", frozen),
-        Fault("address taken by another service", "targets", "ROUTE TWICE", address_taken, loses_ledger=True),
+        Fault("address taken by another service", "targets", "ROUTE TWICE", address_taken),
         Fault("entry that is no text", "targets", "ROUTE", entry(b"\xff\xfe\x00"), breaks=False),
         Fault("entry of another type", "targets", "ROUTE",
               entry(b'{"service":"llm","address":7,"zone":"a","slots":6,"state":"ready","seq":1}'), breaks=False),
@@ -276,9 +259,12 @@
         Fault("configuration that can't be read", "store", "CONFIG DENIED", unreadable_configuration, breaks=False),
         Fault("other keys", "store", "CONFIG DENIED", other_keys, breaks=False),
         Fault("200 more routes", "store", "CONFIG", more_routes, breaks=False),
-        Fault("router stops", "routers", "LOST REFUSED", stopped, breaks=False),
-        Fault("router is killed", "routers", "TWICE ORDER", killed),
-        Fault("router freezes", "routers", "GONE TWICE", router_frozen),
+        Fault("router stops", "routers", "LOST REFUSED",
+              interrupted(lambda process: process.send(signal.SIGTERM), restart_stopped), breaks=False),
+        Fault("router is killed", "routers", "TWICE ORDER", interrupted(lambda process: process.end(), Stage.restart_router)),
+        Fault("router freezes", "routers", "GONE TWICE",
+              interrupted(lambda process: process.send(signal.SIGSTOP),
+                          lambda _, router: router["process"].send(signal.SIGCONT))),
         Fault("settings change", "routers", "LOST", hung_up, breaks=False),
     ]
     + [Fault(f"{mode} before a target", "network", "TWICE ORDER BUDGET", network(mode, "targets"))
