--- a/tools/conformance.py
+++ b/tools/conformance.py
@@ -29,7 +29,8 @@
 LOADS = {"light": (3, 0.08), "full": (20, 0.0)}  # Callers and the longest pause between their requests.
 CALLS_AT_ONCE = 2
 TOGETHER = (("slow-events of engine", "leaves in the answer"), ("slow-events of engine", "half-closed"),
-            ("hang of app", "leaves before the answer"))  # What a row shows only beside another.
+            ("hang of app", "leaves before the answer"),
+            ("entry with another service's address", "shed of all engines"))  # What a row shows only beside another.
 
 
 class Play:
@@ -136,8 +137,11 @@
 
 
 def singles():
-    pairs = [([it for it in FAULTS if it.name == fault], [call]) for fault, call in TOGETHER]
-    return [([it], []) for it in FAULTS] + [([], [name]) for name in CALLS] + pairs
+    return [([it], []) for it in FAULTS] + [([], [name]) for name in CALLS] + [row_of(names) for names in TOGETHER]
+
+
+def row_of(names):
+    return [it for it in FAULTS if it.name in names], [it for it in CALLS if it in names]
 
 
 def pair(rng):
@@ -150,9 +154,7 @@
 
 def plays_of(arguments):
     if arguments.only:
-        names = arguments.only.split("+")
-        rows = [([it for it in FAULTS if it.name in names], [it for it in CALLS if it in names])]
-        return [(*row, load) for row in rows for load in LOADS]
+        return [(*row_of(arguments.only.split("+")), load) for load in LOADS]
     rng = random.Random(f"conformance {arguments.seed}")
     if arguments.draws:
         rows = [rng.choice(singles()) if rng.random() < 0.5 else pair(rng) for _ in range(arguments.draws)]
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -23,6 +23,7 @@
 GONE_SLACK_SECONDS = 0.25  # For threads of this trial that wake late.
 MOST_ARRIVALS_AFTER_LEAVING = 3
 ATTEMPTS = {"/answers": 2, "/chats": 1, "/posts": 1, "/reads": 2, "/open": 2}
+SERVICES = {"answers": "llm", "chats": "llm", "posts": "app", "reads": "app", "open": "app"}
 CUSTOMER = "teller"
 
 
@@ -167,7 +168,7 @@
         self.runs.update(ledger["runs"])
         self.completed.update(ledger["completed"])
         self.disordered.update(ledger["disordered"])
-        self.arrivals += ledger["arrivals"]
+        self.arrivals += [{**it, "service": ledger["service"]} for it in ledger["arrivals"]]
 
 
 def check(requests, ledgers):
@@ -230,6 +231,8 @@
         if it["line"] != f"{request.method} {request.path}" or it["bytes"] != len(request.sent_body) \
                 or not request.sent_body.startswith(it["body"]):
             found.append(f"UNASKED changed on the way: {it['id']} {it['line']} {it['bytes']} bytes {it['body']!r}")
+        if it["run"] and it["service"] != SERVICES[request.service()]:
+            found.append(f"ROUTE run by a target of {it['service']}: {it['id']} {it['line']}")
         if it["customer"] != ("" if request.service() == "open" else CUSTOMER) or it["system"]:
             found.append(f"UNASKED of customer {it['customer']!r} with {it['system']}: {it['id']}")
         left = request.sent_at + DEADLINE_SECONDS - it["at"] + DEADLINE_SLACK_SECONDS
--- a/tools/trial_faults.py
+++ b/tools/trial_faults.py
@@ -135,6 +135,13 @@
     return begin
 
 
+def entry_of_other_service(stage):
+    """The address of an application in the entry of an engine that has ended."""
+    address = stage.fleet.workers[stage.worker("app")]["address"]
+    return entry(json.dumps({"service": "llm", "address": address, "zone": "a", "slots": 6, "state": "ready",
+                             "seq": 1}).encode())(stage)
+
+
 def unlisted(stage):
     """Its entry goes without a word of draining, and it serves on; its next heartbeat brings it back."""
     name = stage.worker("engine")
@@ -245,6 +252,7 @@
         Fault("entry in an unknown state", "targets", "ROUTE",
               entry(b'{"service":"llm","address":"127.0.0.1:1","zone":"a","slots":6,"state":"unwell","seq":1}'),
               breaks=False),
+        Fault("entry with another service's address", "targets", "ROUTE LOST", entry_of_other_service, breaks=False),
         Fault("entry where nobody listens", "targets", "LOST",
               entry(b'{"service":"llm","address":"127.0.0.1:1","zone":"a","slots":6,"state":"ready","seq":1}'),
               breaks=False),
