--- a/tools/conformance.py
+++ b/tools/conformance.py
@@ -114,15 +114,14 @@
 
     def __init__(self, build):
         self.proxies = {"targets": [], "store": []}
-        self._listed = {}
         self.fleet = Fleet(build, routers=ROUTERS, engines=ENGINES, applications=APPLICATIONS, proxy=self._proxied)
         self.fleet.wait_ready()
 
     def _proxied(self, address):
+        """The fleet asks for each worker's address first, then for the store's, once for each router."""
         proxy = Proxy(address)
-        is_store = address in self._listed
-        self._listed[address] = True
-        self.proxies["store" if is_store or len(self._listed) > ENGINES + APPLICATIONS else "targets"].append(proxy)
+        targets = self.proxies["targets"]
+        (targets if len(targets) < ENGINES + APPLICATIONS else self.proxies["store"]).append(proxy)
         return proxy.address
 
     def forget(self):
