Let a whole stream that ends inside an event fail the trials' checks again

As the soak went over to the checks of the conformance run, what follows the last whole event was no longer looked at: ten events and half of another were taken for whole, which the soak's own check (events_of) had failed. The shared check now lets only comments follow. Made-up answers: 'id: 5 LF da' and 'da' behind ten events passed before and fail now; nothing and a comment pass.

--- a/tools/promises.py
+++ b/tools/promises.py
@@ -155,6 +155,12 @@
     return [int(lines[-1].removeprefix(b"id: ")) for lines in ids if lines]
 
 
+def ends_inside_event(body):
+    """Whether more than comments follows the last whole event of a stream."""
+    rest = with_line_feeds(body).rpartition(b"\n\n")[2]
+    return any(line and not line.startswith(b":") for line in rest.split(b"\n"))
+
+
 class Ledgers:
     """What the targets say of the requests that came to them, over all their lives."""
 
@@ -205,7 +211,7 @@
     if request.fields.get("x-sagechute-attempt-id") != request.id:
         yield "MIXED another request's answer"
     if request.is_stream():
-        if read_events(request.body) != ALL_EVENTS[request.resume_after:]:
+        if read_events(request.body) != ALL_EVENTS[request.resume_after:] or ends_inside_event(request.body):
             yield "ORDER a whole stream with other events"
     elif request.id.encode() not in request.body:
         yield "MIXED another body"
