Tell in logs and metrics why a request had no whole answer

A closed connection of a caller had neither a line nor a counter, and a request's line said neither how old the configuration was nor how long its target had been silent.

The HTTP server now reports each closed connection with its reason, the request that had no whole answer and whether bytes were left unread; the edge router counts all of them and logs those that can lose a request. A request's line has config-in-force, config-age-ms, cut and silent-ms; sagechute_edge_lost_answers_total counts by how the last attempt ended and why no other was made. No decision changes. Tests: NetTest, RelayFlowTest (new cases; nothing of it was there before).

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -50,6 +50,17 @@
                      .Name("sagechute_edge_refusals_total")
                      .Help("Requests turned away without having run, by reason")
                      .Register(metrics.registry()))
+    , m_lostAnswers(
+          prometheus::BuildCounter()
+              .Name("sagechute_edge_lost_answers_total")
+              .Help("Requests sent to a target without a whole answer for their caller, by how the last attempt "
+                    "ended and why no other was made")
+              .Register(metrics.registry()))
+    , m_closedConnections(prometheus::BuildCounter()
+                              .Name("sagechute_edge_closed_connections_total")
+                              .Help("Closed connections of callers, by reason, whether a request that was read had no "
+                                    "whole answer, and whether bytes were left unread")
+                              .Register(metrics.registry()))
     , m_targetEnds(prometheus::BuildCounter()
                        .Name("sagechute_edge_target_ends_total")
                        .Help("Targets that ended with requests of this router at work, by what showed it")
@@ -153,6 +164,23 @@
         m_signals.Add({ { "signal", "backoff" } }).Increment();
 }
 
+void EdgeMetrics::recordLostAnswer(const relay::FlowRecord& record)
+{
+    m_lostAnswers
+        .Add({ { "end", std::string(toString(record.lastEnd)) },
+            { "refused", record.isRefused ? std::string(toString(record.refusal.reason)) : "no" },
+            { "begun", record.isCut ? "yes" : "no" } })
+        .Increment();
+}
+
+void EdgeMetrics::recordClosedConnection(const net::ClosedConnection& closed)
+{
+    m_closedConnections
+        .Add({ { "reason", std::string(toString(closed.reason)) }, { "unanswered", closed.unanswered ? "yes" : "no" },
+            { "unread", closed.hasUnreadBytes ? "yes" : "no" } })
+        .Increment();
+}
+
 void EdgeMetrics::recordRefusal(dispatch::RefusalReason reason)
 {
     m_refusals.Add({ { "reason", std::string(toString(reason)) } }).Increment();
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -22,6 +22,12 @@
     void recordAnswerEnd(const relay::ResponseEnd&);
     void recordTargetSignals(const dispatch::TargetSignals&);
     void recordRefusal(dispatch::RefusalReason);
+
+    /// Counts a request that was sent to a target and whose caller got neither its whole answer nor a promise that it
+    /// has not run.
+    /// @param record of a flow that is done.
+    void recordLostAnswer(const relay::FlowRecord&);
+    void recordClosedConnection(const net::ClosedConnection&);
     void recordTargetEnd(quarantine::ExitEvidence);
     prometheus::Gauge& quarantinedRequests() { return m_quarantinedRequests; }
 
@@ -40,6 +46,8 @@
     prometheus::Family<prometheus::Counter>& m_unframedAnswers;
     prometheus::Family<prometheus::Counter>& m_signals;
     prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Counter>& m_lostAnswers;
+    prometheus::Family<prometheus::Counter>& m_closedConnections;
     prometheus::Family<prometheus::Counter>& m_targetEnds;
     prometheus::Gauge& m_quarantinedRequests;
     prometheus::Histogram& m_duration;
--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -21,6 +21,7 @@
     m_dispatcher->setConfig(table);
     m_table.store(std::move(table));
     m_configVersion.store(record.version);
+    m_configInstalledAt.store(steadyNow());
     return true;
 }
 
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -30,6 +30,9 @@
     std::optional<news::ConfigRecord> configRecord() const;
     std::uint64_t configVersion() const { return m_configVersion.load(); }
 
+    /// @return when the configuration in force was put in force; zero: there is none.
+    TimePoint configInstalledAt() const { return m_configInstalledAt.load(); }
+
     /// Records that all configurations acknowledged by the store before @p until are known here.
     /// @param until on the clock of unsuspendedNow().
     void extendConfigKnowledge(TimePoint until);
@@ -101,6 +104,7 @@
 
     std::atomic<std::shared_ptr<const dispatch::RoutingTable>> m_table;
     std::atomic<std::uint64_t> m_configVersion { 0 };
+    std::atomic<TimePoint> m_configInstalledAt { TimePoint {} };
     mutable std::mutex m_mutex;
     std::optional<news::ConfigRecord> m_configRecord;
     std::optional<TimePoint> m_configKnownUntil;
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -48,7 +48,8 @@
 
     /// @param maxCallerConnections limit on the callers' listener; 0 for all other listeners.
     absl::StatusOr<std::unique_ptr<net::HttpServer>> listen(net::EventLoop& loop, const std::string& address,
-        unsigned maxCallerConnections, net::HttpServer::Handler handler)
+        unsigned maxCallerConnections, net::HttpServer::Handler handler,
+        std::function<void(const net::ClosedConnection&)> onClose)
     {
         const auto endpoint = net::parseEndpoint(address);
         if (!endpoint.ok())
@@ -59,6 +60,7 @@
         options.maxBodyBytes = maxCallerConnections ? maxCallerBodyBytes : maxInternalBodyBytes;
         options.maxConnections = maxCallerConnections ? maxCallerConnections : maxInternalConnections;
         options.idleTimeout = maxCallerConnections ? callerIdleTimeout : internalIdleTimeout;
+        options.onClose = std::move(onClose);
         return net::HttpServer::make(options, std::move(handler));
     }
 
@@ -93,8 +95,12 @@
             [this](const ExchangePointer& it) { handleControl(*it); } },
     };
     for (const Listener& it : all) {
-        auto server
-            = listen(m_context.loop, it.address, &it.server == &m_callers ? callerConnectionLimit : 0, it.handler);
+        const bool isForCallers = &it.server == &m_callers;
+        std::function<void(const net::ClosedConnection&)> onClose;
+        if (isForCallers)
+            onClose = [this](const net::ClosedConnection& closed) { reportClosed(closed); };
+        auto server = listen(
+            m_context.loop, it.address, isForCallers ? callerConnectionLimit : 0, it.handler, std::move(onClose));
         if (!server.ok())
             return server.status();
         it.server = std::move(*server);
@@ -122,6 +128,20 @@
                 { "fleet-percent", std::to_string(m_context.fleet.meanUsePercent(now)) } });
 }
 
+void Listeners::reportClosed(const net::ClosedConnection& closed) const
+{
+    m_context.edgeMetrics.recordClosedConnection(closed);
+    const bool isLoss = closed.unanswered || (closed.hasUnreadBytes && closed.reason == net::CloseReason::Idle);
+    if (!isLoss || closed.reason == net::CloseReason::CallerEnded)
+        return;
+    const auto request = closed.unanswered ? m_context.callerProtocol.decode(*closed.unanswered)
+                                           : absl::StatusOr<CallerInfo>(CallerInfo {});
+    process::log(process::LogLevel::Warning, "caller-connection-closed",
+        { { "reason", std::string(toString(closed.reason)) }, { "request", request.ok() ? request->id : "" },
+            { "unread-bytes", closed.hasUnreadBytes ? "yes" : "no" },
+            { "config-in-force", std::to_string(m_context.state.configVersion()) } });
+}
+
 void Listeners::handleReadiness(net::ServerExchange& exchange)
 {
     if (!m_context.entryProtocol.isReadinessCheck(exchange.request()))
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -13,7 +13,9 @@
     RequestHandler& requestHandler;
     AdaptiveRateLimiter& overloadMeter;
     const EntryProtocol& entryProtocol;
+    const CallerProtocol& callerProtocol;
     process::Metrics& metrics;
+    EdgeMetrics& edgeMetrics;
     net::EventLoop& loop; ///< Drives all listeners.
 };
 
@@ -36,6 +38,7 @@
     }
 
     absl::Status open(const Options&);
+    void reportClosed(const net::ClosedConnection&) const;
     void handleReadiness(net::ServerExchange&);
     void handleLocate(net::ServerExchange&, std::chrono::seconds cacheTime);
     void handleControl(net::ServerExchange&);
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -262,12 +262,17 @@
     const news::Knowledge known = m_context.state.knowledge();
     const dispatch::Admission& admission = admissionOf(record);
     m_context.metrics.recordRequest(m_order.route->name, record.status, duration);
+    if (record.isLost)
+        m_context.metrics.recordLostAnswer(record);
     process::log(process::LogLevel::Info, "request",
         { { "id", m_order.facts.id }, { "key", quarantine::toHex(m_key) }, { "route", m_order.route->name },
             { "customer", m_order.customer.value }, { "caller", m_order.exchange->request().peerAddress },
             { "service", m_order.service.value }, { "config", std::to_string(m_order.table->config().version) },
+            { "config-in-force", std::to_string(m_context.state.configVersion()) },
+            { "config-age-ms", formatDurationMs(steadyNow() - m_context.state.configInstalledAt()) },
             { "status", std::to_string(record.status) }, { "outcome", record.outcome },
             { "attempts", record.trace.empty() ? "none" : record.trace.substr(1) },
+            { "cut", record.isCut ? "yes" : "no" }, { "silent-ms", formatDurationMs(record.longestSilence) },
             { "ms", formatDurationMs(duration) }, { "first-ms", formatDurationMs(record.firstEventLatency) },
             { "predicted-ms", formatDurationMs(record.placement.predictedFirstEventDelay) },
             { "read-tokens", std::to_string(record.placement.prefillTokens) },
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -72,8 +72,9 @@
         AdaptiveRateLimiter overloadMeter(options.cores(), options.maxCallerConnections());
         RequestHandler requestHandler(
             { state, **targetClient, *callerProtocol, *targetProtocol, timers, edgeMetrics }, overloadMeter);
-        auto listeners = Listeners::make(
-            options, { state, **fleet, requestHandler, overloadMeter, *entryProtocol, metrics, **loop });
+        auto listeners = Listeners::make(options,
+            { state, **fleet, requestHandler, overloadMeter, *entryProtocol, *callerProtocol, metrics, edgeMetrics,
+                **loop });
         if (!listeners.ok())
             return failStart(listeners.status());
         ConfigIntake configIntake(state, *store);
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -132,6 +132,26 @@
     virtual void onClosed(std::function<void()> listener) = 0;
 };
 
+/// Why a server closed a caller's connection.
+enum class CloseReason {
+    Idle, ///< No byte of a request came within the idle timeout.
+    SlowRequest, ///< A request began, and its end did not come in time.
+    SlowReader, ///< The caller read nothing of its answer within the idle timeout.
+    CallerEnded, ///< The caller closed or reset it, or ended its sending side.
+    Aborted, ///< The handler broke its answer off.
+    Answered, ///< An answer that closes the connection went out to its end.
+    Stopped, ///< The server was destroyed.
+};
+
+std::string_view toString(CloseReason);
+
+/// A connection of a caller that was closed. Valid during the call only.
+struct ClosedConnection {
+    CloseReason reason = CloseReason::Idle;
+    const ServerRequest* unanswered = nullptr; ///< Read whole, and its answer did not go out to its end; null: none.
+    bool hasUnreadBytes = false; ///< Bytes of the caller had come that were not read or not taken as a request.
+};
+
 /// Settings of a server.
 struct ServerOptions {
     Endpoint listen; ///< Port 0 takes a free one; see HttpServer::endpoint().
@@ -142,6 +162,8 @@
     unsigned maxConnectionsPerAddress = 0; ///< 0: no bound of its own.
     std::chrono::seconds idleTimeout { 30 }; ///< Without a byte; a whole request may take twice as long to arrive.
     std::size_t streamBufferBytes = 256 << 10;
+    /// Called for each closed connection on a server thread; must not block. Empty: nobody is told.
+    std::function<void(const ClosedConnection&)> onClose;
 };
 
 /// An HTTP/1.1 server on its own threads.
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -101,6 +101,11 @@
     dispatch::Placement placement; ///< Of the last attempt.
     dispatch::Refusal refusal; ///< The most recent one.
     bool isRefused = false; ///< Whether the last placement decision was a refusal.
+    bool isCut = false; ///< The caller's connection was closed in the middle of its answer.
+    bool isLost
+        = false; ///< Sent to a target, and the caller got no whole answer of it and no promise that it has not run.
+    dispatch::AttemptEnd lastEnd = dispatch::AttemptEnd::Withdrawn; ///< Of the last attempt that ended, if any.
+    Duration longestSilence {}; ///< Longest time without an event or answer of a target while an attempt was in flight.
 };
 
 /// State machine of one request. Not thread-safe.
@@ -150,6 +155,7 @@
     bool isCurrentAttempt(unsigned number) const { return !m_done && m_inFlight && number == m_attemptNumber; }
     Duration responseTimeout(TimePoint now) const;
     void checkSilence(TimePoint now);
+    void recordSilence(TimePoint now);
     void relaySavedFailure();
     void refuse(const dispatch::Refusal&);
     void fail(int status, std::string_view reason);
--- a/src/net/LoopServer.cpp
+++ b/src/net/LoopServer.cpp
@@ -107,7 +107,7 @@
     for (const auto& [connection, owner] : m_connections)
         open.push_back(connection);
     for (ServerConnection* it : open)
-        it->abandon();
+        it->abandon(CloseReason::Stopped);
 }
 
 void LoopServer::stopListening()
@@ -216,7 +216,7 @@
             overdue.push_back(connection);
     }
     for (ServerConnection* it : overdue)
-        it->abandon();
+        it->abandon(it->overdueReason());
     armSweep();
 }
 
--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -10,6 +10,7 @@
 #include <charconv>
 
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace sagechute::net {
@@ -81,6 +82,27 @@
 
 } // namespace
 
+std::string_view toString(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::Idle:
+        return "idle";
+    case CloseReason::SlowRequest:
+        return "slow-request";
+    case CloseReason::SlowReader:
+        return "slow-reader";
+    case CloseReason::CallerEnded:
+        return "caller-ended";
+    case CloseReason::Aborted:
+        return "aborted";
+    case CloseReason::Answered:
+        return "answered";
+    case CloseReason::Stopped:
+        return "stopped";
+    }
+    return "";
+}
+
 ServerConnection::ServerConnection(LoopServer& server, FileDescriptor fd, std::string peerAddress)
     : m_server(server)
     , m_fd(std::move(fd))
@@ -115,14 +137,20 @@
     return now - m_lastByteAt > idleLimit;
 }
 
-void ServerConnection::abandon()
+CloseReason ServerConnection::overdueReason() const
 {
-    if (m_exchange) {
-        const auto exchange = std::move(m_exchange);
-        exchange->callerGone();
-        exchange->detach(false);
-    }
-    close();
+    if (m_isLingering)
+        return CloseReason::Answered;
+    if (m_outStart < m_out.size())
+        return CloseReason::SlowReader;
+    return m_reader ? CloseReason::SlowRequest : CloseReason::Idle;
+}
+
+void ServerConnection::abandon(CloseReason reason)
+{
+    if (m_exchange)
+        m_exchange->callerGone();
+    close(reason);
 }
 
 void ServerConnection::onReady(std::uint32_t events)
@@ -183,7 +211,7 @@
 {
     m_lingerBytes += n;
     if (m_lingerBytes > mostLingerBytes)
-        close();
+        close(CloseReason::Answered);
 }
 
 void ServerConnection::takeBytes(std::string_view bytes, bool peerEnds)
@@ -219,7 +247,7 @@
     if (peerEnds) {
         // The caller left before its request could be read: when the queue of new connections overflows, the kernel
         // lets one in seconds later.
-        close();
+        close(CloseReason::CallerEnded);
         return false;
     }
     dispatch();
@@ -296,7 +324,7 @@
     case Exchange::Next::Wait:
         return false;
     case Exchange::Next::Close:
-        close();
+        close(CloseReason::Aborted);
         return false;
     case Exchange::Next::SendWhole:
         appendHead(response, false);
@@ -327,7 +355,7 @@
             const linger reset { 1, 0 };
             setsockopt(m_fd.value(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
         }
-        close();
+        close(CloseReason::Aborted);
         return false;
     }
     if (!m_piece.empty() && !m_isHead) {
@@ -442,21 +470,21 @@
     m_server.loop().rewatch(m_fd.value(), m_events, *this);
 }
 
-void ServerConnection::lose()
+void ServerConnection::lose() { abandon(CloseReason::CallerEnded); }
+
+bool ServerConnection::hasUnreadBytes() const
 {
-    if (m_exchange) {
-        const auto exchange = std::move(m_exchange);
-        exchange->callerGone();
-        exchange->detach(false);
-    }
-    close();
+    int n = 0;
+    return !m_ahead.empty() || (ioctl(m_fd.value(), FIONREAD, &n) == 0 && n > 0);
 }
 
-void ServerConnection::close()
+void ServerConnection::close(CloseReason reason)
 {
     if (m_isClosed)
         return;
     m_isClosed = true;
+    if (const auto& onClose = m_server.options().onClose)
+        onClose({ reason, m_exchange ? &m_exchange->request() : nullptr, !m_isRefused && hasUnreadBytes() });
     if (m_exchange) {
         const auto exchange = std::move(m_exchange);
         exchange->detach(false);
--- a/src/net/ServerConnection.h
+++ b/src/net/ServerConnection.h
@@ -26,8 +26,11 @@
     /// Called a few times within the idle limit. @return whether the connection is to be closed for taking too long.
     bool isOverdue(TimePoint now, Duration idleLimit) const;
 
-    /// The server stops. Tells whoever waits for the exchange.
-    void abandon();
+    /// @return why an overdue connection is closed.
+    CloseReason overdueReason() const;
+
+    /// Closes the connection and tells whoever waits for the exchange.
+    void abandon(CloseReason);
 
 private:
     void onReady(std::uint32_t events) override;
@@ -50,7 +53,8 @@
     void beginLinger();
     void setEvents(std::uint32_t);
     void lose();
-    void close();
+    void close(CloseReason);
+    bool hasUnreadBytes() const;
 
     LoopServer& m_server;
     FileDescriptor m_fd;
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -233,6 +233,7 @@
         startStream(now);
         m_lastEventId = m_splitter->lastId();
         m_mayResume = m_splitter->canResumeAfterLastId();
+        recordSilence(now);
         m_lastEventAt = now;
         m_delegate.write(completeEvents);
     }
@@ -290,6 +291,8 @@
 void RequestFlow::finishAttempt(TimePoint now, AttemptEnd end, const ResponseEnd& responseEnd)
 {
     m_inFlight = false;
+    m_record.lastEnd = end;
+    recordSilence(now);
     m_delegate.attemptEnded(now, m_record.placement.attempt, end, responseEnd);
     m_record.trace += " " + toString(m_record.placement.target.incarnation()) + ":" + std::string(toString(end))
         + toString(responseEnd);
@@ -364,9 +367,16 @@
     conclude(status, "refused-or-failed");
 }
 
+void RequestFlow::recordSilence(TimePoint now)
+{
+    m_record.longestSilence = std::max(m_record.longestSilence, now - m_lastEventAt);
+}
+
 void RequestFlow::fail(int status, std::string_view reason)
 {
+    m_record.isLost = m_mayHaveRun;
     if (m_hasStarted) {
+        m_record.isCut = true;
         m_delegate.abort();
         conclude(status, reason);
         return;
--- a/tests/NetTest.cpp
+++ b/tests/NetTest.cpp
@@ -328,6 +328,41 @@
     REQUIRE(record.body == "late");
 }
 
+TEST_CASE("A server says why it closed a connection, and which request had no whole answer")
+{
+    std::mutex mutex;
+    std::vector<std::pair<CloseReason, std::string>> closed;
+    auto options = loopback();
+    options.idleTimeout = std::chrono::seconds(1);
+    options.onClose = [&](const ClosedConnection& it) {
+        std::lock_guard lock(mutex);
+        closed.emplace_back(it.reason, it.unanswered ? it.unanswered->path : "");
+    };
+    auto server = makeServer(
+        [](const ExchangePointer& exchange) {
+            if (exchange->request().path == "/cut") {
+                exchange->startStream(200, {});
+                exchange->abort();
+                return;
+            }
+            exchange->respond({ 200, {}, "whole" });
+        },
+        options);
+    const auto closes = [&] {
+        std::lock_guard lock(mutex);
+        return closed.size();
+    };
+    makeClient()->perform(requestTo(server->endpoint(), "/cut"));
+    waitUntil([&] { return closes() == 1; });
+    auto idle = RawConnection::connectTo(server->endpoint());
+    waitUntil([&] { return closes() == 2; });
+    makeClient()->perform(requestTo(server->endpoint(), "/whole"));
+    waitUntil([&] { return closes() == 3; });
+    const std::vector<std::pair<CloseReason, std::string>> wanted { { CloseReason::Aborted, "/cut" },
+        { CloseReason::Idle, "" }, { CloseReason::CallerEnded, "" } };
+    CHECK(closed == wanted);
+}
+
 TEST_CASE("A zero byte in a path doesn't hide the rest of it")
 {
     // Symptom: a rule for "/v1/secret%00x" is applied to "/v1/secret". Cause: the decoded path ends at its zero byte.
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -452,3 +452,18 @@
     CHECK(delegate.answerEnds.front().truncatedBytes == 8);
     CHECK_THAT(flow.record().trace, Catch::EndsWith(text));
 }
+
+TEST_CASE("a request's record states whether its answer was lost, why, and how long its target was silent")
+{
+    StartedFlow started(RequestKind::Stream);
+    auto& [route, delegate, flow] = started;
+    flow.head(start + 5ms, 1, { 200, "id", false, false, true, {} });
+    const bool hasBegun = GENERATE(true, false);
+    if (hasBegun)
+        flow.bytes(start + 6ms, 1, "id: 1\ndata: a\n\n");
+    flow.ended(start + 706ms, 1, net::TransferEnd::BrokenAfterSend);
+    CHECK(flow.record().isLost);
+    CHECK(flow.record().isCut == hasBegun);
+    CHECK(flow.record().lastEnd == AttemptEnd::Broken);
+    CHECK(flow.record().longestSilence == (hasBegun ? Duration(700ms) : Duration(706ms)));
+}
