Hedge requests of silent targets instead of giving up their attempts

Cause: RequestFlow::checkSilence cancelled the attempt of a silent target, and only then asked the dispatcher for another one. The answer may be no (no other target, over share, overloaded, retry budget, quarantine), and then nothing was left.

Why this works: silence alone ends no attempt any more. The request is sent to a second target beside the first, if there is one that may take it, and the first complete event or answer of either decides which is kept; the other is cancelled then. A refused hedge leaves the request where it is and is asked for again each 200 ms. A hedge never goes to a target that was tried or is avoided, counts against the retry budget and the route's attempts, and isn't admitted by the customer's share again, as the request has been admitted. A failure, a break or a refusal of one attempt leaves the other alone.

--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -203,11 +203,11 @@
     request.connectTimeout = connectTimeout;
     request.unackedTimeout = unackedTimeout;
     request.sendOnce = true;
-    m_transfer = m_context.client.start(std::move(request),
-        std::make_unique<AttemptSink>(shared_from_this(), order.number, order.placement.target.incarnation()));
+    m_transfers.push_back(m_context.client.start(std::move(request),
+        std::make_unique<AttemptSink>(shared_from_this(), order.number, order.placement.target.incarnation())));
 }
 
-void Relay::cancel() { m_context.client.cancel(m_transfer); }
+void Relay::cancel(unsigned number) { m_context.client.cancel(m_transfers.at(number - 1)); }
 
 void Relay::addCloseHeader(std::vector<net::Field>& fields) const
 {
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -60,7 +60,7 @@
     void onTargetSignals(TimePoint now, const dispatch::TargetIncarnation&, const dispatch::TargetSignals&) override;
     dispatch::Refusal giveUp(TimePoint now, const ServiceId&) override;
     void send(const relay::OutgoingAttempt&) override;
-    void cancel() override;
+    void cancel(unsigned number) override;
     void startStream(int status, const std::vector<net::Field>&) override;
     void write(std::string_view) override;
     void finish() override;
@@ -86,7 +86,7 @@
     bool m_isCompleted = false;
     TimerQueue::TimerId m_timer = 0;
     std::optional<TimePoint> m_timerDue;
-    net::TransferId m_transfer = 0;
+    std::vector<net::TransferId> m_transfers; ///< Indexed by attempt number minus one.
 };
 
 } // namespace sagechute::edge
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -213,7 +213,7 @@
     std::size_t bytes = 0; ///< Size of the request as sent to the target.
     TimePoint arrived;
     TimePoint due; ///< Deadline; an answer after it is useless.
-    std::set<TargetIncarnation> tried; ///< Chosen again only if there is no other target.
+    std::set<TargetIncarnation> tried; ///< Chosen again only if there is no other target, and never for a hedge.
     quarantine::RequestKey key = 0; ///< See requestKeyOf().
 };
 
@@ -271,9 +271,10 @@
 
 using Decision = std::variant<Placement, Refusal>;
 
-/// Whether a placement is for the first attempt of a request or for a retry.
+/// Whether a placement is for the first attempt of a request, a retry, or a hedge.
 enum class AttemptKind {
     First,
+    Hedge, ///< Beside an attempt whose target is silent and may go on; counted against the retry budget.
     RetryAfterSend, ///< A target has received the request before; counted against the retry budget.
     RetryUnsent, ///< No target has received a byte of the request yet.
 };
@@ -289,6 +290,7 @@
     Broken, ///< The request may have run; the answer was lost or does not belong to this request.
     Silent, ///< Like Broken, after a time-out.
     CallerGone,
+    Superseded, ///< A hedge that was cancelled because the earlier attempt went on.
 };
 
 std::string_view toString(AttemptEnd);
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -60,8 +60,8 @@
     // Towards the target.
     virtual void send(const OutgoingAttempt&) = 0;
 
-    /// Cancels the attempt that was sent last. Events that are already under way may still arrive.
-    virtual void cancel() = 0;
+    /// Cancels an attempt. Events that are already under way may still arrive.
+    virtual void cancel(unsigned number) = 0;
 
     // Towards the caller.
     virtual void startStream(int status, const std::vector<net::Field>&) = 0;
@@ -108,10 +108,19 @@
     Duration longestSilence {}; ///< Longest time without an event or answer of a target while an attempt was in flight.
 };
 
+struct Attempt;
+
 /// State machine of one request. Not thread-safe.
+///
+/// A target that falls silent may go on a second later, so its attempt is never given up for that alone. A request that
+/// may run again is hedged instead: a second target is asked beside the first, and whichever goes on first is kept.
+/// Without a target for the hedge the request stays where it is.
 class RequestFlow {
 public:
     RequestFlow(RequestFlowDelegate&, RequestInfo, const FlowRules& = FlowRules::standard());
+    ~RequestFlow();
+    RequestFlow(const RequestFlow&) = delete;
+    RequestFlow& operator=(const RequestFlow&) = delete;
 
     void begin(TimePoint now);
 
@@ -136,26 +145,40 @@
     using AttemptKind = dispatch::AttemptKind;
     using AttemptEnd = dispatch::AttemptEnd;
 
+    dispatch::Decision askForPlacement(TimePoint now, AttemptKind);
     void place(TimePoint now, AttemptKind);
+
+    /// Sends the request to a second target if there is one, and otherwise leaves it where it is.
+    void hedge(TimePoint now);
+    bool mayHedge(const Attempt&) const;
+    void checkSilence(TimePoint now);
+    Duration silenceLimit(TimePoint now, const Attempt&) const;
     void send(TimePoint now, const dispatch::Placement&);
-    void finishAttempt(TimePoint now, AttemptEnd, const ResponseEnd& = {});
 
-    /// Records the end of the current attempt, then takes the next step unless the request is already done.
-    void endAttempt(TimePoint now, AttemptEnd, const ResponseEnd& = {});
+    /// @return the attempt in flight with that number, or null.
+    Attempt* find(unsigned number);
+
+    /// Records the end of an attempt and removes it.
+    void finishAttempt(TimePoint now, const Attempt&, AttemptEnd, const ResponseEnd& = {});
+
+    /// As finishAttempt(), then takes the next step unless the request is done or another attempt is in flight.
+    void endAttempt(TimePoint now, Attempt&, AttemptEnd, const ResponseEnd& = {});
+    void cancelAttempt(TimePoint now, const Attempt&, AttemptEnd);
+    void cancelAll(TimePoint now, AttemptEnd);
+
+    /// Cancels the other attempt in flight, if any.
+    void keepOnly(TimePoint now, unsigned number);
     void forwardSignals(TimePoint now, unsigned number, const dispatch::TargetSignals&);
-    void takeNextStep(TimePoint now, AttemptEnd);
-    void cancelAttempt(TimePoint now, AttemptEnd);
-    void processStreamBytes(TimePoint now, std::string_view);
-    void startStream(TimePoint now);
-    void endStream(TimePoint now);
-    void rejectResponse(std::string_view why);
-    bool isStreamed() const;
+    void takeNextStep(TimePoint now, Attempt&, AttemptEnd);
+    void forwardAnswer(TimePoint now, Attempt&);
+    void processStreamBytes(TimePoint now, Attempt&, std::string_view);
+    void startStream(TimePoint now, const Attempt&);
+    void endStream(TimePoint now, const Attempt&);
+    void rejectResponse(Attempt&, std::string_view why);
+    void recordSilence(TimePoint now, const Attempt&);
+    bool isStreamed(const Attempt&) const;
     bool isResumable() const { return m_info.route->isResumable && m_mayResume; }
-    ResponseEnd responseEnd(net::TransferEnd) const;
-    bool isCurrentAttempt(unsigned number) const { return !m_done && m_inFlight && number == m_attemptNumber; }
-    Duration responseTimeout(TimePoint now) const;
-    void checkSilence(TimePoint now);
-    void recordSilence(TimePoint now);
+    ResponseEnd responseEnd(const Attempt&, net::TransferEnd) const;
     void relaySavedFailure();
     void refuse(const dispatch::Refusal&);
     void fail(int status, std::string_view reason);
@@ -166,20 +189,9 @@
     const FlowRules m_rules;
     bool m_done = false;
 
-    // The current attempt.
-    unsigned m_attemptNumber = 0;
-    bool m_inFlight = false;
-    TimePoint m_sentAt;
-    TimePoint m_lastEventAt;
-    TimePoint m_silenceDeadline; ///< When to check whether the target has stopped responding.
-    std::optional<edge::TargetResponseHead> m_head;
-    std::string m_body;
-    std::string_view m_rejectReason; ///< Why the rest of the response is discarded; empty: it is forwarded.
-    std::optional<edge::EventSplitter> m_splitter;
-
-    // Across all attempts.
+    std::vector<std::unique_ptr<Attempt>> m_attempts; ///< In flight, the earliest first; two at most.
     std::vector<dispatch::TargetIncarnation> m_sentTo; ///< Indexed by attempt number minus one.
-    unsigned m_possibleRuns = 0;
+    unsigned m_possibleRuns = 0; ///< Of attempts that have ended.
     bool m_mayHaveRun = false;
     bool m_hasStarted = false;
     std::string m_lastEventId;
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -226,12 +226,14 @@
         retries(request.service).countRequest(now);
         m_shares.requested(now, request.customer, tokens);
     }
-    std::optional<Candidate> best = choose(now, request, prefixes);
+    const bool isHedge = kind == AttemptKind::Hedge;
+    std::optional<Candidate> best = choose(now, request, prefixes, isHedge);
     if (!best)
         return refuseUnplaced(now, request.service, noTargetRetryAfter);
-    if (const std::optional<Refusal> refusal = admit(now, request, *best))
+    if (const std::optional<Refusal> refusal = isHedge ? admitHedge(request, *best) : admit(now, request, *best))
         return *refusal;
-    if (kind == AttemptKind::RetryAfterSend && !retries(request.service).tryAcquire(now, m_peakRouterCount))
+    if ((isHedge || kind == AttemptKind::RetryAfterSend)
+        && !retries(request.service).tryAcquire(now, m_peakRouterCount))
         return refuse(RefusalReason::RetryBudget, noTargetRetryAfter);
     if (kind == AttemptKind::First)
         m_shares.granted(now, request.customer, tokens);
@@ -239,7 +241,7 @@
 }
 
 std::optional<LocalDispatcher::Candidate> LocalDispatcher::choose(
-    TimePoint now, const PlacementRequest& request, const std::vector<PrefixKey>& prefixes)
+    TimePoint now, const PlacementRequest& request, const std::vector<PrefixKey>& prefixes, bool isHedge)
 {
     std::optional<Candidate> best;
     // With old reports, all routers see the same few targets as idle and would overload them together. Each router
@@ -258,7 +260,8 @@
             if (!best || candidate.cost < best->cost)
                 best = candidate;
         }
-        if (best)
+        // A hedge on a doubtful target is no better than waiting for the one that has the request.
+        if (best || isHedge)
             break;
     }
     return best;
@@ -387,6 +390,17 @@
     return refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, excessWait, admission);
 }
 
+std::optional<Refusal> LocalDispatcher::admitHedge(const PlacementRequest& request, Candidate& best)
+{
+    // The request has been admitted before, so its customer's share does not matter again.
+    Admission& admission = best.admission;
+    admission.wait = best.predictedFirstEventDelay - best.model->prefillTime(best.prefillTokens);
+    admission.allowed = request.route->goal;
+    if (admission.allowed <= Duration::zero() || admission.wait <= admission.allowed)
+        return std::nullopt;
+    return refuse(RefusalReason::Overloaded, admission.wait - admission.allowed, admission);
+}
+
 void LocalDispatcher::setAllowedWait(
     Admission& admission, const PlacementRequest& request, Duration prefillDuration, const SizeBalance& sizes) const
 {
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -71,12 +71,15 @@
     /// @param homeRank see HomeOrder.
     bool isInSample(const TargetModel&, const PlacementRequest&, const std::vector<PrefixKey>&,
         std::optional<unsigned> homeRank, double sampleProbability);
-    std::optional<Candidate> choose(TimePoint now, const PlacementRequest&, const std::vector<PrefixKey>&);
+    std::optional<Candidate> choose(
+        TimePoint now, const PlacementRequest&, const std::vector<PrefixKey>&, bool isHedge);
     Candidate score(TimePoint now, TargetModel&, const PlacementRequest&, const std::vector<PrefixKey>&,
         std::optional<unsigned> homeRank) const;
     /// Admits or refuses the request and fills in the candidate's admission.
     /// @return the refusal; absent if the request is admitted.
     std::optional<Refusal> admit(TimePoint now, const PlacementRequest&, Candidate&);
+    /// Refuses a hedge that would wait for longer than the route's goal; otherwise as admit().
+    std::optional<Refusal> admitHedge(const PlacementRequest&, Candidate&);
     double waitFactorForShare(double share) const;
 
     /// Sets the allowed queueing delay. @param prefillDuration of the request itself.
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -23,6 +23,8 @@
         return "silent";
     case AttemptEnd::CallerGone:
         return "caller-gone";
+    case AttemptEnd::Superseded:
+        return "superseded";
     }
     return "";
 }
@@ -61,6 +63,7 @@
     switch (facts.end) {
     case AttemptEnd::Answered:
     case AttemptEnd::CallerGone:
+    case AttemptEnd::Superseded:
         return NextStep::Relay;
     case AttemptEnd::NotRun:
     case AttemptEnd::WrongTarget:
--- a/src/dispatch/TargetModel.cpp
+++ b/src/dispatch/TargetModel.cpp
@@ -149,7 +149,8 @@
 
 void TargetModel::recordOutcome(TimePoint now, AttemptEnd end, Duration elapsed)
 {
-    if (end == AttemptEnd::CallerGone || end == AttemptEnd::WrongTarget || end == AttemptEnd::Withdrawn)
+    if (end == AttemptEnd::CallerGone || end == AttemptEnd::Superseded || end == AttemptEnd::WrongTarget
+        || end == AttemptEnd::Withdrawn)
         return;
     const bool isAnswer = end == AttemptEnd::Answered;
     m_failureRate += learningRate * ((isAnswer ? 0 : 1) - m_failureRate);
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -1,4 +1,4 @@
-#include <sagechute/Relay.h>
+#include "relay/Attempt.h"
 
 #include <algorithm>
 
@@ -21,15 +21,17 @@
     constexpr int firstNonSuccessStatus = 300;
     constexpr int firstServerErrorStatus = 500;
 
-    /// An idempotent request is sent to another target once this fraction of its remaining time has passed without a
-    /// response.
+    /// An idempotent request is hedged once this fraction of its remaining time has passed without a response.
     constexpr double silenceFraction = 0.35;
 
-    /// A resumable stream moves to another target after this long without an event. Callers give up after two seconds;
-    /// engines under the heaviest load pause for about 150 ms.
+    /// A resumable stream is hedged after this long without an event. Callers give up after two seconds; engines under
+    /// the heaviest load pause for about 150 ms.
     constexpr Duration streamIdleTimeout = std::chrono::milliseconds(1200);
     constexpr int firstEventFactor = 2;
 
+    /// Interval at which a hedge that was refused is asked for again.
+    constexpr Duration hedgeRetryInterval = std::chrono::milliseconds(200);
+
     /// Limit for buffered responses, i.e. those that are not streams; a longer response is rejected. Responses in these
     /// deployments are far smaller.
     constexpr std::size_t maxBufferedBodyBytes = 16 << 20;
@@ -119,24 +121,34 @@
 {
 }
 
+RequestFlow::~RequestFlow() = default;
+
 void RequestFlow::begin(TimePoint now) { place(now, AttemptKind::First); }
 
-void RequestFlow::place(TimePoint now, AttemptKind round)
+dispatch::Decision RequestFlow::askForPlacement(TimePoint now, AttemptKind kind)
+{
+    dispatch::Decision decision = m_delegate.place(now,
+        { m_info.customer, m_info.service, m_info.route, m_info.prompt, m_info.bytes, m_info.arrived, m_info.deadline,
+            { m_sentTo.begin(), m_sentTo.end() }, m_info.key },
+        kind);
+    const auto* refusal = std::get_if<dispatch::Refusal>(&decision);
+    m_record.isRefused = refusal != nullptr;
+    if (refusal)
+        m_record.refusal = *refusal;
+    return decision;
+}
+
+void RequestFlow::place(TimePoint now, AttemptKind kind)
 {
     if (m_info.deadline - now < minAttemptTime) {
         fail(m_mayHaveRun ? gatewayTimeout : unavailable, "no time is left");
         return;
     }
-    const dispatch::PlacementRequest demand { m_info.customer, m_info.service, m_info.route, m_info.prompt,
-        m_info.bytes, m_info.arrived, m_info.deadline, { m_sentTo.begin(), m_sentTo.end() }, m_info.key };
-    const dispatch::Decision decision = m_delegate.place(now, demand, round);
+    const dispatch::Decision decision = askForPlacement(now, kind);
     if (const auto* placement = std::get_if<dispatch::Placement>(&decision)) {
-        m_record.isRefused = false;
         send(now, *placement);
         return;
     }
-    m_record.isRefused = true;
-    m_record.refusal = std::get<dispatch::Refusal>(decision);
     m_record.trace += " refused:" + std::string(toString(m_record.refusal.reason));
     if (m_failedHead && !m_hasStarted)
         relaySavedFailure();
@@ -146,186 +158,228 @@
         refuse(m_record.refusal);
 }
 
+void RequestFlow::hedge(TimePoint now)
+{
+    if (m_info.deadline - now < minAttemptTime)
+        return;
+    const dispatch::Decision decision = askForPlacement(now, AttemptKind::Hedge);
+    if (const auto* placement = std::get_if<dispatch::Placement>(&decision)) {
+        send(now, *placement);
+        return;
+    }
+    const std::string refused = " hedge-refused:" + std::string(toString(m_record.refusal.reason));
+    if (!m_record.trace.ends_with(refused))
+        m_record.trace += refused;
+    m_attempts.front()->hedgeDue = now + hedgeRetryInterval;
+}
+
 void RequestFlow::send(TimePoint now, const dispatch::Placement& placement)
 {
     m_record.placement = placement;
-    m_sentAt = now;
-    m_lastEventAt = now;
-    m_head.reset();
-    m_body.clear();
-    m_rejectReason = {};
-    m_splitter.emplace(m_lastEventId);
     m_sentTo.push_back(placement.target.incarnation());
-    m_attemptNumber = static_cast<unsigned>(m_sentTo.size());
-    m_inFlight = true;
-    m_silenceDeadline = now + responseTimeout(now);
-    m_delegate.send(
-        { m_attemptNumber, placement, m_info.deadline - now, m_hasStarted ? m_lastEventId : std::string() });
+    const auto number = static_cast<unsigned>(m_sentTo.size());
+    Attempt& attempt = *m_attempts.emplace_back(std::make_unique<Attempt>(number, now, placement, m_lastEventId));
+    attempt.hedgeDue = now + silenceLimit(now, attempt);
+    m_delegate.send({ number, placement, m_info.deadline - now, m_hasStarted ? m_lastEventId : std::string() });
 }
 
-Duration RequestFlow::responseTimeout(TimePoint now) const
+Duration RequestFlow::silenceLimit(TimePoint now, const Attempt& attempt) const
 {
     const Duration timeLeft = m_info.deadline - now;
     if (m_info.route->kind == RequestKind::Idempotent)
         return std::chrono::duration_cast<Duration>(silenceFraction * timeLeft);
     if (m_info.route->kind == RequestKind::Stream && m_info.route->isResumable)
-        return firstEventFactor * m_record.placement.predictedFirstEventDelay + streamIdleTimeout;
+        return firstEventFactor * attempt.placement.predictedFirstEventDelay + streamIdleTimeout;
     return timeLeft;
 }
 
 TimePoint RequestFlow::nextWake() const
 {
-    return m_inFlight ? std::min(m_info.deadline, m_silenceDeadline) : m_info.deadline;
+    return m_attempts.size() == 1 ? std::min(m_info.deadline, m_attempts.front()->hedgeDue) : m_info.deadline;
 }
 
-bool RequestFlow::isStreamed() const
+Attempt* RequestFlow::find(unsigned number)
 {
-    return m_info.route->kind == RequestKind::Stream && m_head && m_head->isEventStream
-        && m_head->status < firstNonSuccessStatus && !m_head->hasNotRun;
+    const auto it = std::find_if(
+        m_attempts.begin(), m_attempts.end(), [number](const auto& attempt) { return attempt->number == number; });
+    return it == m_attempts.end() ? nullptr : it->get();
 }
 
-void RequestFlow::rejectResponse(std::string_view why)
+bool RequestFlow::isStreamed(const Attempt& attempt) const
 {
-    m_rejectReason = why;
-    m_delegate.cancel();
+    return m_info.route->kind == RequestKind::Stream && attempt.head && attempt.head->isEventStream
+        && attempt.head->status < firstNonSuccessStatus && !attempt.head->hasNotRun;
+}
+
+void RequestFlow::rejectResponse(Attempt& attempt, std::string_view why)
+{
+    attempt.rejectReason = why;
+    m_delegate.cancel(attempt.number);
 }
 
 void RequestFlow::head(TimePoint now, unsigned number, TargetResponseHead head)
 {
     forwardSignals(now, number, head.signals);
-    if (!isCurrentAttempt(number))
+    Attempt* attempt = find(number);
+    if (m_done || !attempt)
         return;
-    m_head = std::move(head);
-    if (!m_rules.isResponseTo(*m_head, m_info.id)) {
-        rejectResponse("head");
+    attempt->head = std::move(head);
+    if (!m_rules.isResponseTo(*attempt->head, m_info.id)) {
+        rejectResponse(*attempt, "head");
         return;
     }
-    if (!isStreamed() && !m_head->hasNotRun)
-        m_delegate.firstAnswer(now, m_record.placement.attempt);
+    if (!isStreamed(*attempt) && !attempt->head->hasNotRun)
+        m_delegate.firstAnswer(now, attempt->placement.attempt);
 }
 
 void RequestFlow::forwardSignals(TimePoint now, unsigned number, const dispatch::TargetSignals& signals)
 {
-    // Signals concern the target, so they count even if the caller has disconnected or another attempt has begun.
+    // Signals concern the target, so they count even if the caller has disconnected or the attempt has ended.
     if (signals.any() && number >= 1 && number <= m_sentTo.size())
         m_delegate.onTargetSignals(now, m_sentTo[number - 1], signals);
 }
 
 void RequestFlow::bytes(TimePoint now, unsigned number, std::string_view bytes)
 {
-    if (!isCurrentAttempt(number) || !m_rejectReason.empty() || !m_head)
+    Attempt* attempt = find(number);
+    if (m_done || !attempt || !attempt->rejectReason.empty() || !attempt->head)
         return;
-    if (isStreamed()) {
-        processStreamBytes(now, bytes);
+    if (isStreamed(*attempt)) {
+        processStreamBytes(now, *attempt, bytes);
         return;
     }
-    if (m_body.size() + bytes.size() > maxBufferedBodyBytes) {
-        rejectResponse("size");
+    if (attempt->body.size() + bytes.size() > maxBufferedBodyBytes) {
+        rejectResponse(*attempt, "size");
         return;
     }
-    m_body += bytes;
+    attempt->body += bytes;
 }
 
-void RequestFlow::processStreamBytes(TimePoint now, std::string_view bytes)
+void RequestFlow::processStreamBytes(TimePoint now, Attempt& attempt, std::string_view bytes)
 {
-    const std::string completeEvents = m_splitter->feed(bytes);
-    if (!completeEvents.empty()) {
-        startStream(now);
-        m_lastEventId = m_splitter->lastId();
-        m_mayResume = m_splitter->canResumeAfterLastId();
-        recordSilence(now);
-        m_lastEventAt = now;
-        m_delegate.write(completeEvents);
+    attempt.heldBytes += attempt.splitter.feed(bytes);
+    // Comments alone don't show that the run goes on.
+    const bool isHeld = m_attempts.size() > 1 && attempt.splitter.events() == 0;
+    if (!attempt.heldBytes.empty() && !isHeld) {
+        keepOnly(now, attempt.number);
+        startStream(now, attempt);
+        m_lastEventId = attempt.splitter.lastId();
+        m_mayResume = attempt.splitter.canResumeAfterLastId();
+        recordSilence(now, attempt);
+        attempt.lastEventAt = now;
+        m_delegate.write(std::exchange(attempt.heldBytes, {}));
     }
-    if (!m_splitter->hasInvalidEvent())
+    if (!attempt.splitter.hasInvalidEvent())
         return;
-    m_mayResume &= m_splitter->canResumeAfterLastId();
-    rejectResponse("order");
+    if (!isHeld)
+        m_mayResume &= attempt.splitter.canResumeAfterLastId();
+    rejectResponse(attempt, "order");
 }
 
-void RequestFlow::startStream(TimePoint now)
+void RequestFlow::keepOnly(TimePoint now, unsigned number)
 {
-    if (m_splitter->events() > 0)
-        m_delegate.firstAnswer(now, m_record.placement.attempt);
+    const auto it = std::find_if(
+        m_attempts.begin(), m_attempts.end(), [number](const auto& attempt) { return attempt->number != number; });
+    if (it != m_attempts.end())
+        cancelAttempt(now, **it, (*it)->number < number ? AttemptEnd::Silent : AttemptEnd::Superseded);
+}
+
+void RequestFlow::startStream(TimePoint now, const Attempt& attempt)
+{
+    if (attempt.splitter.events() > 0)
+        m_delegate.firstAnswer(now, attempt.placement.attempt);
     if (m_hasStarted)
         return;
     m_hasStarted = true;
     m_record.firstEventLatency = now - m_info.arrived;
-    m_record.firstEventPredictionError = now - m_sentAt - m_record.placement.predictedFirstEventDelay;
-    m_delegate.startStream(m_head->status, m_head->relayed);
+    m_record.firstEventPredictionError = now - attempt.sentAt - attempt.placement.predictedFirstEventDelay;
+    m_delegate.startStream(attempt.head->status, attempt.head->relayed);
 }
 
 void RequestFlow::ended(TimePoint now, unsigned number, net::TransferEnd transferEnd)
 {
-    if (!m_inFlight || number != m_attemptNumber)
+    Attempt* attempt = find(number);
+    if (!attempt)
         return;
-    const ResponseEnd end = responseEnd(transferEnd);
-    endAttempt(now, m_rejectReason.empty() ? m_rules.classify(end, m_head) : AttemptEnd::Broken, end);
+    const ResponseEnd end = responseEnd(*attempt, transferEnd);
+    const bool isRejected = !attempt->rejectReason.empty();
+    endAttempt(now, *attempt, isRejected ? AttemptEnd::Broken : m_rules.classify(end, attempt->head), end);
 }
 
-ResponseEnd RequestFlow::responseEnd(net::TransferEnd transferEnd) const
+ResponseEnd RequestFlow::responseEnd(const Attempt& attempt, net::TransferEnd transferEnd) const
 {
     ResponseEnd end { transferEnd };
-    end.rejectReason = m_rejectReason.empty() && isUnconfirmedNotRun(m_head) ? "status" : m_rejectReason;
-    if (isStreamed()) {
-        end.truncatedBytes = m_splitter->isInsideEvent() ? m_splitter->remainder().size() : 0;
-        end.hasNoEvent = m_splitter->events() == 0;
+    end.rejectReason
+        = attempt.rejectReason.empty() && isUnconfirmedNotRun(attempt.head) ? "status" : attempt.rejectReason;
+    if (isStreamed(attempt)) {
+        end.truncatedBytes = attempt.splitter.isInsideEvent() ? attempt.splitter.remainder().size() : 0;
+        end.hasNoEvent = attempt.splitter.events() == 0;
     }
     return end;
 }
 
 void RequestFlow::withdrawn(TimePoint now, unsigned number)
 {
-    if (m_inFlight && number == m_attemptNumber)
-        endAttempt(now, AttemptEnd::Withdrawn);
+    if (Attempt* attempt = find(number))
+        endAttempt(now, *attempt, AttemptEnd::Withdrawn);
 }
 
-void RequestFlow::endAttempt(TimePoint now, AttemptEnd end, const ResponseEnd& responseEnd)
+void RequestFlow::endAttempt(TimePoint now, Attempt& attempt, AttemptEnd end, const ResponseEnd& responseEnd)
 {
-    finishAttempt(now, end, responseEnd);
+    const auto it = std::find_if(
+        m_attempts.begin(), m_attempts.end(), [&attempt](const auto& owner) { return owner.get() == &attempt; });
+    const std::unique_ptr<Attempt> owner = std::move(*it);
+    m_attempts.erase(it);
+    finishAttempt(now, *owner, end, responseEnd);
     // A request that continues after its caller disconnected gets no further attempts.
     if (!m_done)
-        takeNextStep(now, end);
+        takeNextStep(now, *owner, end);
 }
 
-void RequestFlow::finishAttempt(TimePoint now, AttemptEnd end, const ResponseEnd& responseEnd)
+void RequestFlow::finishAttempt(TimePoint now, const Attempt& attempt, AttemptEnd end, const ResponseEnd& responseEnd)
 {
-    m_inFlight = false;
     m_record.lastEnd = end;
-    recordSilence(now);
-    m_delegate.attemptEnded(now, m_record.placement.attempt, end, responseEnd);
-    m_record.trace += " " + toString(m_record.placement.target.incarnation()) + ":" + std::string(toString(end))
+    recordSilence(now, attempt);
+    m_delegate.attemptEnded(now, attempt.placement.attempt, end, responseEnd);
+    m_record.trace += " " + toString(attempt.placement.target.incarnation()) + ":" + std::string(toString(end))
         + toString(responseEnd);
-    if (m_head)
-        m_record.trace += toString(m_head->signals);
+    if (attempt.head)
+        m_record.trace += toString(attempt.head->signals);
     if (!certainlyHasNotRun(end)) {
         m_mayHaveRun = true;
         ++m_possibleRuns;
     }
 }
 
-void RequestFlow::cancelAttempt(TimePoint now, AttemptEnd end)
+void RequestFlow::cancelAttempt(TimePoint now, const Attempt& attempt, AttemptEnd end)
 {
-    m_delegate.cancel();
-    finishAttempt(now, end);
+    const auto it = std::find_if(
+        m_attempts.begin(), m_attempts.end(), [&attempt](const auto& owner) { return owner.get() == &attempt; });
+    const std::unique_ptr<Attempt> owner = std::move(*it);
+    m_attempts.erase(it);
+    m_delegate.cancel(owner->number);
+    finishAttempt(now, *owner, end);
 }
 
-void RequestFlow::takeNextStep(TimePoint now, AttemptEnd end)
+void RequestFlow::cancelAll(TimePoint now, AttemptEnd end)
+{
+    while (!m_attempts.empty())
+        cancelAttempt(now, *m_attempts.front(), end);
+}
+
+void RequestFlow::takeNextStep(TimePoint now, Attempt& attempt, AttemptEnd end)
 {
     if (end == AttemptEnd::Failed) {
-        m_failedHead = m_head;
-        m_failedBody = m_body;
+        m_failedHead = attempt.head;
+        m_failedBody = attempt.body;
     }
+    if (!m_attempts.empty() && end != AttemptEnd::Answered)
+        return;
     const dispatch::AttemptFacts facts { m_info.route->kind, isResumable(), m_hasStarted, m_possibleRuns,
-        m_info.route->attempts, m_attemptNumber, end, m_mayHaveRun };
+        m_info.route->attempts, static_cast<unsigned>(m_sentTo.size()), end, m_mayHaveRun };
     switch (m_rules.next(facts)) {
     case NextStep::Relay:
-        if (isStreamed()) {
-            endStream(now);
-        } else {
-            m_delegate.respond(*m_head, std::move(m_body));
-            conclude(m_head->status, m_head->status < firstNonSuccessStatus ? "completed" : "refused-or-failed");
-        }
+        forwardAnswer(now, attempt);
         return;
     case NextStep::TryElsewhere:
         place(now, hasNotReachedTarget(end) ? AttemptKind::RetryUnsent : AttemptKind::RetryAfterSend);
@@ -344,14 +398,25 @@
     }
 }
 
-void RequestFlow::endStream(TimePoint now)
+void RequestFlow::forwardAnswer(TimePoint now, Attempt& attempt)
+{
+    keepOnly(now, attempt.number);
+    if (isStreamed(attempt)) {
+        endStream(now, attempt);
+        return;
+    }
+    m_delegate.respond(*attempt.head, std::move(attempt.body));
+    conclude(attempt.head->status, attempt.head->status < firstNonSuccessStatus ? "completed" : "refused-or-failed");
+}
+
+void RequestFlow::endStream(TimePoint now, const Attempt& attempt)
 {
     // Needed also without any event: an empty stream is a complete response.
-    startStream(now);
+    startStream(now, attempt);
     // Only comments can remain here; a stream that ends inside an event counts as broken.
-    m_delegate.write(m_splitter->remainder());
+    m_delegate.write(attempt.heldBytes + std::string(attempt.splitter.remainder()));
     m_delegate.finish();
-    conclude(m_head->status, "completed");
+    conclude(attempt.head->status, "completed");
 }
 
 void RequestFlow::relaySavedFailure()
@@ -367,9 +432,9 @@
     conclude(status, "refused-or-failed");
 }
 
-void RequestFlow::recordSilence(TimePoint now)
+void RequestFlow::recordSilence(TimePoint now, const Attempt& attempt)
 {
-    m_record.longestSilence = std::max(m_record.longestSilence, now - m_lastEventAt);
+    m_record.longestSilence = std::max(m_record.longestSilence, now - attempt.lastEventAt);
 }
 
 void RequestFlow::fail(int status, std::string_view reason)
@@ -397,30 +462,35 @@
     if (m_done)
         return;
     if (now >= m_info.deadline) {
-        if (m_inFlight)
-            cancelAttempt(now, AttemptEnd::Silent);
+        cancelAll(now, AttemptEnd::Silent);
         fail(gatewayTimeout, "the time for the answer has passed");
         return;
     }
-    if (m_inFlight && now >= m_silenceDeadline)
+    if (m_attempts.size() == 1 && now >= m_attempts.front()->hedgeDue)
         checkSilence(now);
 }
 
+bool RequestFlow::mayHedge(const Attempt& attempt) const
+{
+    if (m_possibleRuns + 1 >= m_info.route->attempts || m_sentTo.size() >= dispatch::maxTries)
+        return false;
+    if (m_info.route->kind == RequestKind::Stream)
+        return isResumable();
+    return m_info.route->kind == RequestKind::Idempotent && !attempt.head;
+}
+
 void RequestFlow::checkSilence(TimePoint now)
 {
-    m_silenceDeadline = m_info.deadline;
-    if (m_possibleRuns + 1 >= m_info.route->attempts)
-        return;
-    const bool isStream = m_info.route->kind == RequestKind::Stream;
-    if (isStream ? !isResumable() : m_head.has_value())
-        return;
-    const Duration idleTime = now - m_lastEventAt;
-    if (isStream && m_hasStarted && idleTime < streamIdleTimeout) {
-        m_silenceDeadline = m_lastEventAt + streamIdleTimeout;
+    Attempt& attempt = *m_attempts.front();
+    if (!mayHedge(attempt)) {
+        attempt.hedgeDue = m_info.deadline;
         return;
     }
-    cancelAttempt(now, AttemptEnd::Silent);
-    takeNextStep(now, AttemptEnd::Silent);
+    const bool hasGoneOn = m_info.route->kind == RequestKind::Stream && attempt.lastEventAt > attempt.sentAt;
+    if (hasGoneOn && now - attempt.lastEventAt < streamIdleTimeout)
+        attempt.hedgeDue = attempt.lastEventAt + streamIdleTimeout;
+    else
+        hedge(now);
 }
 
 void RequestFlow::callerGone(TimePoint now)
@@ -428,8 +498,8 @@
     if (m_done)
         return;
     // A request that must not be repeated continues: knowing whether it ran matters more than the target's time.
-    if (m_inFlight && m_info.route->kind != RequestKind::Once)
-        cancelAttempt(now, AttemptEnd::CallerGone);
+    if (m_info.route->kind != RequestKind::Once)
+        cancelAll(now, AttemptEnd::CallerGone);
     conclude(callerGoneStatus, "caller-gone");
 }
 
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -595,3 +595,56 @@
         RC_ASSERT(runs <= facts.maxAttempts);
     });
 }
+
+TEST_CASE("a hedge goes to an untried target, whatever its customer's share, and is paid from the retry budget")
+{
+    TestDeployment deployment(3);
+    auto& dispatcher = *deployment.dispatcher;
+    TimePoint now = start;
+    // One customer alone asks for far more than its share of the engines.
+    PlacementRequest request = deployment.demand("greedy", prompt(1, 800, 200));
+    for (unsigned i = 0; i < 1000; ++i, now += 1ms) {
+        const Decision decision
+            = dispatcher.place(now, deployment.demand("greedy", prompt(1, 800, 5000)), AttemptKind::First);
+        if (const auto* placed = std::get_if<Placement>(&decision)) {
+            dispatcher.firstAnswer(now, placed->attempt);
+            dispatcher.ended(now, placed->attempt, AttemptEnd::Answered);
+        }
+    }
+    request.tried = { deployment.targets[0].incarnation(), deployment.targets[1].incarnation() };
+    unsigned placed = 0;
+    unsigned refused = 0;
+    for (unsigned i = 0; i < 1000; ++i) {
+        const Decision decision = dispatcher.place(now, request, AttemptKind::Hedge);
+        if (const auto* hedge = std::get_if<Placement>(&decision)) {
+            CHECK(hedge->target.id.value == "t2");
+            dispatcher.ended(now, hedge->attempt, AttemptEnd::Superseded);
+            ++placed;
+        } else {
+            CHECK(std::get<Refusal>(decision).reason == RefusalReason::RetryBudget);
+            ++refused;
+        }
+    }
+    CHECK(placed > 0);
+    CHECK(placed <= 200);
+    CHECK(refused > 0);
+    request.tried.insert(deployment.targets[2].incarnation());
+    const Decision none = dispatcher.place(now + 20s, request, AttemptKind::Hedge);
+    REQUIRE(std::holds_alternative<Refusal>(none));
+    CHECK(std::get<Refusal>(none).reason == RefusalReason::NoTarget);
+}
+
+TEST_CASE("a hedge that would wait for longer than the route's goal is refused")
+{
+    TestDeployment deployment(2);
+    auto& dispatcher = *deployment.dispatcher;
+    LoadReport report;
+    report.serial = 1;
+    report.targets[keyOf(deployment.targets[1].incarnation())] = { 100'000, 10, 110'000 };
+    dispatcher.peerReported(start, { "peer" }, report);
+    PlacementRequest request = deployment.demand("c", prompt(1, 800, 200));
+    request.tried = { deployment.targets[0].incarnation() };
+    const Decision decision = dispatcher.place(start, request, AttemptKind::Hedge);
+    REQUIRE(std::holds_alternative<Refusal>(decision));
+    CHECK(std::get<Refusal>(decision).reason == RefusalReason::Overloaded);
+}
--- a/tests/RelayWorld.h
+++ b/tests/RelayWorld.h
@@ -19,6 +19,7 @@
     Disorder, ///< A stream with an event missing, repeated, or of another run.
     TooManyRuns, ///< More runs than the route allows.
     NoEnd, ///< A request without an end.
+    Lost, ///< Neither a whole answer nor a refusal, though all that happened was one pause of a target.
 };
 
 std::string toString(Breach);
@@ -35,6 +36,8 @@
     double failed = 0.1; ///< The target runs it and reports a failure.
     double foreign = 0.05; ///< A late response to another request arrives first, then the connection closes.
     double leaves = 0.05; ///< The caller disconnects before its response.
+    double pauses = 0.05; ///< The target falls silent somewhere in its response and goes on.
+    double retryRatio = 1e6; ///< Retries per request; not a probability.
 };
 
 /// Simulates requests and records breaches.
@@ -61,6 +64,9 @@
     void step();
     void after(Duration most, std::function<void()>);
     void deliver(Send&, const OutgoingAttempt&);
+
+    /// @return whether a fault occurs, which is noted as trouble of the request.
+    bool isHit(Send&, double probability);
     void answer(Send&, unsigned number, const std::string& runTag, const std::string& resumeAfter, double sentFraction);
 
     /// @return an offset inside an event of @p body.
