Look at a silent target again only after an interval when no hedge was asked for

With less time left than an attempt takes, RequestFlow::hedge() asked nobody and left the time of the next look in the past, so that the flow was woken at each tick of the timers until its deadline, 15 ms later at most. The interval is now set in one place, wherever no second attempt came of the look. No decision changes; RelayFlowTest (28 cases) passes before and after.

--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -170,7 +170,6 @@
     const std::string refused = " hedge-refused:" + std::string(toString(m_record.refusal.reason));
     if (!m_record.trace.ends_with(refused))
         m_record.trace += refused;
-    m_attempts.front()->hedgeDue = now + hedgeRetryInterval;
 }
 
 void RequestFlow::send(TimePoint now, const dispatch::Placement& placement)
@@ -487,10 +486,13 @@
         return;
     }
     const bool hasGoneOn = m_info.route->kind == RequestKind::Stream && attempt.lastEventAt > attempt.sentAt;
-    if (hasGoneOn && now - attempt.lastEventAt < streamIdleTimeout)
+    if (hasGoneOn && now - attempt.lastEventAt < streamIdleTimeout) {
         attempt.hedgeDue = attempt.lastEventAt + streamIdleTimeout;
-    else
-        hedge(now);
+        return;
+    }
+    hedge(now);
+    if (m_attempts.size() == 1)
+        attempt.hedgeDue = now + hedgeRetryInterval;
 }
 
 void RequestFlow::callerGone(TimePoint now)
