Let no answer of another type replace a stream that has begun

What callers saw: nothing any more. A stream had begun, its request was resumed or hedged, and the second target answered with something that is no stream (an error of the caller, JSON).

Cause: such an answer counted as the request's; RequestFlow cancelled the other attempt and called respond(), which the exchange drops as its answer has begun. Nobody ended the exchange, and a connection that waits for its answer is never closed.

RelayWorld now has targets that report an error of the caller, and a response on top of a stream is a breach there.

--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -227,8 +227,12 @@
         rejectResponse(*attempt, "head");
         return;
     }
-    if (!isStreamed(*attempt) && !attempt->head->hasNotRun)
-        m_delegate.firstAnswer(now, attempt->placement.attempt);
+    if (isStreamed(*attempt) || attempt->head->hasNotRun)
+        return;
+    m_delegate.firstAnswer(now, attempt->placement.attempt);
+    // Only a stream can continue one that the caller has begun to receive.
+    if (m_hasStarted)
+        rejectResponse(*attempt, "type");
 }
 
 void RequestFlow::forwardSignals(TimePoint now, unsigned number, const dispatch::TargetSignals& signals)
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -113,7 +113,7 @@
 // Guards against answers that are cut although their target goes on after a pause.
 TEST_CASE("a request of which one target pauses gets a whole answer or a refusal")
 {
-    FaultRates pausesOnly { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0.3 };
+    FaultRates pausesOnly { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0.3 };
     pausesOnly.retryRatio = GENERATE(0.0, 0.1, 1e6);
     for (unsigned seed = 1; seed <= 20; ++seed) {
         CAPTURE(pausesOnly.retryRatio, seed);
@@ -375,6 +375,23 @@
     CHECK_FALSE(flow.isDone());
 }
 
+// Guards against callers that wait in vain: the answer is dropped, as their stream has begun, and nothing ends it.
+TEST_CASE("an answer that is no stream doesn't replace a stream that has begun")
+{
+    SilentFlow silent(RequestKind::Stream);
+    auto& [route, delegate, flow] = static_cast<StartedFlow&>(silent);
+    REQUIRE(delegate.orders.size() == 2);
+    flow.head(start + 1400ms, 2, { 400, "id", false, false, true, {} });
+    flow.ended(start + 1401ms, 2, net::TransferEnd::Completed);
+    CHECK(delegate.responses == 0);
+    CHECK(std::count(delegate.cancelled.begin(), delegate.cancelled.end(), 1U) == 0);
+    REQUIRE_FALSE(flow.isDone());
+    flow.bytes(start + 1500ms, 1, secondEvent);
+    flow.ended(start + 1501ms, 1, net::TransferEnd::Completed);
+    CHECK(delegate.written == firstEvent + secondEvent);
+    CHECK(delegate.finishes == 1);
+}
+
 TEST_CASE("a failure of one target waits for the other one's answer")
 {
     SilentFlow silent(RequestKind::Idempotent);
--- a/tests/RelayWorld.cpp
+++ b/tests/RelayWorld.cpp
@@ -122,6 +122,8 @@
     void respond(const edge::TargetResponseHead& head, std::string body) override
     {
         received = std::move(body);
+        if (isStreaming)
+            owner.m_breaches.insert(Breach::Mixed);
         if (head.status < 300 && (!head.isSigned || received != "answer to " + id))
             owner.m_breaches.insert(Breach::Mixed);
         end(head.status, true);
@@ -275,6 +277,11 @@
             ends(net::TransferEnd::Completed);
             return;
         }
+        if (isHit(send, m_faultRates.rejected)) {
+            send.flow.head(m_now, number, { 400, send.id, false, false, true, {} });
+            send.flow.ended(m_now, number, net::TransferEnd::Completed);
+            return;
+        }
         if (isHit(send, m_faultRates.failed)) {
             send.flow.head(m_now, number, { 500, send.id, false, false, true, {} });
             send.flow.bytes(m_now, number, "failed");
--- a/tests/RelayWorld.h
+++ b/tests/RelayWorld.h
@@ -36,6 +36,7 @@
     double failed = 0.1; ///< The target runs it and reports a failure.
     double foreign = 0.05; ///< A late response to another request arrives first, then the connection closes.
     double leaves = 0.05; ///< The caller disconnects before its response.
+    double rejected = 0.03; ///< The target runs it and reports an error of the caller.
     double pauses = 0.05; ///< The target falls silent somewhere in its response and goes on.
     double retryRatio = 1e6; ///< Retries per request; not a probability.
 };
