--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -288,7 +288,7 @@
     Unreachable, ///< No byte of the request was sent.
     Withdrawn, ///< Not sent because the target has meanwhile started to drain or back off, or has gone.
     Broken, ///< The request may have run; the answer was lost or does not belong to this request.
-    Silent, ///< Like Broken, after a time-out.
+    Silent, ///< Like Broken, after a time-out or because a hedge progressed first.
     CallerGone,
     Superseded, ///< A hedge that was cancelled because the earlier attempt went on.
 };
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -98,9 +98,9 @@
     std::string trace; ///< Attempts and how they ended, separated by spaces.
     Duration firstEventLatency {};
     Duration firstEventPredictionError {}; ///< Observed minus predicted.
-    dispatch::Placement placement; ///< Of the last attempt.
-    dispatch::Refusal refusal; ///< The most recent one.
-    bool isRefused = false; ///< Whether the last placement decision was a refusal.
+    dispatch::Placement placement; ///< Of the attempt whose response was forwarded, else of the last one but hedges.
+    dispatch::Refusal refusal; ///< The most recent one, hedges aside.
+    bool isRefused = false; ///< Whether the last placement decision, hedges aside, was a refusal.
     bool isCut = false; ///< The caller's connection was closed in the middle of its answer.
     bool isLost
         = false; ///< Sent to a target, and the caller got no whole answer of it and no promise that it has not run.
@@ -112,9 +112,9 @@
 
 /// State machine of one request. Not thread-safe.
 ///
-/// A target that falls silent may go on a second later, so its attempt is never given up for that alone. A request that
-/// may run again is hedged instead: a second target is asked beside the first, and whichever goes on first is kept.
-/// Without a target for the hedge the request stays where it is.
+/// A target that falls silent may go on a second later, so its attempt is not given up for that alone before the
+/// deadline. A request that may run again is hedged instead: a second target is asked beside the first, and whichever
+/// progresses first is kept. Without a target for the hedge the request stays where it is.
 class RequestFlow {
 public:
     RequestFlow(RequestFlowDelegate&, RequestInfo, const FlowRules& = FlowRules::standard());
@@ -158,10 +158,14 @@
     /// @return the attempt in flight with that number, or null.
     Attempt* find(unsigned number);
 
-    /// Records the end of an attempt and removes it.
+    /// Removes an attempt from those in flight.
+    std::unique_ptr<Attempt> take(const Attempt&);
+
+    /// Records the end of an attempt that has been removed.
     void finishAttempt(TimePoint now, const Attempt&, AttemptEnd, const ResponseEnd& = {});
 
-    /// As finishAttempt(), then takes the next step unless the request is done or another attempt is in flight.
+    /// Removes an attempt and records its end, then takes the next step unless the request is done or another attempt
+    /// is in flight.
     void endAttempt(TimePoint now, Attempt&, AttemptEnd, const ResponseEnd& = {});
     void cancelAttempt(TimePoint now, const Attempt&, AttemptEnd);
     void cancelAll(TimePoint now, AttemptEnd);
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -59,6 +59,9 @@
     /// After this time the list of targets has been read again if a target was lost.
     constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(700);
 
+    /// Fraction of the retry budget up to which hedges are sent. The rest is for requests that have no attempt left.
+    constexpr double hedgeBudgetFraction = 0.5;
+
     /// After this time it is known whether a target has crashed.
     constexpr Duration undecidedRetryAfter = std::chrono::milliseconds(500);
 
@@ -230,10 +233,11 @@
     std::optional<Candidate> best = choose(now, request, prefixes, isHedge);
     if (!best)
         return refuseUnplaced(now, request.service, noTargetRetryAfter);
-    if (const std::optional<Refusal> refusal = isHedge ? admitHedge(request, *best) : admit(now, request, *best))
+    if (const std::optional<Refusal> refusal = isHedge ? admitHedge(now, request, *best) : admit(now, request, *best))
         return *refusal;
+    const double budgetFraction = isHedge ? hedgeBudgetFraction : 1;
     if ((isHedge || kind == AttemptKind::RetryAfterSend)
-        && !retries(request.service).tryAcquire(now, m_peakRouterCount))
+        && !retries(request.service).tryAcquire(now, m_peakRouterCount, budgetFraction))
         return refuse(RefusalReason::RetryBudget, noTargetRetryAfter);
     if (kind == AttemptKind::First)
         m_shares.granted(now, request.customer, tokens);
@@ -260,7 +264,7 @@
             if (!best || candidate.cost < best->cost)
                 best = candidate;
         }
-        // A hedge on a doubtful target is no better than waiting for the one that has the request.
+        // A hedge on an avoided or tried target is no better than waiting for the one that has the request.
         if (best || isHedge)
             break;
     }
@@ -390,15 +394,17 @@
     return refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, excessWait, admission);
 }
 
-std::optional<Refusal> LocalDispatcher::admitHedge(const PlacementRequest& request, Candidate& best)
+std::optional<Refusal> LocalDispatcher::admitHedge(TimePoint now, const PlacementRequest& request, Candidate& best)
 {
     // The request has been admitted before, so its customer's share does not matter again.
     Admission& admission = best.admission;
     admission.wait = best.predictedFirstEventDelay - best.model->prefillTime(best.prefillTokens);
     admission.allowed = request.route->goal;
-    if (admission.allowed <= Duration::zero() || admission.wait <= admission.allowed)
+    const bool isLate = admission.allowed > Duration::zero() && admission.wait > admission.allowed;
+    const std::uint32_t reservedTokens = request.prompt.inputTokens + request.prompt.maxOutputTokens;
+    if (!isLate && best.model->hasRoom(best.model->totalLoad(now), reservedTokens))
         return std::nullopt;
-    return refuse(RefusalReason::Overloaded, admission.wait - admission.allowed, admission);
+    return refuse(RefusalReason::Overloaded, noTargetRetryAfter, admission);
 }
 
 void LocalDispatcher::setAllowedWait(
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -78,8 +78,8 @@
     /// Admits or refuses the request and fills in the candidate's admission.
     /// @return the refusal; absent if the request is admitted.
     std::optional<Refusal> admit(TimePoint now, const PlacementRequest&, Candidate&);
-    /// Refuses a hedge that would wait for longer than the route's goal; otherwise as admit().
-    std::optional<Refusal> admitHedge(const PlacementRequest&, Candidate&);
+    /// Refuses a hedge that would wait for longer than the route's goal or that its target has no room for.
+    std::optional<Refusal> admitHedge(TimePoint now, const PlacementRequest&, Candidate&);
     double waitFactorForShare(double share) const;
 
     /// Sets the allowed queueing delay. @param prefillDuration of the request itself.
--- a/src/dispatch/RetryWindow.cpp
+++ b/src/dispatch/RetryWindow.cpp
@@ -38,12 +38,12 @@
     return m_settings.retrySlack / std::max(routers, m_settings.leastRouters);
 }
 
-bool RetryWindow::tryAcquire(TimePoint now, unsigned routers)
+bool RetryWindow::tryAcquire(TimePoint now, unsigned routers, double fraction)
 {
     expire(now);
     const double limit = std::max(minRetries,
         safetyFactor * (m_settings.retryRatio * static_cast<double>(m_requests.size()) + slackShare(now, routers)));
-    if (static_cast<double>(m_retries.size()) + 1 > limit)
+    if (static_cast<double>(m_retries.size()) + 1 > std::max(minRetries, fraction * limit))
         return false;
     m_retries.push_back(now);
     return true;
--- a/src/dispatch/RetryWindow.h
+++ b/src/dispatch/RetryWindow.h
@@ -30,8 +30,9 @@
 
     /// @param routers maximum number of routers known at any time, including this one; an unreachable one may still
     ///        spend from the budget.
+    /// @param fraction part of the budget that this retry may use, together with all others in the window.
     /// @return whether one more retry is within the budget; if so, it is counted.
-    bool tryAcquire(TimePoint now, unsigned routers);
+    bool tryAcquire(TimePoint now, unsigned routers, double fraction = 1);
 
 private:
     void expire(TimePoint now);
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -24,8 +24,8 @@
     /// An idempotent request is hedged once this fraction of its remaining time has passed without a response.
     constexpr double silenceFraction = 0.35;
 
-    /// A resumable stream is hedged after this long without an event. Callers give up after two seconds; engines under
-    /// the heaviest load pause for about 150 ms.
+    /// A resumable stream is hedged after this long without an event. Callers give up after two seconds, which leaves
+    /// the second target some time to begin.
     constexpr Duration streamIdleTimeout = std::chrono::milliseconds(1200);
     constexpr int firstEventFactor = 2;
 
@@ -127,15 +127,10 @@
 
 dispatch::Decision RequestFlow::askForPlacement(TimePoint now, AttemptKind kind)
 {
-    dispatch::Decision decision = m_delegate.place(now,
+    return m_delegate.place(now,
         { m_info.customer, m_info.service, m_info.route, m_info.prompt, m_info.bytes, m_info.arrived, m_info.deadline,
             { m_sentTo.begin(), m_sentTo.end() }, m_info.key },
         kind);
-    const auto* refusal = std::get_if<dispatch::Refusal>(&decision);
-    m_record.isRefused = refusal != nullptr;
-    if (refusal)
-        m_record.refusal = *refusal;
-    return decision;
 }
 
 void RequestFlow::place(TimePoint now, AttemptKind kind)
@@ -146,9 +141,13 @@
     }
     const dispatch::Decision decision = askForPlacement(now, kind);
     if (const auto* placement = std::get_if<dispatch::Placement>(&decision)) {
+        m_record.isRefused = false;
+        m_record.placement = *placement;
         send(now, *placement);
         return;
     }
+    m_record.isRefused = true;
+    m_record.refusal = std::get<dispatch::Refusal>(decision);
     m_record.trace += " refused:" + std::string(toString(m_record.refusal.reason));
     if (m_failedHead && !m_hasStarted)
         relaySavedFailure();
@@ -167,14 +166,13 @@
         send(now, *placement);
         return;
     }
-    const std::string refused = " hedge-refused:" + std::string(toString(m_record.refusal.reason));
+    const std::string refused = " hedge-refused:" + std::string(toString(std::get<dispatch::Refusal>(decision).reason));
     if (!m_record.trace.ends_with(refused))
         m_record.trace += refused;
 }
 
 void RequestFlow::send(TimePoint now, const dispatch::Placement& placement)
 {
-    m_record.placement = placement;
     m_sentTo.push_back(placement.target.incarnation());
     const auto number = static_cast<unsigned>(m_sentTo.size());
     Attempt& attempt = *m_attempts.emplace_back(std::make_unique<Attempt>(number, now, placement, m_lastEventId));
@@ -204,6 +202,15 @@
     return it == m_attempts.end() ? nullptr : it->get();
 }
 
+std::unique_ptr<Attempt> RequestFlow::take(const Attempt& attempt)
+{
+    const auto it = std::find_if(
+        m_attempts.begin(), m_attempts.end(), [&attempt](const auto& owner) { return owner.get() == &attempt; });
+    std::unique_ptr<Attempt> taken = std::move(*it);
+    m_attempts.erase(it);
+    return taken;
+}
+
 bool RequestFlow::isStreamed(const Attempt& attempt) const
 {
     return m_info.route->kind == RequestKind::Stream && attempt.head && attempt.head->isEventStream
@@ -260,16 +267,21 @@
 
 void RequestFlow::processStreamBytes(TimePoint now, Attempt& attempt, std::string_view bytes)
 {
+    const std::size_t eventsBefore = attempt.splitter.events();
     attempt.heldBytes += attempt.splitter.feed(bytes);
-    // Comments alone don't show that the run goes on.
-    const bool isHeld = m_attempts.size() > 1 && attempt.splitter.events() == 0;
-    if (!attempt.heldBytes.empty() && !isHeld) {
+    // Comments alone don't show that the run progresses.
+    const bool hasProgressed = attempt.splitter.events() > eventsBefore;
+    const bool isHeld = m_attempts.size() > 1 && !hasProgressed;
+    if (hasProgressed) {
         keepOnly(now, attempt.number);
+        recordSilence(now, attempt);
+        attempt.lastEventAt = now;
+    }
+    if (!attempt.heldBytes.empty() && !isHeld) {
+        m_record.placement = attempt.placement;
         startStream(now, attempt);
         m_lastEventId = attempt.splitter.lastId();
         m_mayResume = attempt.splitter.canResumeAfterLastId();
-        recordSilence(now, attempt);
-        attempt.lastEventAt = now;
         m_delegate.write(std::exchange(attempt.heldBytes, {}));
     }
     if (!attempt.splitter.hasInvalidEvent())
@@ -329,10 +341,7 @@
 
 void RequestFlow::endAttempt(TimePoint now, Attempt& attempt, AttemptEnd end, const ResponseEnd& responseEnd)
 {
-    const auto it = std::find_if(
-        m_attempts.begin(), m_attempts.end(), [&attempt](const auto& owner) { return owner.get() == &attempt; });
-    const std::unique_ptr<Attempt> owner = std::move(*it);
-    m_attempts.erase(it);
+    const std::unique_ptr<Attempt> owner = take(attempt);
     finishAttempt(now, *owner, end, responseEnd);
     // A request that continues after its caller disconnected gets no further attempts.
     if (!m_done)
@@ -356,10 +365,7 @@
 
 void RequestFlow::cancelAttempt(TimePoint now, const Attempt& attempt, AttemptEnd end)
 {
-    const auto it = std::find_if(
-        m_attempts.begin(), m_attempts.end(), [&attempt](const auto& owner) { return owner.get() == &attempt; });
-    const std::unique_ptr<Attempt> owner = std::move(*it);
-    m_attempts.erase(it);
+    const std::unique_ptr<Attempt> owner = take(attempt);
     m_delegate.cancel(owner->number);
     finishAttempt(now, *owner, end);
 }
@@ -376,8 +382,11 @@
         m_failedHead = attempt.head;
         m_failedBody = attempt.body;
     }
-    if (!m_attempts.empty() && end != AttemptEnd::Answered)
+    if (!m_attempts.empty() && end != AttemptEnd::Answered) {
+        Attempt& other = *m_attempts.front();
+        other.hedgeDue = std::max(other.hedgeDue, now + hedgeRetryInterval);
         return;
+    }
     const dispatch::AttemptFacts facts { m_info.route->kind, isResumable(), m_hasStarted, m_possibleRuns,
         m_info.route->attempts, static_cast<unsigned>(m_sentTo.size()), end, m_mayHaveRun };
     switch (m_rules.next(facts)) {
@@ -404,6 +413,7 @@
 void RequestFlow::forwardAnswer(TimePoint now, Attempt& attempt)
 {
     keepOnly(now, attempt.number);
+    m_record.placement = attempt.placement;
     if (isStreamed(attempt)) {
         endStream(now, attempt);
         return;
@@ -475,7 +485,8 @@
 
 bool RequestFlow::mayHedge(const Attempt& attempt) const
 {
-    if (m_possibleRuns + 1 >= m_info.route->attempts || m_sentTo.size() >= dispatch::maxTries)
+    // One try is left for a request whose target breaks off.
+    if (m_possibleRuns + 1 >= m_info.route->attempts || m_sentTo.size() + 1 >= dispatch::maxTries)
         return false;
     if (m_info.route->kind == RequestKind::Stream)
         return isResumable();
@@ -489,8 +500,8 @@
         attempt.hedgeDue = m_info.deadline;
         return;
     }
-    const bool hasGoneOn = m_info.route->kind == RequestKind::Stream && attempt.lastEventAt > attempt.sentAt;
-    if (hasGoneOn && now - attempt.lastEventAt < streamIdleTimeout) {
+    const bool hasProgressed = m_info.route->kind == RequestKind::Stream && attempt.lastEventAt > attempt.sentAt;
+    if (hasProgressed && now - attempt.lastEventAt < streamIdleTimeout) {
         attempt.hedgeDue = attempt.lastEventAt + streamIdleTimeout;
         return;
     }
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -648,3 +648,39 @@
     REQUIRE(std::holds_alternative<Refusal>(decision));
     CHECK(std::get<Refusal>(decision).reason == RefusalReason::Overloaded);
 }
+
+// Guards against hedges that queue behind a full engine, or preempt another stream there.
+TEST_CASE("a hedge goes to no target without room")
+{
+    TestDeployment deployment(2);
+    auto& dispatcher = *deployment.dispatcher;
+    LoadReport report;
+    report.serial = 1;
+    report.targets[keyOf(deployment.targets[1].incarnation())] = { 0, 64, 499'000 };
+    dispatcher.peerReported(start, { "peer" }, report);
+    PlacementRequest request = deployment.demand("c", prompt(1, 800, 200));
+    request.tried = { deployment.targets[0].incarnation() };
+    CHECK(std::holds_alternative<Refusal>(dispatcher.place(start, request, AttemptKind::Hedge)));
+}
+
+// Guards against streams that are cut because hedges of targets that merely paused have spent the retry budget.
+TEST_CASE("hedges leave a part of the retry budget to requests that have no attempt left")
+{
+    TestDeployment deployment(3);
+    auto& dispatcher = *deployment.dispatcher;
+    PlacementRequest request = deployment.demand("c", prompt(1, 80, 20));
+    for (unsigned i = 0; i < 100; ++i) {
+        const Decision decision = dispatcher.place(start + i * 10ms, request, AttemptKind::First);
+        const auto& placement = std::get<Placement>(decision);
+        dispatcher.firstAnswer(start + i * 10ms, placement.attempt);
+        dispatcher.ended(start + i * 10ms, placement.attempt, AttemptEnd::Answered);
+    }
+    request.tried = { deployment.targets[0].incarnation() };
+    for (unsigned i = 0; i < 100; ++i) {
+        const Decision decision = dispatcher.place(start + 1s, request, AttemptKind::Hedge);
+        if (const auto* hedge = std::get_if<Placement>(&decision))
+            dispatcher.ended(start + 1s, hedge->attempt, AttemptEnd::Superseded);
+    }
+    const Decision retry = dispatcher.place(start + 1s, request, AttemptKind::RetryAfterSend);
+    CHECK(std::holds_alternative<Placement>(retry));
+}
