Test a request that hangs its targets

The tests of requests that crash targets had only targets whose process exits at once. A request can also hang its target until something ends the process, and the kernel accepts connections for a process that hangs.

It keeps the bound while the handling of silent targets changes.

--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import signal
 import sys
 import threading
 import time
@@ -19,6 +20,7 @@
 ROUTERS = 3
 ENGINES = 5
 DOWN_SECONDS = 2.0
+HANG_SECONDS = 3.0  # Until a process that hangs is ended.
 STABLE_SECONDS = 3.0
 MOST_MORE = 3  # Targets that may still end later than that after the third.
 PAUSE_SECONDS = 0.3
@@ -59,6 +61,34 @@
         return sum(it > self.ends[2] + STABLE_SECONDS for it in self.ends)
 
 
+def is_stopped(process):
+    """Whether the process is stopped by a signal."""
+    try:
+        with open(f"/proc/{process.child.pid}/stat", encoding="ascii") as file:
+            return file.read().rpartition(")")[2].split()[0] == "T"
+    except OSError:
+        return False
+
+
+class HangKeeper(Keeper):
+    """Also ends targets that hang."""
+
+    def run(self):
+        threading.Thread(target=self.end_hanging, daemon=True).start()
+        super().run()
+
+    def end_hanging(self):
+        since = {}
+        while not self.is_stopping:
+            now = time.monotonic()
+            for name, worker in self.fleet.workers.items():
+                if not is_stopped(worker["process"]):
+                    since.pop(name, None)
+                elif now - since.setdefault(name, now) > HANG_SECONDS:
+                    worker["process"].send(signal.SIGKILL)
+            time.sleep(0.05)
+
+
 class Callers:
     """Send requests of their own, one after the other."""
 
@@ -90,13 +120,14 @@
 
 class CrashingTargetsCase(unittest.TestCase):
     worker_arguments = ["--crash-marker", MARKER, "--work", "60ms"]
+    keeper_type = Keeper
 
     def setUp(self):
         self.fleet = Fleet(BUILD, routers=ROUTERS, engines=ENGINES, applications=0,
                            worker_arguments=self.worker_arguments)
         self.addCleanup(self.fleet.__exit__)
         self.fleet.wait_ready()
-        self.keeper = Keeper(self.fleet)
+        self.keeper = self.keeper_type(self.fleet)
         self.keeper.start()
         self.addCleanup(self.stop_keeper)
         self.callers = Callers(self.fleet)
@@ -209,6 +240,17 @@
         self.assertEqual(self.answers[-1][0], 503)
 
 
+class HangingRequestTest(CrashingTargetsCase):
+    worker_arguments = CrashingTargetsCase.worker_arguments + ["--hang"]
+    keeper_type = HangKeeper
+
+    def test_a_request_that_hangs_targets_until_they_are_ended_is_repeated(self):
+        """Guards against a request whose targets are held to be alive because their kernels accept connections."""
+        self.repeat(16)
+        self.check()
+        self.assertEqual(self.answers[-1][0], 503)
+
+
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
     unittest.main(verbosity=2)
