Do not hold a pause of sound targets against the request

What callers saw: where many callers send equal requests (a page that all read), pauses of three sound targets within 10 s were enough to refuse all of these requests as "quarantined" for up to 10 s.

Cause: an attempt that is given up because its target is silent leaves the request undecided. Only attempts whose connection broke caused a probe, and nothing else ended the doubt, so that it lasted until it expired after 10 s, although the target went on after a second.

Now a sign of life ends the doubt. A silent target is probed like one whose connection broke: a connection is made, once for each target and break if it is accepted, each 400 ms while nothing answers. First answers and answers that end (answered, failed, not run) of any attempt there are signs of life, too; they decide earlier where a whole VM pauses and accepts no connection. A refused connection shows that the process exited, as for broken attempts. A target that neither accepts nor answers leaves the request undecided as before, until its entry goes or 10 s have passed.

Signs of life do not take away the blame: if the silent target ends unannounced within the 10 s, or refuses connections, or another incarnation replaces it, the request counts as one that ended it, as before. Before this change a silent target that had accepted a connection (because of another, broken attempt) was not blamed when its entry went; now it is. Reasons: the kernel accepts connections for a process that hangs; a request may take seconds to end a target that still serves others; and a process that was started again at the address answers under the same name. Three such ends and no complete run are still needed for a quarantine. For a broken connection bytes of other attempts do not count, since what the target sent before it exited may be read after the reset.

Tests: the new cases of QuarantineTest and CrashPlacementTest failed before, with the request undecided after its targets were heard from, with no probe due for silent targets, and with Refusal instead of a Placement for each kind of answer. Removing the blame, the limit to silent attempts or the probe makes cases of QuarantineTest fail.

What it costs: with a request that hangs its targets for 3 s before they end, nothing holds it back before the first ends are known.

--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -100,10 +100,12 @@
     /// An attempt ended without breaking. @param sentAt the time that was passed to sent().
     void ended(TimePoint sentAt, TargetKey);
 
-    /// An attempt broke after it may have run. @param isSilent whether it timed out, which alone does not trigger a
-    /// probe.
+    /// An attempt broke after it may have run. @param isSilent whether it timed out: the target may go on later.
     void broke(TimePoint now, TimePoint sentAt, TargetKey, RequestKey, bool isSilent);
 
+    /// Any attempt received bytes from the target. Attempts that timed out there are no longer undecided.
+    void heard(TimePoint now, TargetKey);
+
     /// @return probes to make now; each is returned once.
     std::vector<TargetCheck> checksDue(TimePoint now);
     void checked(TimePoint now, const TargetCheck&, CheckResult);
@@ -112,7 +114,8 @@
     void entryGone(TimePoint now, TargetKey);
     void replaced(TimePoint now, TargetKey);
 
-    /// @return how many targets may have exited while running the request, without confirmation so far.
+    /// @return how many targets may have exited while running the request, without confirmation or a sign of life so
+    /// far.
     unsigned undecided(RequestKey) const;
 
     /// @return exits detected since the last call.
@@ -123,7 +126,7 @@
         RequestKey request = 0;
         TimePoint at;
         bool isSilent = false;
-        bool isTargetKnownAlive = false; ///< The target accepted a connection afterwards.
+        bool isTargetKnownAlive = false; ///< The target accepted a connection or, if silent, was heard afterwards.
     };
 
     struct Watch {
@@ -230,6 +233,9 @@
     void completed(TimePoint sentAt, TargetKey, RequestKey);
     void broke(TimePoint now, TimePoint sentAt, TargetKey, RequestKey, bool isSilent);
 
+    /// See TargetExitDetector.
+    void heard(TimePoint now, TargetKey target) { m_detector.heard(now, target); }
+
     /// An attempt ended in a way that says nothing about the request.
     void ended(TimePoint sentAt, TargetKey target) { m_detector.ended(sentAt, target); }
 
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -511,6 +511,7 @@
     Attempt& attempt = it->second;
     attempt.hasFirstAnswer = true;
     m_backoffs.served(now, attempt.target);
+    m_crashes.heard(now, dispatch::keyOf(attempt.target));
     if (TargetModel* model = find(attempt.target))
         model->firstAnswer(
             attempt.placedAt, attempt.prefillTokens, attempt.predictedFirstEventDelay, now - attempt.placedAt);
@@ -543,7 +544,10 @@
 {
     const TargetKey target = dispatch::keyOf(attempt.target);
     const bool isBroken = end == AttemptEnd::Broken || end == AttemptEnd::Silent;
-    if (end == AttemptEnd::Answered || end == AttemptEnd::Failed)
+    const bool isCompleted = end == AttemptEnd::Answered || end == AttemptEnd::Failed;
+    if (isCompleted || end == AttemptEnd::NotRun)
+        m_crashes.heard(now, target);
+    if (isCompleted)
         m_crashes.completed(attempt.placedAt, target, attempt.key);
     else if (isBroken && isListed && attempt.key)
         m_crashes.broke(now, attempt.placedAt, target, attempt.key, end == AttemptEnd::Silent);
--- a/src/quarantine/TargetExitDetector.cpp
+++ b/src/quarantine/TargetExitDetector.cpp
@@ -58,6 +58,16 @@
         confirmExit(now, target, it->second, ExitEvidence::Refused, false);
 }
 
+void TargetExitDetector::heard(TimePoint now, TargetKey target)
+{
+    const auto it = m_watches.find(target);
+    if (it == m_watches.end())
+        return;
+    // After a reset, bytes that the target sent before it exited may still be read from other connections.
+    for (BrokenAttempt& attempt : it->second.broken)
+        attempt.isTargetKnownAlive |= attempt.isSilent && attempt.at <= now;
+}
+
 std::vector<TargetCheck> TargetExitDetector::checksDue(TimePoint now)
 {
     std::vector<TargetCheck> due;
@@ -65,7 +75,7 @@
         Watch& watch = it->second;
         expire(now, watch);
         const bool isWanted = std::any_of(watch.broken.begin(), watch.broken.end(),
-            [](const BrokenAttempt& attempt) { return !attempt.isTargetKnownAlive && !attempt.isSilent; });
+            [](const BrokenAttempt& attempt) { return !attempt.isTargetKnownAlive; });
         if (isWanted && !watch.checkStartedAt && now >= watch.nextCheck) {
             watch.checkStartedAt = now;
             due.push_back({ it->first, watch.address, now });
@@ -125,7 +135,8 @@
 {
     TargetExit end { target, evidence, {} };
     for (const BrokenAttempt& it : watch.broken) {
-        if (includesKnownAlive || !it.isTargetKnownAlive)
+        // The kernel accepts connections for a process that hangs and may still exit because of the request.
+        if (includesKnownAlive || it.isSilent || !it.isTargetKnownAlive)
             end.requests.insert(it.request);
     }
     watch.broken.clear();
--- a/tests/CrashPlacementTest.cpp
+++ b/tests/CrashPlacementTest.cpp
@@ -144,6 +144,39 @@
     CHECK(router.crashCount() == 0);
 }
 
+// Guards against callers of equal requests that are all refused because three sound targets paused.
+TEST_CASE("a request is not refused once targets that were silent under it are heard from")
+{
+    TestRouter router;
+    std::map<TargetId, AttemptId> others;
+    for (std::size_t i = 0; i < router.targets.size(); ++i) {
+        const Placement placement = std::get<Placement>(router.place(innocent));
+        others[placement.target.id] = placement.attempt;
+    }
+    REQUIRE(others.size() == router.targets.size());
+    std::map<TargetId, AttemptId> silent;
+    for (unsigned i = 0; i < quarantine::quarantineThreshold; ++i) {
+        const Placement placement = std::get<Placement>(router.place(crashing));
+        silent[placement.target.id] = placement.attempt;
+    }
+    REQUIRE(silent.size() == quarantine::quarantineThreshold);
+    for (const auto& [target, attempt] : silent)
+        router.dispatcher->ended(router.now, attempt, AttemptEnd::Silent);
+    REQUIRE(std::holds_alternative<Refusal>(router.place(crashing)));
+
+    const auto isHeard = GENERATE(true, false);
+    const auto end = isHeard ? GENERATE(AttemptEnd::Answered, AttemptEnd::Failed, AttemptEnd::NotRun)
+                             : GENERATE(AttemptEnd::WrongTarget, AttemptEnd::Unreachable, AttemptEnd::CallerGone);
+    const bool isOnlyFirstAnswer = isHeard && GENERATE(true, false);
+    for (const auto& [target, attempt] : silent) {
+        if (isOnlyFirstAnswer)
+            router.dispatcher->firstAnswer(router.now, others.at(target));
+        else
+            router.dispatcher->ended(router.now, others.at(target), end);
+    }
+    CHECK(std::holds_alternative<Placement>(router.place(crashing)) == isHeard);
+}
+
 TEST_CASE("a load report from a release without crash detection is decoded")
 {
     LoadReport report;
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -34,6 +34,11 @@
         guard.broke(now, sentAt, target, request, false);
     }
 
+    void giveUpSilent(TargetKey target, TimePoint sentAt, RequestKey request)
+    {
+        guard.broke(now, sentAt, target, request, true);
+    }
+
     /// Answers all probes that are due.
     void answerChecks(CheckResult result)
     {
@@ -139,6 +144,97 @@
     CHECK(router.guard.takeUpdate().targetExits.front().evidence == ExitEvidence::EntryGone);
 }
 
+// Guards against a request that is shut out because sound targets paused while they ran it.
+TEST_CASE("targets that are heard from after a silence leave no doubt about the request")
+{
+    Router router;
+    for (const TargetKey it : { first, second, third }) {
+        const TimePoint sentAt = router.send(it);
+        router.now += 50ms;
+        router.giveUpSilent(it, sentAt, innocent);
+    }
+    REQUIRE(router.standing(innocent) == Standing::Undecided);
+    router.now += 1ms;
+    router.guard.heard(router.now, first);
+    CHECK(router.standing(innocent) == Standing::Clear);
+    router.guard.heard(router.now, second);
+    router.guard.heard(router.now, third);
+    CHECK(router.guard.checksDue(router.now).empty());
+    CHECK(router.guard.cases().empty());
+}
+
+// Guards against a request that is shut out until silent targets happen to answer something else.
+TEST_CASE("silent targets are probed, once if they accept the connection")
+{
+    Router router;
+    for (const TargetKey it : { first, second, third })
+        router.giveUpSilent(it, router.send(it), innocent);
+    const std::vector<TargetCheck> checks = router.guard.checksDue(router.now);
+    REQUIRE(checks.size() == 3);
+    for (const TargetCheck& it : checks)
+        router.guard.checked(router.now, it, CheckResult::Accepted);
+    CHECK(router.standing(innocent) == Standing::Clear);
+    router.now += 5s;
+    CHECK(router.guard.checksDue(router.now).empty());
+}
+
+// Guards against a request that is sent on while targets that it took down with their VMs say nothing.
+TEST_CASE("silent targets that do not answer a probe leave the request undecided")
+{
+    Router router;
+    for (const TargetKey it : { first, second, third })
+        router.giveUpSilent(it, router.send(it), crashing);
+    for (int i = 0; i < 8; ++i) {
+        router.answerChecks(CheckResult::NoAnswer);
+        CHECK(router.standing(crashing) == Standing::Undecided);
+    }
+    for (const TargetKey it : { first, second, third })
+        router.guard.entryGone(router.now, it);
+    CHECK(router.standing(crashing) == Standing::Quarantined);
+}
+
+// Guards against targets that exit silently and whose request is sent on until their entries are removed.
+TEST_CASE("a silent target that refuses a probe has exited")
+{
+    Router router;
+    router.giveUpSilent(first, router.send(first), crashing);
+    router.answerChecks(CheckResult::Refused);
+    REQUIRE(router.guard.cases().size() == 1);
+    CHECK(router.guard.takeUpdate().targetExits.front().evidence == ExitEvidence::Refused);
+}
+
+// Guards against a request that stops processes, whose kernels still accept connections, and is never blamed.
+TEST_CASE("a silent target that showed signs of life and then exits counts against the request")
+{
+    Router router;
+    router.giveUpSilent(first, router.send(first), crashing);
+    if (GENERATE(false, true))
+        router.answerChecks(CheckResult::Accepted);
+    else
+        router.guard.heard(router.now + 1ms, first);
+    const ExitEvidence evidence = GENERATE(ExitEvidence::Refused, ExitEvidence::EntryGone, ExitEvidence::Replaced);
+    if (evidence == ExitEvidence::EntryGone)
+        router.guard.entryGone(router.now, first);
+    else if (evidence == ExitEvidence::Replaced)
+        router.guard.replaced(router.now, first);
+    else
+        router.crash(first, innocent);
+    REQUIRE(router.guard.cases().size() == (evidence == ExitEvidence::Refused ? 2 : 1));
+    const std::vector<TargetExit> exits = router.guard.takeUpdate().targetExits;
+    CHECK(exits.front().evidence == evidence);
+    CHECK(exits.front().requests.contains(crashing));
+}
+
+// Guards against an exit that is missed because bytes that the target sent before it are read after it.
+TEST_CASE("bytes that arrive after a connection broke do not show that the target lives")
+{
+    Router router;
+    router.breakAttempt(first, router.send(first), crashing);
+    router.guard.heard(router.now + 1ms, first);
+    router.answerChecks(CheckResult::Refused);
+    CHECK(router.guard.cases().size() == 1);
+}
+
 TEST_CASE("a target that restarts before it could be probed is considered exited")
 {
     Router router;
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -21,6 +21,7 @@
 ENGINES = 5
 DOWN_SECONDS = 2.0
 HANG_SECONDS = 3.0  # Until a process that hangs is ended.
+SILENCE_SECONDS = 1.4
 STABLE_SECONDS = 3.0
 MOST_MORE = 3  # Targets that may still end later than that after the third.
 PAUSE_SECONDS = 0.3
@@ -92,18 +93,21 @@
 class Callers:
     """Send requests of their own, one after the other."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, callers=CALLERS, body=None):
+        """body: that of all requests; absent: each has its own."""
         self.fleet = fleet
+        self.body = body
         self.is_stopping = False
         self.results = []  # (when it was sent, whether it was answered whole)
-        self.threads = [threading.Thread(target=self.send, args=(i,), daemon=True) for i in range(CALLERS)]
+        self.threads = [threading.Thread(target=self.send, args=(i,), daemon=True) for i in range(callers)]
         for it in self.threads:
             it.start()
 
     def send(self, turn):
         while not self.is_stopping:
             begun = time.monotonic()
-            status, _, body = self.fleet.send("/answers/x", fresh(), router=turn % ROUTERS, body=fresh())
+            status, _, body = self.fleet.send("/answers/x", fresh(), router=turn % len(self.fleet.routers),
+                                              body=self.body or fresh())
             self.results.append((begun, status == 200 and len(events_of(body)) == 10))
             turn += 1
             time.sleep(0.02)
@@ -251,6 +255,27 @@
         self.assertEqual(self.answers[-1][0], 503)
 
 
+class PausedTargetsTest(unittest.TestCase):
+    def test_equal_requests_of_many_callers_are_refused_because_their_targets_paused(self):
+        """Guards against a request that is refused as crashing because three sound targets paused in turn."""
+        fleet = Fleet(BUILD, routers=2, engines=4, applications=0, worker_arguments=["--event-interval", "100ms"])
+        self.addCleanup(fleet.__exit__)
+        fleet.wait_ready()
+        callers = Callers(fleet, callers=24, body="the same of all")
+        self.addCleanup(callers.stop)
+        for name in sorted(fleet.workers):
+            process = fleet.workers[name]["process"]
+            process.send(signal.SIGSTOP)
+            time.sleep(SILENCE_SECONDS)
+            process.send(signal.SIGCONT)
+            time.sleep(PAUSE_SECONDS)
+        time.sleep(1)
+        logs = "".join(it["process"].log() for it in fleet.routers)
+        refused = logs.count("refused:quarantined")
+        self.assertGreaterEqual(logs.count(":silent"), 3, "no target was seen silent")
+        self.assertEqual(refused, 0, f"of {len(callers.results)} requests")
+
+
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
     unittest.main(verbosity=2)
