Don't hold later attempts of a sent request against its customer's share

Callers saw streams end in the middle of their answer, and other requests get 502, when a target broke off while their customer was over its share, for example because a version of the configuration had lowered the quota after the request was placed. The dispatcher admitted each further attempt by the share and the allowed wait of a new request. For a request that has not run, that is a true refusal. For one that may have run or has begun to be answered, there is no refusal any more: its answer is lost though another target would have gone on.

The relay now says with each attempt how far the request has come. The share and the allowed wait that depends on it apply only to requests that have certainly not run. Otherwise the retry budget applies as before, and the wait for the target may last as long as the route's goal, or, for a begun answer that would be cut, as long as the request's time. A retry of an answer that has not begun still isn't put on targets that are further behind than the goal. Hedges are admitted by the same code.

--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -204,6 +204,13 @@
     Duration retryWindow = std::chrono::seconds(10);
 };
 
+/// How far a request has come, and so what its caller gets without a further attempt.
+enum class Progress {
+    NotRun, ///< Certainly not run on any target: a refusal.
+    MayHaveRun, ///< A failure.
+    Begun, ///< Part of an answer, as bytes of a stream have been sent to the caller.
+};
+
 /// A request, or the next attempt of one, that needs a placement decision.
 struct PlacementRequest {
     CustomerId customer;
@@ -215,6 +222,7 @@
     TimePoint due; ///< Deadline; an answer after it is useless.
     std::set<TargetIncarnation> tried; ///< Chosen again only if there is no other target, and never for a hedge.
     quarantine::RequestKey key = 0; ///< See requestKeyOf().
+    Progress progress = Progress::NotRun;
 };
 
 /// Target state that an answer carries in addition to its result, whichever request it answers.
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -145,6 +145,7 @@
     using AttemptKind = dispatch::AttemptKind;
     using AttemptEnd = dispatch::AttemptEnd;
 
+    dispatch::Progress progress() const;
     dispatch::Decision askForPlacement(TimePoint now, AttemptKind);
     void place(TimePoint now, AttemptKind);
 
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -230,7 +230,9 @@
     std::optional<Candidate> best = choose(now, request, prefixes, isHedge);
     if (!best)
         return refuseUnplaced(now, request.service, noTargetRetryAfter);
-    if (const std::optional<Refusal> refusal = isHedge ? admitHedge(request, *best) : admit(now, request, *best))
+    const bool isRefusable = !isHedge && request.progress == Progress::NotRun;
+    if (const std::optional<Refusal> refusal
+        = isRefusable ? admit(now, request, *best) : admitAgain(now, request, kind, *best))
         return *refusal;
     if ((isHedge || kind == AttemptKind::RetryAfterSend)
         && !retries(request.service).tryAcquire(now, m_peakRouterCount))
@@ -390,12 +392,14 @@
     return refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, excessWait, admission);
 }
 
-std::optional<Refusal> LocalDispatcher::admitHedge(const PlacementRequest& request, Candidate& best)
+std::optional<Refusal> LocalDispatcher::admitAgain(
+    TimePoint now, const PlacementRequest& request, AttemptKind kind, Candidate& best)
 {
-    // The request has been admitted before, so its customer's share does not matter again.
     Admission& admission = best.admission;
     admission.wait = best.predictedFirstEventDelay - best.model->prefillTime(best.prefillTokens);
-    admission.allowed = request.route->goal;
+    // A begun answer that goes on late is better than one that is cut. With a hedge it may go on without.
+    const bool isCutOtherwise = request.progress == Progress::Begun && kind != AttemptKind::Hedge;
+    admission.allowed = isCutOtherwise ? request.due - now : request.route->goal;
     if (admission.allowed <= Duration::zero() || admission.wait <= admission.allowed)
         return std::nullopt;
     return refuse(RefusalReason::Overloaded, admission.wait - admission.allowed, admission);
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -78,8 +78,9 @@
     /// Admits or refuses the request and fills in the candidate's admission.
     /// @return the refusal; absent if the request is admitted.
     std::optional<Refusal> admit(TimePoint now, const PlacementRequest&, Candidate&);
-    /// Refuses a hedge that would wait for longer than the route's goal; otherwise as admit().
-    std::optional<Refusal> admitHedge(const PlacementRequest&, Candidate&);
+    /// As admit(), for a hedge, or for a request that may have run, so that a refusal loses its answer. It has been
+    /// admitted before, so its customer's share does not matter again.
+    std::optional<Refusal> admitAgain(TimePoint now, const PlacementRequest&, AttemptKind, Candidate&);
     double waitFactorForShare(double share) const;
 
     /// Sets the allowed queueing delay. @param prefillDuration of the request itself.
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -125,11 +125,18 @@
 
 void RequestFlow::begin(TimePoint now) { place(now, AttemptKind::First); }
 
+dispatch::Progress RequestFlow::progress() const
+{
+    if (m_hasStarted)
+        return dispatch::Progress::Begun;
+    return m_mayHaveRun ? dispatch::Progress::MayHaveRun : dispatch::Progress::NotRun;
+}
+
 dispatch::Decision RequestFlow::askForPlacement(TimePoint now, AttemptKind kind)
 {
     dispatch::Decision decision = m_delegate.place(now,
         { m_info.customer, m_info.service, m_info.route, m_info.prompt, m_info.bytes, m_info.arrived, m_info.deadline,
-            { m_sentTo.begin(), m_sentTo.end() }, m_info.key },
+            { m_sentTo.begin(), m_sentTo.end() }, m_info.key, progress() },
         kind);
     const auto* refusal = std::get_if<dispatch::Refusal>(&decision);
     m_record.isRefused = refusal != nullptr;
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -267,6 +267,51 @@
     CHECK(admitted["large"] > admitted["small"]);
 }
 
+// Guards against an answer that is cut or lost because its customer's quota was lowered before its target broke off.
+TEST_CASE("a customer's share does not matter for the next attempt of a request that may have run")
+{
+    const auto progress = GENERATE(Progress::MayHaveRun, Progress::Begun);
+    const auto kind = GENERATE(AttemptKind::RetryAfterSend, AttemptKind::RetryUnsent);
+    TestDeployment deployment;
+    PlacementRequest demand = deployment.demand("c", prompt(1, 10, 2000));
+    for (const char* customer : { "c", "other" }) {
+        const Decision decision
+            = deployment.dispatcher->place(start, deployment.demand(customer, prompt(1, 10, 2000)), AttemptKind::First);
+        REQUIRE(placed(decision));
+        deployment.dispatcher->ended(start + 1s, placed(decision)->attempt, AttemptEnd::Broken);
+    }
+    FleetConfig config = deployment.table->config();
+    config.tokensPerSecond = 10;
+    deployment.dispatcher->setConfig(RoutingTable::make(config));
+    const Decision later = deployment.dispatcher->place(start + 1s, demand, AttemptKind::First);
+    REQUIRE(refused(later));
+    CHECK(refused(later)->reason == RefusalReason::OverShare);
+    demand.progress = progress;
+    CHECK(placed(deployment.dispatcher->place(start + 1s, demand, kind)));
+    demand.progress = Progress::NotRun;
+    CHECK(refused(deployment.dispatcher->place(start + 1s, demand, AttemptKind::RetryUnsent)));
+}
+
+// Guards against a stream that is cut because another engine would go on with it later than the route's goal.
+TEST_CASE("a request that may have run waits for no longer than its goal, and one with a begun answer for its time")
+{
+    TestDeployment deployment(1);
+    PlacementRequest demand = deployment.demand("c", prompt(100, 10, 1000));
+    REQUIRE(placed(deployment.dispatcher->place(start, demand, AttemptKind::First)));
+    LoadReport report;
+    report.targets[keyOf(deployment.targets.front().incarnation())] = { 88'000, 20, 100'000 }; // For 2 s.
+    deployment.dispatcher->peerReported(start, { "peer" }, report);
+    demand.progress = Progress::MayHaveRun;
+    const Decision decision = deployment.dispatcher->place(start, demand, AttemptKind::RetryAfterSend);
+    REQUIRE(refused(decision));
+    CHECK(refused(decision)->reason == RefusalReason::Overloaded);
+    demand.progress = Progress::Begun;
+    demand.due = start + 1s;
+    CHECK(refused(deployment.dispatcher->place(start, demand, AttemptKind::RetryAfterSend)));
+    demand.due = start + 3s;
+    CHECK(placed(deployment.dispatcher->place(start, demand, AttemptKind::RetryAfterSend)));
+}
+
 TEST_CASE("an unreachable target is avoided, then probed by a single request")
 {
     TestDeployment deployment(2);
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -125,9 +125,10 @@
 
 /// A delegate that records its calls.
 struct RecordingDelegate final : RequestFlowDelegate {
-    dispatch::Decision place(TimePoint, const dispatch::PlacementRequest&, dispatch::AttemptKind round) override
+    dispatch::Decision place(TimePoint, const dispatch::PlacementRequest& demand, dispatch::AttemptKind round) override
     {
         rounds.push_back(round);
+        progress.push_back(demand.progress);
         if (round == dispatch::AttemptKind::Hedge && hedgeRefusal)
             return *hedgeRefusal;
         return placement;
@@ -165,6 +166,7 @@
     dispatch::Refusal lastRefusal;
     std::optional<dispatch::Refusal> hedgeRefusal; ///< Absent: hedges are placed.
     std::vector<dispatch::AttemptKind> rounds;
+    std::vector<dispatch::Progress> progress;
     std::vector<OutgoingAttempt> orders;
     std::vector<AttemptEnd> ends;
     std::vector<ResponseEnd> answerEnds;
@@ -445,6 +447,21 @@
     CHECK(delegate.orders.size() == 2);
 }
 
+// Guards against a later attempt that is refused as if the request were a new one.
+TEST_CASE("each attempt of a stream is placed with how far the request has come")
+{
+    StartedFlow started(RequestKind::Stream, true, 3);
+    auto& [route, delegate, flow] = started;
+    flow.ended(start + 5ms, 1, net::TransferEnd::NothingSent);
+    flow.ended(start + 10ms, 2, net::TransferEnd::BrokenAfterSend);
+    flow.head(start + 15ms, 3, { 200, "id", false, false, true, {} });
+    flow.bytes(start + 16ms, 3, "id: 1\ndata: a\n\n");
+    flow.ended(start + 20ms, 3, net::TransferEnd::BrokenAfterSend);
+    using dispatch::Progress;
+    CHECK(
+        delegate.progress == std::vector { Progress::NotRun, Progress::NotRun, Progress::MayHaveRun, Progress::Begun });
+}
+
 TEST_CASE("a request that all targets turned away gets the dispatcher's refusal")
 {
     dispatch::Route route;
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -106,15 +106,19 @@
 class Fleet:
     """A store, workers and edge routers. Ends all of them by id when it is closed."""
 
-    def __init__(self, build, routers=2, engines=2, applications=2, proxy=None, worker_arguments=()):
-        """proxy: given an address, returns the one by which routers reach it; absent: they reach it directly."""
+    def __init__(self, build, routers=2, engines=2, applications=2, proxy=None, worker_arguments=(), others=None):
+        """proxy: given an address, returns the one by which routers reach it; absent: they reach it directly.
+
+        others: the services of further workers, by name; engines if the service begins with llm.
+        """
         self.build = build
         self.worker_arguments = list(worker_arguments)
         self.proxy = proxy or (lambda address: address)
         self.directory = tempfile.mkdtemp(prefix="sagechute-edge-")
         self.processes = []
         self.version = 0
-        ports = iter(free_ports(1 + engines + applications + 8 * routers))
+        others = others or {}
+        ports = iter(free_ports(1 + engines + applications + len(others) + 8 * routers))
         self.store = f"127.0.0.1:{next(ports)}"
         self.store_process = self._start("store", ["sagechute-standin-store", "--listen", self.store])
         self.workers = {}
@@ -122,6 +126,8 @@
             self._add_worker(f"engine-{i}", next(ports), ["--engine", "--service", "llm"])
         for i in range(applications):
             self._add_worker(f"app-{i}", next(ports), ["--service", "app"])
+        for name, service in others.items():
+            self._add_worker(name, next(ports), ["--service", service] + (["--engine"] if service.startswith("llm") else []))
         layouts = [[next(ports) for _ in range(8)] for _ in range(routers)]
         seeds = ",".join(f"127.0.0.1:{layout[2]}" for layout in layouts[:3])
         self.routers = [self._add_router(i, layout, seeds) for i, layout in enumerate(layouts)]
@@ -195,13 +201,19 @@
     def is_ready(self, router):
         return call(router["ready"], "GET", "/sagechute/ready", timeout=1.0)[0] == 200
 
+    def is_up(self, worker):
+        return call(self.workers[worker]["address"], "POST", "/standin/ledger", timeout=1.0)[0] == 200
+
     def known_to(self, router):
         """The targets that a router knows."""
         status, _, body = call(router["control"], "GET", "/v1/status")
         return {target["id"] for target in json.loads(body)["targets"]} if status == 200 else set()
 
-    def configure(self, keys=(KEY,), extra_routes=()):
-        """Writes the next version of the configuration."""
+    def configure(self, keys=(KEY,), extra_routes=(), change=lambda document: None):
+        """Writes the next version of the configuration.
+
+        change: changes the document before it is written.
+        """
         self.version += 3
 
         def route(name, prefix, kind, service, **more):
@@ -221,6 +233,7 @@
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeoutMs": 15000, "tokensPerS": 100000},
             "tenants": [{"name": "teller", "apiKeys": list(keys)}],
         }
+        change(document)
         self.command(self.store, "/standin/put?topic=keyed.op&key=config", json.dumps(document))
 
     def command(self, address, path, body=""):
