--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -233,7 +233,9 @@
     std::optional<Candidate> best = choose(now, request, prefixes, isHedge);
     if (!best)
         return refuseUnplaced(now, request.service, noTargetRetryAfter);
-    if (const std::optional<Refusal> refusal = isHedge ? admitHedge(now, request, *best) : admit(now, request, *best))
+    const bool isRefusable = !isHedge && request.progress == Progress::NotRun;
+    if (const std::optional<Refusal> refusal
+        = isRefusable ? admit(now, request, *best) : admitAgain(now, request, kind, *best))
         return *refusal;
     const double budgetFraction = isHedge ? hedgeBudgetFraction : 1;
     if ((isHedge || kind == AttemptKind::RetryAfterSend)
@@ -394,15 +396,18 @@
     return refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, excessWait, admission);
 }
 
-std::optional<Refusal> LocalDispatcher::admitHedge(TimePoint now, const PlacementRequest& request, Candidate& best)
+std::optional<Refusal> LocalDispatcher::admitAgain(
+    TimePoint now, const PlacementRequest& request, AttemptKind kind, Candidate& best)
 {
-    // The request has been admitted before, so its customer's share does not matter again.
     Admission& admission = best.admission;
     admission.wait = best.predictedFirstEventDelay - best.model->prefillTime(best.prefillTokens);
-    admission.allowed = request.route->goal;
+    // A begun answer that goes on late is better than one that is cut. With a hedge it may go on without.
+    const bool isHedge = kind == AttemptKind::Hedge;
+    const bool isCutOtherwise = request.progress == Progress::Begun && !isHedge;
+    admission.allowed = isCutOtherwise ? request.due - now : request.route->goal;
     const bool isLate = admission.allowed > Duration::zero() && admission.wait > admission.allowed;
     const std::uint32_t reservedTokens = request.prompt.inputTokens + request.prompt.maxOutputTokens;
-    if (!isLate && best.model->hasRoom(best.model->totalLoad(now), reservedTokens))
+    if (!isLate && (!isHedge || best.model->hasRoom(best.model->totalLoad(now), reservedTokens)))
         return std::nullopt;
     return refuse(RefusalReason::Overloaded, noTargetRetryAfter, admission);
 }
