Keep an idle connection as long as its caller was promised when the limit is lowered

A request that crosses the close is lost.

Each connection now keeps the limit that was in force when its last request was read, and takes over a higher one at once.

The new case of NetTest failed before: its connection, idle for 2 s under a limit of 3 s that had been lowered to 1 s, was closed.

--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -183,7 +183,8 @@
     /// Stops taking new connections; those open go on.
     virtual void stopListening() = 0;
 
-    /// Changes ServerOptions::idleTimeout for all connections, from their next request on. Any thread.
+    /// Changes ServerOptions::idleTimeout. A higher one applies to all connections at once, a lower one to each from
+    /// its next request on. Any thread.
     virtual void setIdleTimeout(std::chrono::seconds) = 0;
 
     virtual Endpoint endpoint() const = 0;
--- a/src/net/LoopServer.cpp
+++ b/src/net/LoopServer.cpp
@@ -202,17 +202,18 @@
 
 void LoopServer::armSweep()
 {
-    const Duration idle = std::chrono::seconds(m_share->idleSeconds);
-    m_sweepTimer = m_loop.callAt(steadyNow() + std::min(longestSweep, idle / sweepsPerIdle), [this] { sweep(); });
+    m_sweepTimer
+        = m_loop.callAt(steadyNow() + std::min(longestSweep, idleLimit() / sweepsPerIdle), [this] { sweep(); });
 }
 
 void LoopServer::sweep()
 {
     const TimePoint now = steadyNow();
-    const Duration idle = std::chrono::seconds(m_share->idleSeconds);
+    const Duration idle = idleLimit();
     std::vector<ServerConnection*> overdue;
     for (const auto& [connection, owner] : m_connections) {
-        if (connection->isOverdue(now, idle))
+        connection->raiseIdleLimit(idle);
+        if (connection->isOverdue(now))
             overdue.push_back(connection);
     }
     for (ServerConnection* it : overdue)
--- a/src/net/LoopServer.h
+++ b/src/net/LoopServer.h
@@ -28,6 +28,7 @@
 
     Loop& loop() const { return m_loop; }
     const ServerOptions& options() const { return m_share->options; }
+    Duration idleLimit() const { return std::chrono::seconds(m_share->idleSeconds); }
 
     void handle(const std::shared_ptr<Exchange>&);
     void stopListening();
--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -109,6 +109,7 @@
     , m_peerAddress(std::move(peerAddress))
     , m_readingSince(steadyNow())
     , m_lastByteAt(m_readingSince)
+    , m_idleLimit(server.idleLimit())
 {
     m_events = readEvents;
     m_server.loop().watch(m_fd.value(), m_events, *this);
@@ -125,7 +126,7 @@
     return steadyNow() - m_server.loop().polledAt() < staleAfter || !hasEnded(m_fd.value());
 }
 
-bool ServerConnection::isOverdue(TimePoint now, Duration idleLimit) const
+bool ServerConnection::isOverdue(TimePoint now) const
 {
     if (m_isLingering)
         return now - m_lastByteAt > lingerTime;
@@ -133,8 +134,8 @@
     if (m_exchange && !isStuck)
         return false; // Its answer is awaited.
     if (!m_exchange && m_reader)
-        return now - m_lastByteAt > idleLimit || now - m_readingSince > 2 * idleLimit;
-    return now - m_lastByteAt > idleLimit;
+        return now - m_lastByteAt > m_idleLimit || now - m_readingSince > 2 * m_idleLimit;
+    return now - m_lastByteAt > m_idleLimit;
 }
 
 CloseReason ServerConnection::overdueReason() const
@@ -260,6 +261,7 @@
     m_isOldVersion = m_reader->isOldVersion();
     ServerRequest request = m_reader->takeRequest();
     m_reader.reset();
+    m_idleLimit = m_server.idleLimit();
     m_isHead = request.method == "HEAD";
     request.peerAddress = m_peerAddress;
     // The decoded path would end at a zero byte for whoever reads it as a C string: "/public%00/x" as "/public".
--- a/src/net/ServerConnection.h
+++ b/src/net/ServerConnection.h
@@ -4,6 +4,8 @@
 #include "net/HttpReader.h"
 #include "net/Loop.h"
 
+#include <algorithm>
+
 namespace sagechute::net {
 
 class LoopServer;
@@ -23,8 +25,12 @@
     ///         known without a system call; only a loop that lags asks again.
     bool isPeerThere() const;
 
+    /// @param idleLimit the server's limit at this time. A higher one applies at once, a lower one only from the next
+    ///        request on: callers reuse a connection within the time that was in force when they last used it.
+    void raiseIdleLimit(Duration idleLimit) { m_idleLimit = std::max(m_idleLimit, idleLimit); }
+
     /// Called a few times within the idle limit. @return whether the connection is to be closed for taking too long.
-    bool isOverdue(TimePoint now, Duration idleLimit) const;
+    bool isOverdue(TimePoint now) const;
 
     /// @return why an overdue connection is closed.
     CloseReason overdueReason() const;
@@ -66,6 +72,7 @@
     std::string m_ahead; ///< Read, and not yet taken: part of a line, or requests behind the one that is served.
     TimePoint m_readingSince;
     TimePoint m_lastByteAt;
+    Duration m_idleLimit; ///< In force since the last request.
     bool m_hasInvited = false; ///< The body was asked for by an interim answer.
 
     // The request that is served.
--- a/tests/NetTest.cpp
+++ b/tests/NetTest.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr const char* plainRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
 /// Echoes the body, whole or as a stream.
 void answerEitherWay(ServerExchange& exchange)
 {
@@ -363,6 +365,32 @@
     CHECK(closed == wanted);
 }
 
+// Guards against a connection that is closed sooner than its caller was promised when its idle time began.
+TEST_CASE("A lower idle timeout holds for a connection from its next request on, a higher one at once")
+{
+    auto options = loopback();
+    options.idleTimeout = std::chrono::seconds(3);
+    auto server = makeServer([](const ExchangePointer& exchange) { exchange->respond({}); }, options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.endReadingAfter(std::chrono::seconds(5));
+    const auto isAnswered = [&] {
+        caller.send(plainRequest);
+        return caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200 ");
+    };
+    REQUIRE(isAnswered());
+    server->setIdleTimeout(std::chrono::seconds(1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    REQUIRE(isAnswered());
+    server->setIdleTimeout(std::chrono::seconds(3));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    REQUIRE(isAnswered());
+    server->setIdleTimeout(std::chrono::seconds(1));
+    REQUIRE(isAnswered());
+    const TimePoint idleSince = steadyNow();
+    REQUIRE(caller.endsInOrder());
+    REQUIRE(steadyNow() - idleSince < std::chrono::milliseconds(2500));
+}
+
 TEST_CASE("A zero byte in a path doesn't hide the rest of it")
 {
     // Symptom: a rule for "/v1/secret%00x" is applied to "/v1/secret". Cause: the decoded path ends at its zero byte.
