Measure idle time from the end of an answer, not from the loop's last look at the kernel

A caller got an answer, and its connection was closed a moment later, under its next request.

Cause: the times of the last byte were those of the loop's last look at the kernel. The times are now taken when bytes are read or written.

The new case of NetTest failed before: the request 0.5 s after the answer got a closed connection, with an idle timeout of 1 s. It passes now.

--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -203,7 +203,7 @@
         lose();
         return;
     }
-    m_lastByteAt = m_server.loop().polledAt();
+    m_lastByteAt = steadyNow();
     if (m_isRefused) {
         discard(static_cast<std::size_t>(n));
         return;
@@ -439,7 +439,7 @@
             lose();
             return;
         }
-        m_lastByteAt = m_server.loop().polledAt();
+        m_lastByteAt = steadyNow();
         m_outStart += static_cast<std::size_t>(n);
     }
     m_out.clear();
@@ -461,7 +461,7 @@
         beginLinger();
         return;
     }
-    m_lastByteAt = m_server.loop().polledAt();
+    m_lastByteAt = steadyNow();
     setEvents(m_events | EPOLLIN);
     if (m_ahead.empty())
         return;
@@ -474,7 +474,7 @@
 {
     m_isRefused = true;
     m_isLingering = true;
-    m_lastByteAt = m_server.loop().polledAt();
+    m_lastByteAt = steadyNow();
     m_ahead = {};
     shutdown(m_fd.value(), SHUT_WR);
     setEvents(readEvents);
--- a/tests/NetTest.cpp
+++ b/tests/NetTest.cpp
@@ -428,6 +428,28 @@
     CHECK(answered == count);
 }
 
+// Guards against a connection that is closed right after an answer, as if it had been idle while the server was held
+// up.
+TEST_CASE("A connection is idle from the end of its answer on, also where the server was held up before")
+{
+    auto options = loopback();
+    options.idleTimeout = std::chrono::seconds(1);
+    options.threads = 1;
+    auto server = makeServer(
+        [](const ExchangePointer& exchange) {
+            if (exchange->request().path == "/hold")
+                std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+            exchange->respond({});
+        },
+        options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE_THAT(caller.readUntil("\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200 "));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    caller.send(plainRequest);
+    REQUIRE_THAT(caller.readUntil("\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200 "));
+}
+
 TEST_CASE("A zero byte in a path doesn't hide the rest of it")
 {
     // Symptom: a rule for "/v1/secret%00x" is applied to "/v1/secret". Cause: the decoded path ends at its zero byte.
