Let a caller pause in reading its answer for longer than its connection may be idle

A caller that stopped reading a begun answer for longer than the idle timeout got a part of it: 4.3 of 16.8 MB. A version of the configuration that lowers idleTimeoutMs shortened that time for answers that had begun under a longer one.

Cause: an answer whose bytes the caller does not take was ended after the idle timeout, which says how long a connection may be without a request.

The new case on pauses failed before for whole answers and streams: 4,253,120 and 4,261,671 of 16,777,216 bytes with a pause of 2.5 s and an idle timeout of 1 s; all bytes come now. The case on callers that read nothing had no limit to set before; it closes after the limit, with the reason and the request.

--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -136,7 +136,7 @@
 enum class CloseReason {
     Idle, ///< No byte of a request came within the idle timeout.
     SlowRequest, ///< A request began, and its end did not come in time.
-    SlowReader, ///< The caller read nothing of its answer within the idle timeout.
+    SlowReader, ///< The caller took nothing of its answer within ServerOptions::stalledAnswerTimeout.
     CallerEnded, ///< The caller closed or reset it, or ended its sending side.
     Aborted, ///< The handler broke its answer off.
     Answered, ///< An answer that closes the connection went out to its end.
@@ -161,6 +161,9 @@
     unsigned maxConnections = 4096;
     unsigned maxConnectionsPerAddress = 0; ///< 0: no bound of its own.
     std::chrono::seconds idleTimeout { 30 }; ///< Without a byte; a whole request may take twice as long to arrive.
+    /// Longest time in which a caller may take no byte of its answer. Not bound to idleTimeout, which says nothing
+    /// about how long an answer takes.
+    std::chrono::seconds stalledAnswerTimeout { 120 };
     std::size_t streamBufferBytes = 256 << 10;
     /// Called for each closed connection on a server thread; must not block. Empty: nobody is told.
     std::function<void(const ClosedConnection&)> onClose;
--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -130,10 +130,11 @@
 {
     if (m_isLingering)
         return now - m_lastByteAt > lingerTime;
-    const bool isStuck = m_outStart < m_out.size();
-    if (m_exchange && !isStuck)
+    if (isStuck())
+        return now - m_stalledSince > m_server.options().stalledAnswerTimeout;
+    if (m_exchange)
         return false; // Its answer is awaited.
-    if (!m_exchange && m_reader)
+    if (m_reader)
         return now - m_lastByteAt > m_idleLimit || now - m_readingSince > 2 * m_idleLimit;
     return now - m_lastByteAt > m_idleLimit;
 }
@@ -142,14 +143,14 @@
 {
     if (m_isClosed)
         return;
-    const bool isStuck = m_outStart < m_out.size();
-    if (isStuck) {
+    const bool wasStuck = isStuck();
+    if (wasStuck) {
         flush();
         schedule(); // More may have been queued while the caller didn't read.
     } else if (hasBytesInKernel()) {
         readSome(hasEnded(m_fd.value()));
     }
-    if (m_isClosed || !isOverdue(steadyNow()) || (!isStuck && hasBytesInKernel()))
+    if (m_isClosed || !isOverdue(steadyNow()) || (!wasStuck && hasBytesInKernel()))
         return;
     abandon(overdueReason());
 }
@@ -158,7 +159,7 @@
 {
     if (m_isLingering)
         return CloseReason::Answered;
-    if (m_outStart < m_out.size())
+    if (isStuck())
         return CloseReason::SlowReader;
     return m_reader ? CloseReason::SlowRequest : CloseReason::Idle;
 }
@@ -321,7 +322,7 @@
 void ServerConnection::writeAnswer()
 {
     // Bytes of a stream are taken when those before have left, so that a slow caller's queue stays with the writer.
-    if (m_outStart < m_out.size())
+    if (isStuck())
         return;
     if (!m_isWhole && !m_isStreaming && !beginAnswer())
         return;
@@ -368,12 +369,7 @@
 {
     const Exchange::StreamState state = m_exchange->takeQueued(m_piece);
     if (state == Exchange::StreamState::Aborted) {
-        if (!m_isChunked) {
-            // Without chunks the end of the connection is the end of the answer; only a reset looks broken.
-            const linger reset { 1, 0 };
-            setsockopt(m_fd.value(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-        }
-        close(CloseReason::Aborted);
+        breakOff();
         return false;
     }
     if (!m_piece.empty() && !m_isHead) {
@@ -393,6 +389,16 @@
     return true;
 }
 
+void ServerConnection::breakOff()
+{
+    if (!m_isChunked) {
+        // Without chunks the end of the connection is the end of the answer; only a reset looks broken.
+        const linger reset { 1, 0 };
+        setsockopt(m_fd.value(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    close(CloseReason::Aborted);
+}
+
 void ServerConnection::appendHead(const ServerResponse& response, bool isStream)
 {
     m_out += "HTTP/1.1 ";
@@ -432,6 +438,8 @@
         if (n < 0 && errno == EINTR)
             continue;
         if (n < 0 && errno == EAGAIN) {
+            if (!(m_events & EPOLLOUT))
+                m_stalledSince = steadyNow();
             setEvents(m_events | EPOLLOUT);
             return;
         }
@@ -439,7 +447,7 @@
             lose();
             return;
         }
-        m_lastByteAt = steadyNow();
+        m_stalledSince = steadyNow();
         m_outStart += static_cast<std::size_t>(n);
     }
     m_out.clear();
--- a/src/net/ServerConnection.h
+++ b/src/net/ServerConnection.h
@@ -55,7 +55,9 @@
     bool beginAnswer();
     bool fillStream();
     void appendHead(const ServerResponse&, bool isStream);
+    bool isStuck() const { return m_outStart < m_out.size(); }
     void flush();
+    void breakOff();
     void endAnswer();
     void beginLinger();
     void setEvents(std::uint32_t);
@@ -89,6 +91,7 @@
     bool m_isWhole = false; ///< All of the answer is in m_out.
     std::string m_out;
     std::size_t m_outStart = 0;
+    TimePoint m_stalledSince; ///< While the caller takes nothing of m_out.
     std::string m_piece; ///< Kept for its memory.
     bool m_isRefused = false; ///< What still comes is dropped: it can't be told where a request begins.
     bool m_isLingering = false; ///< All is said; the caller is waited for to close.
--- a/tests/NetFixtures.h
+++ b/tests/NetFixtures.h
@@ -6,6 +6,8 @@
 
 #include <sagechute/Net.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -150,6 +152,16 @@
 
     std::string readToEnd() { return readUntil(std::string_view("\0never\0", 7)); }
 
+    /// Reads up to the end of the connection. @return how often @p wanted came.
+    std::size_t countToEnd(char wanted)
+    {
+        std::array<char, 64 << 10> buf {};
+        std::size_t count = 0;
+        for (ssize_t n = 0; (n = recv(m_fd.value(), buf.data(), buf.size(), 0)) > 0;)
+            count += static_cast<std::size_t>(std::count(buf.begin(), buf.begin() + n, wanted));
+        return count;
+    }
+
     /// @return whether the connection ends by a reset; waits for its end.
     bool endsByReset() { return readPastAll() < 0 && errno == ECONNRESET; }
 
--- a/tests/NetTest.cpp
+++ b/tests/NetTest.cpp
@@ -450,6 +450,50 @@
     REQUIRE_THAT(caller.readUntil("\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200 "));
 }
 
+// Guards against answers that are cut because their caller pauses for longer than a connection may be idle.
+TEST_CASE("A caller that stops reading its answer for longer than the idle timeout gets all of it")
+{
+    const std::string body(16 << 20, 'x'); // More than the kernel takes.
+    const bool isStream = GENERATE(false, true);
+    auto options = loopback();
+    options.idleTimeout = std::chrono::seconds(1);
+    auto server = makeServer(
+        [&](const ExchangePointer& exchange) {
+            if (isStream) {
+                exchange->startStream(200, { { "Connection", "close" } });
+                exchange->write(body);
+                exchange->finish();
+            } else {
+                exchange->respond({ 200, { { "Connection", "close" } }, body });
+            }
+        },
+        options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.send(plainRequest);
+    REQUIRE_THAT(caller.readUntil("\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200 "));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    CHECK(caller.countToEnd('x') == body.size());
+}
+
+// Guards against connections that are held for good by callers that don't read their answers.
+TEST_CASE("A caller that reads nothing of its answer loses its connection in the end")
+{
+    Promised<std::pair<CloseReason, std::string>> closed;
+    auto options = loopback();
+    options.stalledAnswerTimeout = std::chrono::seconds(1);
+    options.onClose = [&](const ClosedConnection& it) {
+        closed.set({ it.reason, it.unanswered ? it.unanswered->path : "" });
+    };
+    auto server = makeServer(
+        [](const ExchangePointer& exchange) {
+            exchange->respond({ 200, {}, std::string(16 << 20, 'x') });
+        },
+        options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.send("GET /unread HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(closed.wait() == std::pair(CloseReason::SlowReader, std::string("/unread")));
+}
+
 TEST_CASE("A zero byte in a path doesn't hide the rest of it")
 {
     // Symptom: a rule for "/v1/secret%00x" is applied to "/v1/secret". Cause: the decoded path ends at its zero byte.
