End a broken-off answer at once, also if its caller reads nothing

When the time of a begun answer had passed and its caller was not reading, the connection stayed open until the limit on such callers: the server looked at the answer again only once the caller had taken what it already had.

An answer that its handler has broken off now closes the connection at once, unless all of it is on its way. What was queued behind an abort was dropped before, too.

It is closed within a second now.

--- a/src/net/Exchange.cpp
+++ b/src/net/Exchange.cpp
@@ -180,6 +180,12 @@
     return state;
 }
 
+bool Exchange::isAborted()
+{
+    std::lock_guard lock(m_mutex);
+    return m_phase == Phase::Aborted;
+}
+
 void Exchange::callerGone()
 {
     std::vector<std::function<void()>> listeners;
--- a/src/net/Exchange.h
+++ b/src/net/Exchange.h
@@ -52,6 +52,9 @@
     /// dropped.
     StreamState takeQueued(std::string& bytes);
 
+    /// @return whether the answer was broken off, and what is left of it is not to be sent.
+    bool isAborted();
+
     /// The caller has gone, or the server stops: nothing more will be sent.
     void callerGone();
 
--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -322,8 +322,11 @@
 void ServerConnection::writeAnswer()
 {
     // Bytes of a stream are taken when those before have left, so that a slow caller's queue stays with the writer.
-    if (isStuck())
+    if (isStuck()) {
+        if (!m_isWhole && m_exchange->isAborted())
+            breakOff();
         return;
+    }
     if (!m_isWhole && !m_isStreaming && !beginAnswer())
         return;
     if (m_isStreaming && !m_isWhole && !fillStream())
--- a/tests/NetTest.cpp
+++ b/tests/NetTest.cpp
@@ -494,6 +494,31 @@
     CHECK(closed.wait() == std::pair(CloseReason::SlowReader, std::string("/unread")));
 }
 
+// Guards against an answer whose time has passed and that still holds its connection because its caller doesn't read.
+TEST_CASE("An answer that is broken off ends at once, also if its caller doesn't read")
+{
+    Promised<CloseReason> closed;
+    auto options = loopback();
+    options.onClose = [&](const ClosedConnection& it) { closed.set(it.reason); };
+    Promised<ExchangePointer> arrived;
+    auto server = makeServer(
+        [&](const ExchangePointer& exchange) {
+            exchange->startStream(200, {});
+            exchange->write(std::string(16 << 20, 'x'));
+            arrived.set(exchange);
+        },
+        options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.send(plainRequest);
+    const ExchangePointer exchange = arrived.wait();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const TimePoint begin = steadyNow();
+    exchange->abort();
+    CHECK(closed.wait() == CloseReason::Aborted);
+    CHECK(steadyNow() - begin < std::chrono::seconds(1));
+    CHECK(caller.countToEnd('x') < 16U << 20);
+}
+
 TEST_CASE("A zero byte in a path doesn't hide the rest of it")
 {
     // Symptom: a rule for "/v1/secret%00x" is applied to "/v1/secret". Cause: the decoded path ends at its zero byte.
