Serve the callers that have connected before a server stops listening

Callers of a router that stops lost requests that they had sent in time: their connections were reset before the router had taken them.

Cause: stopListening() shut the listening socket down first, and the kernel resets what waits there. On a loop that lags, a whole request may have waited for longer than lostMs by then. What waits is now taken before, on the loop; only a connection that completes between the last look and the shutdown, microseconds later, is still reset.

The new case of NetTest failed before: with one thread 0 of 100 callers that connected while the loop was held up for 0.5 s were answered; with two the other one took them. All are answered now, and new ones are still refused.

--- a/src/net/ListenSocket.cpp
+++ b/src/net/ListenSocket.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-    constexpr int backlog = 1024;
     constexpr int keepAliveIntervalSeconds = 5;
     constexpr int keepAliveProbes = 3;
 
@@ -54,7 +53,7 @@
     setOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
     setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
     probeSilentConnections(fd, silenceLimit);
-    if (bind(fd, address->data(), address->size()) || listen(fd, backlog))
+    if (bind(fd, address->data(), address->size()) || listen(fd, ListenSocket::backlog))
         return listenError(endpoint, errno);
 
     sockaddr_storage bound = {};
--- a/src/net/ListenSocket.h
+++ b/src/net/ListenSocket.h
@@ -8,6 +8,8 @@
 
 /// A bound, listening, non-blocking socket and the endpoint that it really has.
 struct ListenSocket {
+    static constexpr int backlog = 1024; ///< Connections that the kernel keeps until they are taken.
+
     FileDescriptor fd;
     Endpoint endpoint;
 
--- a/src/net/LoopServer.cpp
+++ b/src/net/LoopServer.cpp
@@ -46,7 +46,11 @@
         {
             // The kernel refuses new connections from here on; otherwise it would go on to complete handshakes, and
             // those callers would wait in vain for an answer.
-            shutdown(m_listener.fd.value(), SHUT_RD);
+            // It resets those that wait to be taken, so they are taken before.
+            m_parts.front()->loop().postAndWait([&] {
+                m_parts.front()->acceptWaiting();
+                shutdown(m_listener.fd.value(), SHUT_RD);
+            });
             for (const auto& part : m_parts)
                 part->loop().postAndWait([&] { part->stopListening(); });
             m_listener.fd = FileDescriptor();
@@ -110,6 +114,11 @@
         it->abandon(CloseReason::Stopped);
 }
 
+void LoopServer::acceptWaiting()
+{
+    for (int i = 0; i < ListenSocket::backlog && m_listener >= 0 && !m_isPaused && acceptOne(); ++i) { }
+}
+
 void LoopServer::stopListening()
 {
     m_loop.cancel(m_pauseTimer);
--- a/src/net/LoopServer.h
+++ b/src/net/LoopServer.h
@@ -31,6 +31,9 @@
     Duration idleLimit() const { return std::chrono::seconds(m_share->idleSeconds); }
 
     void handle(const std::shared_ptr<Exchange>&);
+
+    /// Takes the connections that wait in the kernel.
+    void acceptWaiting();
     void stopListening();
 
     /// The connection has closed itself.
--- a/tests/NetTest.cpp
+++ b/tests/NetTest.cpp
@@ -286,6 +286,37 @@
     REQUIRE(client->perform(request).result.end == TransferEnd::NothingSent);
 }
 
+// Guards against requests that are lost with connections which the kernel had taken and the server had not.
+TEST_CASE("A server that stops listening serves the callers that have connected before")
+{
+    auto options = loopback();
+    options.threads = GENERATE(1U, 2U);
+    Latch isHeldUp;
+    auto server = makeServer(
+        [&](const ExchangePointer& exchange) {
+            if (exchange->request().path == "/hold") {
+                isHeldUp.set(true);
+                std::this_thread::sleep_for(std::chrono::milliseconds(500));
+            }
+            exchange->respond({});
+        },
+        options);
+    auto holding = RawConnection::connectTo(server->endpoint());
+    holding.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    isHeldUp.wait();
+    std::vector<RawConnection> callers;
+    for (int i = 0; i < 100; ++i) {
+        callers.push_back(RawConnection::connectTo(server->endpoint()));
+        callers.back().send(plainRequest);
+    }
+    server->stopListening();
+    std::size_t answered = 0;
+    for (RawConnection& it : callers)
+        answered += it.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200 ") ? 1 : 0;
+    CHECK(answered == callers.size());
+    CHECK_THROWS(RawConnection::connectTo(server->endpoint()));
+}
+
 TEST_CASE("One address may be held to a number of connections")
 {
     auto options = loopback();
