--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -3,6 +3,7 @@
 Run by ctest with the build directory as the only argument.
 """
 
+import http.client
 import os
 import signal
 import sys
@@ -11,7 +12,7 @@
 import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
-from platform_fleet import Fleet, KEY, call, events_of  # noqa: E402
+from platform_fleet import Fleet, HOST, KEY, call, events_of  # noqa: E402
 
 BUILD = "build"
 ALL_EVENTS = list(range(1, 11))
@@ -61,6 +62,25 @@
         self.assertEqual(self.fleet.send("/nowhere/x", fresh())[0], 404)
         self.assertEqual(self.fleet.send("/posts/x", fresh(), body="x" * 70000)[0], 413)
 
+    def test_an_idle_connection_outlives_a_lower_idle_timeout(self):
+        """Guards against a new version that closes idle connections sooner than their callers were promised."""
+        connection = http.client.HTTPConnection(self.fleet.routers[0]["front"], timeout=5)
+        self.addCleanup(connection.close)
+
+        def send():
+            connection.request("GET", "/reads/x", headers={
+                "Host": HOST, "X-Sagechute-Attempt-Id": fresh(), "X-Sagechute-Deadline-Ms": "3000", "Api-Key": KEY})
+            answer = connection.getresponse()
+            answer.read()
+            return answer.status
+
+        self.assertEqual(send(), 200)
+        socket_of_first = connection.sock
+        self.fleet.configure(idle_timeout_ms=500)
+        time.sleep(5)
+        self.assertEqual(send(), 200)
+        self.assertIs(connection.sock, socket_of_first)
+
     def test_a_request_with_two_lengths_is_refused_and_runs_nowhere(self):
         """Symptom: a request that nobody sent runs. A body that one server ends earlier than the next holds a second
         request; the first server takes the announced length, the second the chunks."""
