Send answers to their ends before a planned stop

A caller that read its answer slowly got a part of it when its router was stopped: 2,807,639 of 3,500,055 bytes with a pause of 2.7 s and a grace of 4 s.

Cause: the stop waited for requests whose flow was active. The flow ends when the answer has been handed to the server; what the caller has not made room for then was gone with the process 0.7 s later, though there was grace left. The server now counts requests whose answers have not left, and the stop waits for those too, up to the same end of the grace as before.

The new case of the path test (a post whose 3.5 MB come back, SIGTERM after the answer's head) failed before with the figures above and passes now. Answers that fit into the socket's buffers, as those of the deployments do, were not hit.

--- a/apps/sagechute-edge/Housekeeping.cpp
+++ b/apps/sagechute-edge/Housekeeping.cpp
@@ -118,7 +118,8 @@
         timers.runDue(now);
         crashMonitor.tick(now);
         fleet.tick(now);
-        if (state.activeRequests > 0)
+        // An answer that is complete may still wait for its caller to read.
+        if (state.activeRequests > 0 || listeners.openCallerRequests() > 0)
             idleSince = now;
         if (isAccepting && now - begin >= times.stopAccepting) {
             state.isRejectingRequests = true;
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -27,6 +27,9 @@
     /// Refuses callers' new connections; open ones continue.
     void stopListeningForCallers() { m_callers->stopListening(); }
 
+    /// @return callers' requests whose answers have not left the process to their ends.
+    std::size_t openCallerRequests() const { return m_callers->openRequests(); }
+
     /// Applies the current configuration's idle timeout, and updates the overload measurement and the readiness. Call
     /// it a few times a second.
     void updateLimits();
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -192,6 +192,9 @@
 
     virtual Endpoint endpoint() const = 0;
     virtual std::size_t openConnections() const = 0;
+
+    /// @return requests whose answers have not left the process to their ends, whether or not they are complete.
+    virtual std::size_t openRequests() const = 0;
 };
 
 /// How a transfer ended.
--- a/src/net/LoopServer.cpp
+++ b/src/net/LoopServer.cpp
@@ -59,6 +59,7 @@
         void setIdleTimeout(std::chrono::seconds timeout) override { m_share->idleSeconds = timeout.count(); }
         Endpoint endpoint() const override { return m_listener.endpoint; }
         std::size_t openConnections() const override { return m_share->openConnections; }
+        std::size_t openRequests() const override { return m_share->openRequests; }
 
     private:
         const std::vector<std::unique_ptr<Loop>> m_ownLoops;
@@ -129,6 +130,7 @@
 
 void LoopServer::handle(const std::shared_ptr<Exchange>& exchange)
 {
+    ++m_share->openRequests;
     // An exception that ended the loop would end every other request with this one.
     try {
         m_share->handler(exchange);
--- a/src/net/LoopServer.h
+++ b/src/net/LoopServer.h
@@ -13,6 +13,7 @@
     ServerOptions options;
     HttpServer::Handler handler;
     std::atomic<std::size_t> openConnections { 0 };
+    std::atomic<std::size_t> openRequests { 0 };
     std::atomic<std::int64_t> idleSeconds { 0 };
 
     std::mutex mutex;
@@ -36,6 +37,9 @@
     void acceptWaiting();
     void stopListening();
 
+    /// The connection is done with a request that it gave to handle().
+    void finished() { --m_share->openRequests; }
+
     /// The connection has closed itself.
     void closed(ServerConnection&);
 
--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -467,6 +467,7 @@
     if (m_exchange) {
         m_exchange->detach(true);
         m_exchange.reset();
+        m_server.finished();
     }
     if (!m_keepsConnection) {
         beginLinger();
@@ -518,6 +519,7 @@
     if (m_exchange) {
         const auto exchange = std::move(m_exchange);
         exchange->detach(false);
+        m_server.finished();
     }
     m_server.loop().unwatch(m_fd.value());
     m_fd = FileDescriptor();
--- a/tests/NetTest.cpp
+++ b/tests/NetTest.cpp
@@ -317,6 +317,26 @@
     CHECK_THROWS(RawConnection::connectTo(server->endpoint()));
 }
 
+TEST_CASE("A server counts requests whose answers have not left")
+{
+    Promised<ExchangePointer> arrived;
+    auto server = makeServer([&](const ExchangePointer& exchange) { arrived.set(exchange); });
+    auto caller = RawConnection::connectTo(server->endpoint());
+    const bool leaves = GENERATE(false, true);
+    caller.send(plainRequest);
+    const ExchangePointer exchange = arrived.wait();
+    CHECK(server->openRequests() == 1);
+    if (leaves) {
+        caller.endSending();
+    } else {
+        exchange->respond({ 200, { { "Connection", "close" } }, std::string(16 << 20, 'x') });
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        CHECK(server->openRequests() == 1);
+        CHECK(caller.countToEnd('x') == 16U << 20);
+    }
+    waitUntil([&] { return server->openRequests() == 0; });
+}
+
 TEST_CASE("One address may be held to a number of connections")
 {
     auto options = loopback();
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -6,6 +6,7 @@
 import http.client
 import os
 import signal
+import socket
 import sys
 import time
 import unittest
@@ -81,10 +82,30 @@
         self.assertEqual(send(), 200)
         self.assertIs(connection.sock, socket_of_first)
 
+    def test_a_stopping_router_sends_an_answer_to_its_end(self):
+        """Guards against answers that are cut by a planned stop because their callers read them slowly."""
+        self.fleet.configure(max_body_bytes=8_000_000)
+        sent = "x" * 3_500_000  # Comes back in the answer, and is more than the kernel takes.
+        router = self.fleet.routers[0]
+        time.sleep(1)
+        connection = http.client.HTTPConnection(router["front"])
+        connection.sock = socket.socket()
+        self.addCleanup(connection.close)
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.sock.settimeout(5)
+        connection.sock.connect((connection.host, connection.port))
+        connection.request("POST", "/posts/x", body=sent, headers={
+            "Host": HOST, "X-Sagechute-Attempt-Id": fresh(), "X-Sagechute-Deadline-Ms": "3000", "Api-Key": KEY})
+        answer = connection.getresponse()
+        self.assertEqual(answer.status, 200)
+        router["process"].send(signal.SIGTERM)
+        time.sleep(2.7)
+        self.assertIn(sent.encode(), answer.read())
+        self.assertEqual(router["process"].wait(), 0)
+
     def test_a_request_with_two_lengths_is_refused_and_runs_nowhere(self):
         """Symptom: a request that nobody sent runs. A body that one server ends earlier than the next holds a second
         request; the first server takes the announced length, the second the chunks."""
-        import socket
         inner = fresh()
         smuggled = f"POST /posts/x HTTP/1.1\r\nHost: callers.example\r\nX-Sagechute-Attempt-Id: {inner}\r\n\r\n"
         request = (f"POST /posts/x HTTP/1.1\r\nHost: callers.example\r\nX-Sagechute-Attempt-Id: {fresh()}\r\n"
