--- a/src/net/LoopServer.cpp
+++ b/src/net/LoopServer.cpp
@@ -46,7 +46,11 @@
         {
             // The kernel refuses new connections from here on; otherwise it would go on to complete handshakes, and
             // those callers would wait in vain for an answer.
-            shutdown(m_listener.fd.value(), SHUT_RD);
+            // It resets those that wait to be taken, so they are taken before.
+            m_parts.front()->loop().postAndWait([&] {
+                m_parts.front()->acceptWaiting();
+                shutdown(m_listener.fd.value(), SHUT_RD);
+            });
             for (const auto& part : m_parts)
                 part->loop().postAndWait([&] { part->stopListening(); });
             m_listener.fd = FileDescriptor();
@@ -55,6 +59,7 @@
         void setIdleTimeout(std::chrono::seconds timeout) override { m_share->idleSeconds = timeout.count(); }
         Endpoint endpoint() const override { return m_listener.endpoint; }
         std::size_t openConnections() const override { return m_share->openConnections; }
+        std::size_t openRequests() const override { return m_share->openRequests; }
 
     private:
         const std::vector<std::unique_ptr<Loop>> m_ownLoops;
@@ -110,6 +115,11 @@
         it->abandon(CloseReason::Stopped);
 }
 
+void LoopServer::acceptWaiting()
+{
+    for (int i = 0; i < ListenSocket::backlog && m_listener >= 0 && !m_isPaused && acceptOne(); ++i) { }
+}
+
 void LoopServer::stopListening()
 {
     m_loop.cancel(m_pauseTimer);
@@ -120,6 +130,7 @@
 
 void LoopServer::handle(const std::shared_ptr<Exchange>& exchange)
 {
+    ++m_share->openRequests;
     // An exception that ended the loop would end every other request with this one.
     try {
         m_share->handler(exchange);
@@ -202,21 +213,22 @@
 
 void LoopServer::armSweep()
 {
-    const Duration idle = std::chrono::seconds(m_share->idleSeconds);
-    m_sweepTimer = m_loop.callAt(steadyNow() + std::min(longestSweep, idle / sweepsPerIdle), [this] { sweep(); });
+    m_sweepTimer
+        = m_loop.callAt(steadyNow() + std::min(longestSweep, idleLimit() / sweepsPerIdle), [this] { sweep(); });
 }
 
 void LoopServer::sweep()
 {
     const TimePoint now = steadyNow();
-    const Duration idle = std::chrono::seconds(m_share->idleSeconds);
+    const Duration idle = idleLimit();
     std::vector<ServerConnection*> overdue;
     for (const auto& [connection, owner] : m_connections) {
-        if (connection->isOverdue(now, idle))
+        connection->raiseIdleLimit(idle);
+        if (connection->isOverdue(now))
             overdue.push_back(connection);
     }
     for (ServerConnection* it : overdue)
-        it->abandon(it->overdueReason());
+        it->closeOverdue();
     armSweep();
 }
 
--- a/src/net/LoopServer.h
+++ b/src/net/LoopServer.h
@@ -13,6 +13,7 @@
     ServerOptions options;
     HttpServer::Handler handler;
     std::atomic<std::size_t> openConnections { 0 };
+    std::atomic<std::size_t> openRequests { 0 };
     std::atomic<std::int64_t> idleSeconds { 0 };
 
     std::mutex mutex;
@@ -28,10 +29,17 @@
 
     Loop& loop() const { return m_loop; }
     const ServerOptions& options() const { return m_share->options; }
+    Duration idleLimit() const { return std::chrono::seconds(m_share->idleSeconds); }
 
     void handle(const std::shared_ptr<Exchange>&);
+
+    /// Takes the connections that wait in the kernel.
+    void acceptWaiting();
     void stopListening();
 
+    /// The connection is done with a request that it gave to handle().
+    void finished() { --m_share->openRequests; }
+
     /// The connection has closed itself.
     void closed(ServerConnection&);
 
--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -109,6 +109,7 @@
     , m_peerAddress(std::move(peerAddress))
     , m_readingSince(steadyNow())
     , m_lastByteAt(m_readingSince)
+    , m_idleLimit(server.idleLimit())
 {
     m_events = readEvents;
     m_server.loop().watch(m_fd.value(), m_events, *this);
@@ -125,23 +126,40 @@
     return steadyNow() - m_server.loop().polledAt() < staleAfter || !hasEnded(m_fd.value());
 }
 
-bool ServerConnection::isOverdue(TimePoint now, Duration idleLimit) const
+bool ServerConnection::isOverdue(TimePoint now) const
 {
     if (m_isLingering)
         return now - m_lastByteAt > lingerTime;
-    const bool isStuck = m_outStart < m_out.size();
-    if (m_exchange && !isStuck)
+    if (isStuck())
+        return now - m_stalledSince > m_server.options().stalledAnswerTimeout;
+    if (m_exchange)
         return false; // Its answer is awaited.
-    if (!m_exchange && m_reader)
-        return now - m_lastByteAt > idleLimit || now - m_readingSince > 2 * idleLimit;
-    return now - m_lastByteAt > idleLimit;
+    if (m_reader)
+        return now - m_lastByteAt > m_idleLimit || now - m_readingSince > 2 * m_idleLimit;
+    return now - m_lastByteAt > m_idleLimit;
+}
+
+void ServerConnection::closeOverdue()
+{
+    if (m_isClosed)
+        return;
+    const bool wasStuck = isStuck();
+    if (wasStuck) {
+        flush();
+        schedule(); // More may have been queued while the caller didn't read.
+    } else if (hasBytesInKernel()) {
+        readSome(hasEnded(m_fd.value()));
+    }
+    if (m_isClosed || !isOverdue(steadyNow()) || (!wasStuck && hasBytesInKernel()))
+        return;
+    abandon(overdueReason());
 }
 
 CloseReason ServerConnection::overdueReason() const
 {
     if (m_isLingering)
         return CloseReason::Answered;
-    if (m_outStart < m_out.size())
+    if (isStuck())
         return CloseReason::SlowReader;
     return m_reader ? CloseReason::SlowRequest : CloseReason::Idle;
 }
@@ -186,7 +204,7 @@
         lose();
         return;
     }
-    m_lastByteAt = m_server.loop().polledAt();
+    m_lastByteAt = steadyNow();
     if (m_isRefused) {
         discard(static_cast<std::size_t>(n));
         return;
@@ -260,6 +278,7 @@
     m_isOldVersion = m_reader->isOldVersion();
     ServerRequest request = m_reader->takeRequest();
     m_reader.reset();
+    m_idleLimit = m_server.idleLimit();
     m_isHead = request.method == "HEAD";
     request.peerAddress = m_peerAddress;
     // The decoded path would end at a zero byte for whoever reads it as a C string: "/public%00/x" as "/public".
@@ -303,8 +322,11 @@
 void ServerConnection::writeAnswer()
 {
     // Bytes of a stream are taken when those before have left, so that a slow caller's queue stays with the writer.
-    if (m_outStart < m_out.size())
+    if (isStuck()) {
+        if (!m_isWhole && m_exchange->isAborted())
+            breakOff();
         return;
+    }
     if (!m_isWhole && !m_isStreaming && !beginAnswer())
         return;
     if (m_isStreaming && !m_isWhole && !fillStream())
@@ -350,12 +372,7 @@
 {
     const Exchange::StreamState state = m_exchange->takeQueued(m_piece);
     if (state == Exchange::StreamState::Aborted) {
-        if (!m_isChunked) {
-            // Without chunks the end of the connection is the end of the answer; only a reset looks broken.
-            const linger reset { 1, 0 };
-            setsockopt(m_fd.value(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-        }
-        close(CloseReason::Aborted);
+        breakOff();
         return false;
     }
     if (!m_piece.empty() && !m_isHead) {
@@ -375,6 +392,16 @@
     return true;
 }
 
+void ServerConnection::breakOff()
+{
+    if (!m_isChunked) {
+        // Without chunks the end of the connection is the end of the answer; only a reset looks broken.
+        const linger reset { 1, 0 };
+        setsockopt(m_fd.value(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    close(CloseReason::Aborted);
+}
+
 void ServerConnection::appendHead(const ServerResponse& response, bool isStream)
 {
     m_out += "HTTP/1.1 ";
@@ -414,6 +441,8 @@
         if (n < 0 && errno == EINTR)
             continue;
         if (n < 0 && errno == EAGAIN) {
+            if (!(m_events & EPOLLOUT))
+                m_stalledSince = steadyNow();
             setEvents(m_events | EPOLLOUT);
             return;
         }
@@ -421,7 +450,7 @@
             lose();
             return;
         }
-        m_lastByteAt = m_server.loop().polledAt();
+        m_stalledSince = steadyNow();
         m_outStart += static_cast<std::size_t>(n);
     }
     m_out.clear();
@@ -438,12 +467,13 @@
     if (m_exchange) {
         m_exchange->detach(true);
         m_exchange.reset();
+        m_server.finished();
     }
     if (!m_keepsConnection) {
         beginLinger();
         return;
     }
-    m_lastByteAt = m_server.loop().polledAt();
+    m_lastByteAt = steadyNow();
     setEvents(m_events | EPOLLIN);
     if (m_ahead.empty())
         return;
@@ -456,7 +486,7 @@
 {
     m_isRefused = true;
     m_isLingering = true;
-    m_lastByteAt = m_server.loop().polledAt();
+    m_lastByteAt = steadyNow();
     m_ahead = {};
     shutdown(m_fd.value(), SHUT_WR);
     setEvents(readEvents);
@@ -472,10 +502,10 @@
 
 void ServerConnection::lose() { abandon(CloseReason::CallerEnded); }
 
-bool ServerConnection::hasUnreadBytes() const
+bool ServerConnection::hasBytesInKernel() const
 {
     int n = 0;
-    return !m_ahead.empty() || (ioctl(m_fd.value(), FIONREAD, &n) == 0 && n > 0);
+    return ioctl(m_fd.value(), FIONREAD, &n) == 0 && n > 0;
 }
 
 void ServerConnection::close(CloseReason reason)
@@ -484,10 +514,12 @@
         return;
     m_isClosed = true;
     if (const auto& onClose = m_server.options().onClose)
-        onClose({ reason, m_exchange ? &m_exchange->request() : nullptr, !m_isRefused && hasUnreadBytes() });
+        onClose({ reason, m_exchange ? &m_exchange->request() : nullptr,
+            !m_isRefused && (!m_ahead.empty() || hasBytesInKernel()) });
     if (m_exchange) {
         const auto exchange = std::move(m_exchange);
         exchange->detach(false);
+        m_server.finished();
     }
     m_server.loop().unwatch(m_fd.value());
     m_fd = FileDescriptor();
--- a/src/net/ServerConnection.h
+++ b/src/net/ServerConnection.h
@@ -4,6 +4,8 @@
 #include "net/HttpReader.h"
 #include "net/Loop.h"
 
+#include <algorithm>
+
 namespace sagechute::net {
 
 class LoopServer;
@@ -23,11 +25,16 @@
     ///         known without a system call; only a loop that lags asks again.
     bool isPeerThere() const;
 
+    /// @param idleLimit the server's limit at this time. A higher one applies at once, a lower one only from the next
+    ///        request on: callers reuse a connection within the time that was in force when they last used it.
+    void raiseIdleLimit(Duration idleLimit) { m_idleLimit = std::max(m_idleLimit, idleLimit); }
+
     /// Called a few times within the idle limit. @return whether the connection is to be closed for taking too long.
-    bool isOverdue(TimePoint now, Duration idleLimit) const;
+    bool isOverdue(TimePoint now) const;
 
-    /// @return why an overdue connection is closed.
-    CloseReason overdueReason() const;
+    /// Closes the connection if it is still overdue once what the kernel has ready for it has been read or written: a
+    /// server that was held up hasn't been told of that yet.
+    void closeOverdue();
 
     /// Closes the connection and tells whoever waits for the exchange.
     void abandon(CloseReason);
@@ -48,13 +55,16 @@
     bool beginAnswer();
     bool fillStream();
     void appendHead(const ServerResponse&, bool isStream);
+    bool isStuck() const { return m_outStart < m_out.size(); }
     void flush();
+    void breakOff();
     void endAnswer();
     void beginLinger();
     void setEvents(std::uint32_t);
+    CloseReason overdueReason() const;
     void lose();
     void close(CloseReason);
-    bool hasUnreadBytes() const;
+    bool hasBytesInKernel() const;
 
     LoopServer& m_server;
     FileDescriptor m_fd;
@@ -66,6 +76,7 @@
     std::string m_ahead; ///< Read, and not yet taken: part of a line, or requests behind the one that is served.
     TimePoint m_readingSince;
     TimePoint m_lastByteAt;
+    Duration m_idleLimit; ///< In force since the last request.
     bool m_hasInvited = false; ///< The body was asked for by an interim answer.
 
     // The request that is served.
@@ -80,6 +91,7 @@
     bool m_isWhole = false; ///< All of the answer is in m_out.
     std::string m_out;
     std::size_t m_outStart = 0;
+    TimePoint m_stalledSince; ///< While the caller takes nothing of m_out.
     std::string m_piece; ///< Kept for its memory.
     bool m_isRefused = false; ///< What still comes is dropped: it can't be told where a request begins.
     bool m_isLingering = false; ///< All is said; the caller is waited for to close.
--- a/tests/NetTest.cpp
+++ b/tests/NetTest.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr const char* plainRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
 /// Echoes the body, whole or as a stream.
 void answerEitherWay(ServerExchange& exchange)
 {
@@ -284,6 +286,57 @@
     REQUIRE(client->perform(request).result.end == TransferEnd::NothingSent);
 }
 
+// Guards against requests that are lost with connections which the kernel had taken and the server had not.
+TEST_CASE("A server that stops listening serves the callers that have connected before")
+{
+    auto options = loopback();
+    options.threads = GENERATE(1U, 2U);
+    Latch isHeldUp;
+    auto server = makeServer(
+        [&](const ExchangePointer& exchange) {
+            if (exchange->request().path == "/hold") {
+                isHeldUp.set(true);
+                std::this_thread::sleep_for(std::chrono::milliseconds(500));
+            }
+            exchange->respond({});
+        },
+        options);
+    auto holding = RawConnection::connectTo(server->endpoint());
+    holding.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    isHeldUp.wait();
+    std::vector<RawConnection> callers;
+    for (int i = 0; i < 100; ++i) {
+        callers.push_back(RawConnection::connectTo(server->endpoint()));
+        callers.back().send(plainRequest);
+    }
+    server->stopListening();
+    std::size_t answered = 0;
+    for (RawConnection& it : callers)
+        answered += it.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200 ") ? 1 : 0;
+    CHECK(answered == callers.size());
+    CHECK_THROWS(RawConnection::connectTo(server->endpoint()));
+}
+
+TEST_CASE("A server counts requests whose answers have not left")
+{
+    Promised<ExchangePointer> arrived;
+    auto server = makeServer([&](const ExchangePointer& exchange) { arrived.set(exchange); });
+    auto caller = RawConnection::connectTo(server->endpoint());
+    const bool leaves = GENERATE(false, true);
+    caller.send(plainRequest);
+    const ExchangePointer exchange = arrived.wait();
+    CHECK(server->openRequests() == 1);
+    if (leaves) {
+        caller.endSending();
+    } else {
+        exchange->respond({ 200, { { "Connection", "close" } }, std::string(16 << 20, 'x') });
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        CHECK(server->openRequests() == 1);
+        CHECK(caller.countToEnd('x') == 16U << 20);
+    }
+    waitUntil([&] { return server->openRequests() == 0; });
+}
+
 TEST_CASE("One address may be held to a number of connections")
 {
     auto options = loopback();
@@ -363,6 +416,160 @@
     CHECK(closed == wanted);
 }
 
+// Guards against a connection that is closed sooner than its caller was promised when its idle time began.
+TEST_CASE("A lower idle timeout holds for a connection from its next request on, a higher one at once")
+{
+    auto options = loopback();
+    options.idleTimeout = std::chrono::seconds(3);
+    auto server = makeServer([](const ExchangePointer& exchange) { exchange->respond({}); }, options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.endReadingAfter(std::chrono::seconds(5));
+    const auto isAnswered = [&] {
+        caller.send(plainRequest);
+        return caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200 ");
+    };
+    REQUIRE(isAnswered());
+    server->setIdleTimeout(std::chrono::seconds(1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    REQUIRE(isAnswered());
+    server->setIdleTimeout(std::chrono::seconds(3));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    REQUIRE(isAnswered());
+    server->setIdleTimeout(std::chrono::seconds(1));
+    REQUIRE(isAnswered());
+    const TimePoint idleSince = steadyNow();
+    REQUIRE(caller.endsInOrder());
+    REQUIRE(steadyNow() - idleSince < std::chrono::milliseconds(2500));
+}
+
+// Guards against requests that are lost with their connection when a server that was held up has not read them yet.
+TEST_CASE("A server that was held up reads what has come before it closes a connection as idle")
+{
+    constexpr std::size_t count = 200; // More than the loop takes from the kernel at once.
+    const std::string_view request = plainRequest;
+    const auto sentBefore = GENERATE_COPY(std::size_t { 0 }, request.size() - 2);
+    auto options = loopback();
+    options.idleTimeout = std::chrono::seconds(1);
+    options.threads = 1;
+    Latch isHeldUp;
+    auto server = makeServer(
+        [&](const ExchangePointer& exchange) {
+            if (exchange->request().path == "/hold") {
+                isHeldUp.set(true);
+                std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+            }
+            exchange->respond({});
+        },
+        options);
+    std::vector<RawConnection> callers;
+    for (std::size_t i = 0; i < count; ++i)
+        callers.push_back(RawConnection::connectTo(server->endpoint()));
+    auto holding = RawConnection::connectTo(server->endpoint());
+    waitUntil([&] { return server->openConnections() == count + 1; });
+    for (RawConnection& it : callers)
+        it.send(request.substr(0, sentBefore));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    holding.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    isHeldUp.wait();
+    for (RawConnection& it : callers)
+        it.send(request.substr(sentBefore));
+    std::size_t answered = 0;
+    for (RawConnection& it : callers)
+        answered += it.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200 ") ? 1 : 0;
+    CHECK(answered == count);
+}
+
+// Guards against a connection that is closed right after an answer, as if it had been idle while the server was held
+// up.
+TEST_CASE("A connection is idle from the end of its answer on, also where the server was held up before")
+{
+    auto options = loopback();
+    options.idleTimeout = std::chrono::seconds(1);
+    options.threads = 1;
+    auto server = makeServer(
+        [](const ExchangePointer& exchange) {
+            if (exchange->request().path == "/hold")
+                std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+            exchange->respond({});
+        },
+        options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE_THAT(caller.readUntil("\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200 "));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    caller.send(plainRequest);
+    REQUIRE_THAT(caller.readUntil("\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200 "));
+}
+
+// Guards against answers that are cut because their caller pauses for longer than a connection may be idle.
+TEST_CASE("A caller that stops reading its answer for longer than the idle timeout gets all of it")
+{
+    const std::string body(16 << 20, 'x'); // More than the kernel takes.
+    const bool isStream = GENERATE(false, true);
+    auto options = loopback();
+    options.idleTimeout = std::chrono::seconds(1);
+    auto server = makeServer(
+        [&](const ExchangePointer& exchange) {
+            if (isStream) {
+                exchange->startStream(200, { { "Connection", "close" } });
+                exchange->write(body);
+                exchange->finish();
+            } else {
+                exchange->respond({ 200, { { "Connection", "close" } }, body });
+            }
+        },
+        options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.send(plainRequest);
+    REQUIRE_THAT(caller.readUntil("\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200 "));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    CHECK(caller.countToEnd('x') == body.size());
+}
+
+// Guards against connections that are held for good by callers that don't read their answers.
+TEST_CASE("A caller that reads nothing of its answer loses its connection in the end")
+{
+    Promised<std::pair<CloseReason, std::string>> closed;
+    auto options = loopback();
+    options.stalledAnswerTimeout = std::chrono::seconds(1);
+    options.onClose = [&](const ClosedConnection& it) {
+        closed.set({ it.reason, it.unanswered ? it.unanswered->path : "" });
+    };
+    auto server = makeServer(
+        [](const ExchangePointer& exchange) {
+            exchange->respond({ 200, {}, std::string(16 << 20, 'x') });
+        },
+        options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.send("GET /unread HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(closed.wait() == std::pair(CloseReason::SlowReader, std::string("/unread")));
+}
+
+// Guards against an answer whose time has passed and that still holds its connection because its caller doesn't read.
+TEST_CASE("An answer that is broken off ends at once, also if its caller doesn't read")
+{
+    Promised<CloseReason> closed;
+    auto options = loopback();
+    options.onClose = [&](const ClosedConnection& it) { closed.set(it.reason); };
+    Promised<ExchangePointer> arrived;
+    auto server = makeServer(
+        [&](const ExchangePointer& exchange) {
+            exchange->startStream(200, {});
+            exchange->write(std::string(16 << 20, 'x'));
+            arrived.set(exchange);
+        },
+        options);
+    auto caller = RawConnection::connectTo(server->endpoint());
+    caller.send(plainRequest);
+    const ExchangePointer exchange = arrived.wait();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const TimePoint begin = steadyNow();
+    exchange->abort();
+    CHECK(closed.wait() == CloseReason::Aborted);
+    CHECK(steadyNow() - begin < std::chrono::seconds(1));
+    CHECK(caller.countToEnd('x') < 16U << 20);
+}
+
 TEST_CASE("A zero byte in a path doesn't hide the rest of it")
 {
     // Symptom: a rule for "/v1/secret%00x" is applied to "/v1/secret". Cause: the decoded path ends at its zero byte.
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -3,15 +3,17 @@
 Run by ctest with the build directory as the only argument.
 """
 
+import http.client
 import os
 import signal
+import socket
 import sys
 import time
 import unittest
 import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
-from platform_fleet import Fleet, KEY, call, events_of  # noqa: E402
+from platform_fleet import Fleet, HOST, KEY, call, events_of  # noqa: E402
 
 BUILD = "build"
 ALL_EVENTS = list(range(1, 11))
@@ -61,10 +63,49 @@
         self.assertEqual(self.fleet.send("/nowhere/x", fresh())[0], 404)
         self.assertEqual(self.fleet.send("/posts/x", fresh(), body="x" * 70000)[0], 413)
 
+    def test_an_idle_connection_outlives_a_lower_idle_timeout(self):
+        """Guards against a new version that closes idle connections sooner than their callers were promised."""
+        connection = http.client.HTTPConnection(self.fleet.routers[0]["front"], timeout=5)
+        self.addCleanup(connection.close)
+
+        def send():
+            connection.request("GET", "/reads/x", headers={
+                "Host": HOST, "X-Sagechute-Attempt-Id": fresh(), "X-Sagechute-Deadline-Ms": "3000", "Api-Key": KEY})
+            answer = connection.getresponse()
+            answer.read()
+            return answer.status
+
+        self.assertEqual(send(), 200)
+        socket_of_first = connection.sock
+        self.fleet.configure(idleTimeoutMs=500)
+        time.sleep(5)
+        self.assertEqual(send(), 200)
+        self.assertIs(connection.sock, socket_of_first)
+
+    def test_a_stopping_router_sends_an_answer_to_its_end(self):
+        """Guards against answers that are cut by a planned stop because their callers read them slowly."""
+        self.fleet.configure(maxBodyBytes=8_000_000)
+        sent = "x" * 3_500_000  # Comes back in the answer, and is more than the kernel takes.
+        router = self.fleet.routers[0]
+        time.sleep(1)
+        connection = http.client.HTTPConnection(router["front"])
+        connection.sock = socket.socket()
+        self.addCleanup(connection.close)
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.sock.settimeout(5)
+        connection.sock.connect((connection.host, connection.port))
+        connection.request("POST", "/posts/x", body=sent, headers={
+            "Host": HOST, "X-Sagechute-Attempt-Id": fresh(), "X-Sagechute-Deadline-Ms": "3000", "Api-Key": KEY})
+        answer = connection.getresponse()
+        self.assertEqual(answer.status, 200)
+        router["process"].send(signal.SIGTERM)
+        time.sleep(2.7)
+        self.assertIn(sent.encode(), answer.read())
+        self.assertEqual(router["process"].wait(), 0)
+
     def test_a_request_with_two_lengths_is_refused_and_runs_nowhere(self):
         """Symptom: a request that nobody sent runs. A body that one server ends earlier than the next holds a second
         request; the first server takes the announced length, the second the chunks."""
-        import socket
         inner = fresh()
         smuggled = f"POST /posts/x HTTP/1.1\r\nHost: callers.example\r\nX-Sagechute-Attempt-Id: {inner}\r\n\r\n"
         request = (f"POST /posts/x HTTP/1.1\r\nHost: callers.example\r\nX-Sagechute-Attempt-Id: {fresh()}\r\n"
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -117,6 +118,7 @@
         self.directory = tempfile.mkdtemp(prefix="sagechute-edge-")
         self.processes = []
         self.version = 0
+        self.configuring = threading.Lock()  # Versions are written in their order.
         others = others or {}
         ports = iter(free_ports(1 + engines + applications + len(others) + 8 * routers))
         self.store = f"127.0.0.1:{next(ports)}"
@@ -209,15 +211,20 @@
         status, _, body = call(router["control"], "GET", "/v1/status")
         return {target["id"] for target in json.loads(body)["targets"]} if status == 200 else set()
 
-    def configure(self, keys=(KEY,), extra_routes=(), change=lambda document: None):
+    def configure(self, keys=(KEY,), extra_routes=(), change=lambda document: None, timeout_ms=3000, **limits):
         """Writes the next version of the configuration.
 
-        change: changes the document before it is written.
+        change: changes the document before it is written; timeout_ms: of all routes but the extra ones; limits: other
+        values of the document's limits.
         """
-        self.version += 3
+        with self.configuring:
+            self.version += 3
+            self._write_configuration(keys, extra_routes, change, timeout_ms, limits)
+
+    def _write_configuration(self, keys, extra_routes, change, timeout_ms, limits):
 
         def route(name, prefix, kind, service, **more):
-            return {"name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": 3000, "goalMs": 500,
+            return {"name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout_ms, "goalMs": 500,
                     "priority": 1, "service": service, "attempts": 2, "public": False, **more}
 
         document = {
@@ -230,7 +237,7 @@
             "services": [{"name": "llm", "healthPath": "/healthz", "maxConns": 100,
                           "engine": {"slots": 8, "kvCapacity": 500000, "stride": 1}},
                          {"name": "app", "healthPath": "/healthz", "maxConns": 100}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeoutMs": 15000, "tokensPerS": 100000},
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeoutMs": 15000, "tokensPerS": 100000, **limits},
             "tenants": [{"name": "teller", "apiKeys": list(keys)}],
         }
         change(document)
