Play short silences of sound targets in the conformance run and the soak

The table of faults gains late answers, pauses between two events, targets stopped for 1.0 to 1.5 s (one, all of a service, and one beside a series of configurations), a lower idle time and a lower quota; none of them may break a request. A request that a target ran and whose connection ended without an answer is now LOST in the conformance run, too. One more caller keeps its connection idle for up to four fifths of the lower idle time.

The soak has silences with chances of their own beside the other faults, with series of configurations that overlap them, and then plays them again beside planned work alone, where a 502 or 504 is a finding. A stop of 1.5 s or less is no excuse any more; a request that met more silence than its time bears is excused only if it ended late. Numbers of routers, targets and callers can be given. The page's counts of rows are now checked.

--- a/tests/conformance_page_test.py
+++ b/tests/conformance_page_test.py
@@ -7,6 +7,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "tools"))
+from conformance import TOGETHER  # noqa: E402
 from trial_callers import CALLS  # noqa: E402
 from trial_faults import FAULTS  # noqa: E402
 
@@ -32,6 +33,13 @@
         """Guards against a row that the page leaves out, or a row on the page that nothing plays."""
         self.assertEqual(named_rows(), {it.name for it in FAULTS} | set(CALLS))
 
+    def test_counts_the_rows_of_the_run(self):
+        """Guards against counts on the page that are not those of the run."""
+        with open(PAGE, encoding="utf-8") as file:
+            counts = re.findall(r"(\d+) rows and (\d+) pairs, .*: (\d+) of targets, .*, (\d+) of callers", file.read())
+        total = len(FAULTS) + len(CALLS)
+        self.assertEqual(counts, [tuple(map(str, (total, len(TOGETHER), len(FAULTS), len(CALLS))))])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/conformance.py
+++ b/tools/conformance.py
@@ -15,7 +15,7 @@
 import uuid
 
 from platform_fleet import Fleet
-from promises import Caller, Ledgers, Request, check
+from promises import FAILED, Caller, Ledgers, Request, check
 from soak_proxy import Proxy
 from target_signals import SignalCheck
 from trial_callers import CALLS
@@ -28,9 +28,15 @@
 CALLERS_REPEAT_SECONDS = 0.05
 LOADS = {"light": (3, 0.08), "full": (20, 0.0)}  # Callers and the longest pause between their requests.
 CALLS_AT_ONCE = 2
+IDLE_SECONDS = 0.8  # Between two requests of one more caller: four fifths of the lowest idle time.
+HELD_UP_SECONDS = 2.0  # By which faults may hold up a request that is answered in time nevertheless.
+# What a row shows only beside another.
 TOGETHER = (("slow-events of engine", "leaves in the answer"), ("slow-events of engine", "half-closed"),
             ("hang of app", "leaves before the answer"),
-            ("entry with another service's address", "shed of all engines"))  # What a row shows only beside another.
+            ("entry with another service's address", "shed of all engines"),
+            ("silent engine", "lower quota"), ("silent app", "lower idle time"),
+            ("late-answer of engine", "lower idle time"), ("late-answer of app", "lower idle time"),
+            ("silent engine", "router stops"), ("silent engine beside changes", "settings change"))
 
 
 class Play:
@@ -51,6 +57,8 @@
         addresses = [it["front"] for it in self.rig.fleet.routers]
         callers = [Caller(i, lambda: addresses, random.Random(self.rng.random()), pause, is_over, self.signals)
                    for i in range(count)]
+        callers.append(Caller(count, lambda: addresses, random.Random(f"idle {self.rng.random()}"), IDLE_SECONDS,
+                              is_over, self.signals))
         for it in callers:
             it.start()
         time.sleep(0.2)
@@ -77,7 +85,7 @@
                        for router, target, late in self.signals.after_draining()]
         self.found += [f"BUDGET {target} got {n} requests of {router} in a pause"
                        for router, target, n in self.signals.in_backoff()]
-        if not any(it.breaks for it in self.faults):
+        if not any(it.breaks for it in self.faults) and sum(it.seconds for it in self.faults) <= HELD_UP_SECONDS:
             self.found += self._lost(background)
         return len(background)
 
@@ -89,7 +97,7 @@
     def _lost(self, requests):
         """Where nothing broke but what must break no request, each is answered, or refused as not run."""
         return [f"LOST id={it.id} {it.path} status={it.status} whole={it.is_whole}" for it in requests
-                if not it.is_whole and it.status is not None or it.status in (500, 502, 504)]
+                if not it.is_whole and (it.status is not None or self.ledgers.runs[it.id]) or it.status in FAILED]
 
     def _check_service(self, ended_at):
         waiting = [(router, path, method) for router in self.rig.fleet.routers for path, method in Request.KINDS]
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -114,6 +115,7 @@
         self.directory = tempfile.mkdtemp(prefix="sagechute-edge-")
         self.processes = []
         self.version = 0
+        self.configuring = threading.Lock()  # Versions are written in their order.
         ports = iter(free_ports(1 + engines + applications + 8 * routers))
         self.store = f"127.0.0.1:{next(ports)}"
         self.store_process = self._start("store", ["sagechute-standin-store", "--listen", self.store])
@@ -200,12 +202,16 @@
         status, _, body = call(router["control"], "GET", "/v1/status")
         return {target["id"] for target in json.loads(body)["targets"]} if status == 200 else set()
 
-    def configure(self, keys=(KEY,), extra_routes=()):
-        """Writes the next version of the configuration."""
-        self.version += 3
+    def configure(self, keys=(KEY,), extra_routes=(), timeout_ms=3000, **limits):
+        """Writes the next version of the configuration. timeout_ms: of all routes but the extra ones."""
+        with self.configuring:
+            self.version += 3
+            self._write_configuration(keys, extra_routes, timeout_ms, limits)
+
+    def _write_configuration(self, keys, extra_routes, timeout_ms, limits):
 
         def route(name, prefix, kind, service, **more):
-            return {"name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": 3000, "goalMs": 500,
+            return {"name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout_ms, "goalMs": 500,
                     "priority": 1, "service": service, "attempts": 2, "public": False, **more}
 
         document = {
@@ -218,7 +224,7 @@
             "services": [{"name": "llm", "healthPath": "/healthz", "maxConns": 100,
                           "engine": {"slots": 8, "kvCapacity": 500000, "stride": 1}},
                          {"name": "app", "healthPath": "/healthz", "maxConns": 100}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeoutMs": 15000, "tokensPerS": 100000},
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeoutMs": 15000, "tokensPerS": 100000, **limits},
             "tenants": [{"name": "teller", "apiKeys": list(keys)}],
         }
         self.command(self.store, "/standin/put?topic=keyed.op&key=config", json.dumps(document))
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -15,6 +15,7 @@
 
 ALL_EVENTS = list(range(1, 11))
 NOT_RUN = (408, 421, 429, 503)
+FAILED = (500, 502, 504)
 DENIED = (400, 401, 403, 404, 405, 411, 413, 414, 431)
 DEADLINE_SECONDS = 3.0
 TIMEOUT_SECONDS = 4.0  # Of a caller; beyond the deadline.
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -3,6 +3,10 @@
     tools/soak.py --build build --seed 7 --seconds 20     one seed
     tools/soak.py --build build --seeds 1-50              several, one after the other
     tools/soak.py --build build --regressions             the seeds that ever failed (tests/soak-seeds.txt)
+    tools/soak.py --build build --seeds 1-5 --routers 40 --engines 80 --applications 40 --callers 60     a larger fleet
+
+The faults of a seed come together. Then come silences of targets, each shorter than the time that a request has, beside
+changes of the configuration and other planned work alone: no request may be lost by these.
 
 Ends only processes that it started, by id. Exits with 1 when a promise was broken.
 """
@@ -18,18 +22,21 @@
 import time
 
 from platform_fleet import KEY, Fleet, call
-from promises import Caller, Ledgers, Request, check_arrivals, findings_of
+from promises import FAILED, Caller, Ledgers, Request, check_arrivals, findings_of
 from soak_proxy import Proxy
 from target_signals import SignalCheck, overlaps
-from trial_faults import ALWAYS, FAULTS, Stage
+from trial_faults import ALWAYS, FAULTS, SILENCE_SECONDS, Stage, draw_changes
 
-CALLERS = 6
+SIZES = {"routers": 3, "engines": 3, "applications": 2, "callers": 6}
 CALLERS_PAUSE_SECONDS = 0.06
 EXTRA_KEY = "key-that-comes-and-goes"
 REVOKE_SECONDS = 3.0  # After the store's acknowledgement; the platform allows 2 s to routers in touch.
 RECOVERY_SECONDS = 12.0
 CUT_LASTS_SECONDS = 4.0  # A connection that was cut stays so until the request on it is given up.
-EXTRAS = ("signals", "answers")  # What came to the soak later; each has chances of its own.
+TOLD_LATE_SECONDS = 2.0  # A failure sooner than that is no matter of time, however long targets were silent.
+HELD_UP_SECONDS = 1.5  # By which a request is held up that has its answer in time nevertheless.
+LONGEST_SERIES = 4  # Versions of the configuration around one silence.
+EXTRAS = ("signals", "answers", "silences")  # What came to the soak later; each has chances of its own.
 HERE = os.path.dirname(os.path.abspath(__file__))
 SEEDS_FILE = os.path.join(HERE, "..", "tests", "soak-seeds.txt")
 
@@ -37,8 +44,9 @@
 class Soak:
     """One seed: a fleet behind proxies, callers, and a schedule of overlapping faults."""
 
-    def __init__(self, build, seed, seconds, extras=EXTRAS):
-        """extras: what comes beside the faults of each seed."""
+    def __init__(self, build, seed, seconds, extras=EXTRAS, sizes=None):
+        """extras: what comes beside the faults of each seed; sizes: other numbers than those of SIZES."""
+        self._sizes = {**SIZES, **(sizes or {})}
         self.seed = seed
         self.signals = SignalCheck()
         self._extras = extras
@@ -54,10 +62,14 @@
         self._restarts = {}  # By a router's address: held by the fault that restarts it.
         self._read_ids = set()  # Requests that a router has read, by the logs.
         self._unplanned = []  # Spans in which requests may be lost for no fault of the routers.
+        self._silences = []  # Spans in which sound targets may hold up requests.
+        self._planned_since = float("inf")  # When no unplanned fault was left.
+        self._configuring = threading.Lock()
         self._store_away = []  # Spans in which routers may not learn of changes.
         self._revoked = None  # When the extra key's removal was acknowledged; None while it is there.
         self._revocations = []
-        self._fleet = Fleet(build, routers=3, engines=3, applications=2, proxy=self._proxied)
+        self._fleet = Fleet(build, self._sizes["routers"], self._sizes["engines"], self._sizes["applications"],
+                            proxy=self._proxied)
         self._threads = []
 
     def _proxied(self, address):
@@ -76,11 +88,14 @@
             self._stage = Stage(self._fleet, {"targets": self._proxies}, random.Random(f"answers of {self.seed}"),
                                 self._ledgers, self.signals)
             self._threads = [Caller(i, self.addresses, random.Random(self.seed * 1000 + i), CALLERS_PAUSE_SECONDS,
-                                    self.is_over, self.signals, choose_key) for i in range(CALLERS)]
+                                    self.is_over, self.signals, choose_key) for i in range(self._sizes["callers"])]
             for thread in self._threads:
                 thread.start()
             self._disturb()
             self._heal()
+            if "silences" in self._extras:
+                self._disturb_by_plan()
+                self._heal()
             self._check_recovery()
             self.is_over.set()
             for thread in self._threads:
@@ -95,7 +110,7 @@
 
     def _disturb(self):
         end = time.monotonic() + self._seconds
-        beside = {"signals": self._signal, "answers": self._spoil_answers}
+        beside = {"signals": self._signal, "answers": self._spoil_answers, "silences": self._silence}
         pending = [threading.Thread(target=beside[it], args=(end,), daemon=True) for it in self._extras]
         for thread in pending:
             thread.start()
@@ -134,6 +149,58 @@
             stop()
             time.sleep(rng.uniform(0.0, 0.5))
 
+    def _disturb_by_plan(self):
+        """Silences with nothing beside them but what may break no request."""
+        for proxy in self._proxies:
+            proxy.set_mode("reset")  # What was harmed stays so until it is closed.
+            proxy.set_mode("pass")
+        self._unplanned_for(0)
+        self._planned_since = self._unplanned[-1][1]
+        rng = random.Random(f"planned work of {self.seed}")
+        end = self._planned_since + self._seconds
+        pending = [threading.Thread(target=self._silence, args=(end, it), daemon=True) for it in ("engine", "app")]
+        for thread in pending:
+            thread.start()
+        while time.monotonic() < end:
+            work = rng.choice(self.PLANNED)
+            lasts = rng.uniform(0.3, 2.0)
+            self._history.append(f"{work.__name__} for {lasts:.1f} s")
+            thread = threading.Thread(target=work, args=(self, lasts), daemon=True)
+            thread.start()
+            pending.append(thread)
+            time.sleep(rng.uniform(0.5, 2.0))
+        for thread in pending:
+            thread.join(timeout=20)
+
+    def _silence(self, end, prefix=""):
+        """Beside the other faults, as _signal: targets that fall silent and go on, amid a series of changes."""
+        rng = random.Random(f"silences of {prefix} {self.seed}")
+        while time.monotonic() < end:
+            name = rng.choice([it for it in sorted(self._fleet.workers) if it.startswith(prefix)])
+            lasts = rng.uniform(0.3, max(SILENCE_SECONDS))
+            series = [(rng.uniform(0.0, 0.4), draw_changes(rng), rng.random() < 0.8)
+                      for _ in range(rng.randint(0, LONGEST_SERIES))]
+            self._history.append(f"{name} silent for {lasts:.1f} s beside {len(series)} changes")
+            changes = threading.Thread(target=self._change_in_series, args=(series,), daemon=True)
+            changes.start()
+            time.sleep(rng.uniform(0.0, 0.3))
+            self._stop_for(self._fleet.workers[name]["process"], lasts)
+            time.sleep(rng.choice((0.0, rng.uniform(0.5, 2.0))))
+            changes.join()
+
+    def _change_in_series(self, series):
+        for pause, changes, has_extra in series:
+            self._configure(has_extra, **changes)
+            time.sleep(pause)
+
+    def _stop_for(self, process, lasts):
+        """A sound target that goes on after a time that requests bear."""
+        begun = time.monotonic()
+        process.send(signal.SIGSTOP)
+        time.sleep(lasts)
+        process.send(signal.SIGCONT)
+        self._silences.append((begun, time.monotonic()))
+
     def _leave_and_return(self, name, lasts):
         worker = self._fleet.workers[name]
         told = "told" if lasts < 2 else "untold"
@@ -242,17 +309,19 @@
         call(self._fleet.workers[name]["address"], "POST", f"/standin/fault?kind={kind}&count={count}")
 
     def _pause_worker(self, lasts):
-        self._unplanned_for(lasts)
-        process = self._fleet.workers[self._rng.choice(sorted(self._fleet.workers))]["process"]
-        process.send(signal.SIGSTOP)
-        time.sleep(lasts)
-        process.send(signal.SIGCONT)
+        if lasts > max(SILENCE_SECONDS):
+            self._unplanned_for(lasts)
+        self._stop_for(self._fleet.workers[self._rng.choice(sorted(self._fleet.workers))]["process"], lasts)
 
     def _change_configuration(self, _lasts):
         self._configure(self._rng.random() < 0.5)
 
-    def _configure(self, has_extra):
-        self._fleet.configure(keys=(KEY, EXTRA_KEY) if has_extra else (KEY,))
+    def _configure(self, has_extra, **changes):
+        with self._configuring:
+            self._write_configuration(has_extra, changes)
+
+    def _write_configuration(self, has_extra, changes):
+        self._fleet.configure(keys=(KEY, EXTRA_KEY) if has_extra else (KEY,), **changes)
         now = time.monotonic()
         if has_extra and self._revoked is not None:
             self._revocations.append((self._revoked, now))
@@ -262,6 +331,7 @@
 
     FAULTS = (_kill_router, _stop_router, _pause_router, _hang_up, _harm_connections, _harm_store, _forget_history,
               _harm_worker, _pause_worker, _change_configuration)
+    PLANNED = (_stop_router, _hang_up, _harm_store, _forget_history)
 
     def _heal(self):
         for proxy in self._proxies:
@@ -311,6 +381,8 @@
         # A connection that a stopped router refuses, or closes before it has read the request, loses nothing.
         if not request.is_whole and request.id in self._read_ids and not self._is_excused(request):
             found.append("LOST without an unplanned fault")
+        if request.status in FAILED and request.sent_at > self._planned_since and not self._is_excused(request):
+            found.append("LOST failed without an unplanned fault")
         runs = self._ledgers.runs[request.id]
         self.breaches += [f"{it}: id={request.id} {request.path} status={request.status} runs={runs}" for it in found]
 
@@ -321,15 +393,29 @@
             and not overlaps(self._unplanned + self._store_away, request.sent_at - REVOKE_SECONDS, request.ended_at)
 
     def _is_excused(self, request):
-        return overlaps(self._unplanned, request.sent_at, request.ended_at)
+        return overlaps(self._unplanned, request.sent_at, request.ended_at) or self._ran_out_of_time(request)
+
+    def _ran_out_of_time(self, request):
+        """Whether it met so much silence that its time may have ended before its answer."""
+        held_up = covered(self._silences, request.sent_at, request.ended_at)
+        return request.ended_at - request.sent_at > TOLD_LATE_SECONDS and held_up > HELD_UP_SECONDS
+
+
+def covered(spans, begin, end):
+    """The time between begin and end that lies in spans."""
+    total, at = 0.0, begin
+    for first, last in sorted(spans):
+        total += max(0.0, min(last, end) - max(first, at))
+        at = max(at, last)
+    return total
 
 
 def choose_key(rng):
     return EXTRA_KEY if rng.random() < 0.1 else KEY
 
 
-def run_seed(build, seed, seconds, extras):
-    soak = Soak(build, seed, seconds, extras)
+def run_seed(build, seed, seconds, extras, sizes=None):
+    soak = Soak(build, seed, seconds, extras, sizes)
     breaches = soak.run()
     for breach in breaches[:20]:
         print(f"  {breach}", flush=True)
@@ -358,9 +444,12 @@
     parser.add_argument("--seeds", help="FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=15.0, help="how long faults come, for each seed")
     parser.add_argument("--regressions", action="store_true", help="the seeds that ever failed")
+    for name, count in SIZES.items():
+        parser.add_argument(f"--{name}", type=int, default=count, help=f"{count}, but for a trial of another size")
     arguments = parser.parse_args()
+    sizes = {name: getattr(arguments, name) for name in SIZES}
     failed = [seed for seed, extras in seeds_of(arguments)
-              if not run_seed(arguments.build, seed, arguments.seconds, extras)]
+              if not run_seed(arguments.build, seed, arguments.seconds, extras, sizes)]
     print(f"failed seeds: {failed or 'none'}")
     sys.exit(1 if failed else 0)
 
--- a/tools/trial_faults.py
+++ b/tools/trial_faults.py
@@ -6,6 +6,7 @@
 
 import json
 import signal
+import threading
 import time
 
 from platform_fleet import KEY, call
@@ -13,15 +14,21 @@
 
 ALWAYS = 1_000_000  # Requests that a worker treats so until it is told otherwise.
 STORE_DELAY_MS = 250
+SILENCE_SECONDS = (1.0, 1.5)  # Of a sound target; the requests' deadline bears one.
+CHANGES_IN_SERIES, CHANGE_INTERVAL_SECONDS = 4, 0.2
+LOWER_IDLE_MS = 1000
+LOWER_QUOTA = 2000  # Tokens per second: less than callers ask for.
+OTHER_TIMEOUTS_MS = (2500, 4000)
 OTHER_KEY = "another-key"
 
 
 class Fault:
     """One line of the table."""
 
-    def __init__(self, name, subject, rules, begin, breaks=True):
-        """rules: that it can break; breaks: requests may fail through it."""
+    def __init__(self, name, subject, rules, begin, breaks=True, seconds=0.0):
+        """rules: that it can break; breaks: requests may fail through it; seconds: by which it can hold up a sound one."""
         self.name, self.subject, self.rules, self.begin, self.breaks = name, subject, rules, begin, breaks
+        self.seconds = seconds
 
 
 class Stage:
@@ -107,6 +114,22 @@
     return lambda: process.send(signal.SIGCONT)
 
 
+def silent(prefix, all_of_them=False):
+    """Stopped for a moment, and goes on by itself."""
+    def begin(stage):
+        names = [it for it in stage.fleet.workers if it.startswith(prefix)] if all_of_them else [stage.worker(prefix)]
+        lasts = stage.rng.uniform(*SILENCE_SECONDS)
+
+        def send(number):
+            for name in names:
+                stage.fleet.workers[name]["process"].send(number)
+        send(signal.SIGSTOP)
+        timer = threading.Timer(lasts, send, (signal.SIGCONT,))
+        timer.start()
+        return timer.join
+    return begin
+
+
 def address_taken(stage):
     """Another service's worker takes the address while routers still have the former entry."""
     name = stage.worker("engine")
@@ -173,11 +196,45 @@
     return stage.fleet.configure
 
 
-def more_routes(stage):
-    stage.fleet.configure(extra_routes=[
-        {"name": f"extra-{i}", "host": "callers.example", "pathPrefix": f"/extra/{i}/", "kind": "safe", "timeoutMs": 3000,
-         "goalMs": 500, "priority": 1, "service": "app", "attempts": 2, "public": False} for i in range(200)])
-    return stage.fleet.configure
+def extra_routes(count):
+    return [{"name": f"extra-{i}", "host": "callers.example", "pathPrefix": f"/extra/{i}/", "kind": "safe",
+             "timeoutMs": 3000, "goalMs": 500, "priority": 1, "service": "app", "attempts": 2, "public": False}
+            for i in range(count)]
+
+
+def configured(**changes):
+    def begin(stage):
+        stage.fleet.configure(**changes)
+        return stage.fleet.configure
+    return begin
+
+
+def draw_changes(rng):
+    """One change of the configuration, beside those of keys: what Fleet.configure takes."""
+    return rng.choice(({}, {"idleTimeoutMs": LOWER_IDLE_MS}, {"tokensPerS": LOWER_QUOTA},
+                       {"extra_routes": extra_routes(rng.randint(1, 20))},
+                       {"timeout_ms": rng.choice(OTHER_TIMEOUTS_MS)}))
+
+
+def changed_in_series(prefix):
+    """A target is silent while versions of the configuration come one upon the other."""
+    def begin(stage):
+        end_of_silence = silent(prefix)(stage)
+        changes = [draw_changes(stage.rng) for _ in range(CHANGES_IN_SERIES)]
+
+        def change():
+            for it in changes:
+                stage.fleet.configure(**it)
+                time.sleep(CHANGE_INTERVAL_SECONDS)
+        thread = threading.Thread(target=change, daemon=True)
+        thread.start()
+
+        def end():
+            thread.join()
+            end_of_silence()
+            stage.fleet.configure()
+        return end
+    return begin
 
 
 def interrupted(begin, end):
@@ -223,6 +280,7 @@
                   "large-events", "all-at-once")
 STREAM_CUTS = ("end-in-event", "close-after-head", "close-in-first-event", "close-in-event", "close-before-empty-line",
                "close-in-crlf-event", "reset-between-events", "doubled-event", "swapped-events", "silent-in-event")
+SILENCES = ("late-answer", "pause-between-events")  # Of a sound answer, once.
 CUTS = ("lose", "reset", "break", "short-of-length", "close-in-head", "reset-in-event", "silent-after-head", "hang")
 STRANGE = ("foreign", "foreign-first", "no-http", "zero-bytes", "two-lengths", "no-id", "unsigned")
 EXTRA = ("doubled", "extra-bytes", "extra-at-once", "idle-close", "idle-reset")
@@ -230,11 +288,20 @@
         "refused-body-late", "shed")
 
 FAULTS = (
-    [Fault(f"{kind} of {it}", "answers", "MIXED ORDER", answers(kind, it, True), breaks=False)
+    [Fault(f"{kind} of {it}", "answers", "MIXED ORDER", answers(kind, it, True), breaks=False,
+           seconds=1.5 if kind == "slow-events" and it == "engine" else 0.0)
      for kind in ALLOWED_FRAMES for it in ("engine", "app")]
     + [Fault(f"{kind} of engine", "answers", "ORDER MIXED", answers(kind, "engine")) for kind in STREAM_CUTS]
     + [Fault(f"{kind} of {it}", "answers", "ORDER MIXED TWICE REFUSED", answers(kind, it))
        for kind in CUTS + STRANGE + EXTRA + SAID for it in ("engine", "app")]
+    + [Fault(f"{kind} of {it}", "silences", "LOST ORDER", answers(kind, it, True), breaks=False, seconds=1.4)
+       for kind in SILENCES for it in ("engine", "app")]
+    + [Fault(f"silent {it}", "silences", "LOST TWICE", silent(it), breaks=False, seconds=max(SILENCE_SECONDS))
+       for it in ("engine", "app")]
+    + [Fault(f"all {it}s silent", "silences", "LOST TWICE", silent(it, True), breaks=False, seconds=max(SILENCE_SECONDS))
+       for it in ("engine", "app")]
+    + [Fault(f"silent {it} beside changes", "silences", "LOST CONFIG", changed_in_series(it), breaks=False,
+             seconds=max(SILENCE_SECONDS)) for it in ("engine", "app")]
     + [
         Fault("shed of all engines", "answers", "REFUSED TWICE", answers("shed", "engine", True)),
         Fault("shed of all apps", "answers", "REFUSED TWICE", answers("shed", "app", True)),
@@ -266,7 +333,9 @@
         Fault("store forgets configurations", "store", "CONFIG", forgotten("keyed.op"), breaks=False),
         Fault("configuration that can't be read", "store", "CONFIG DENIED", unreadable_configuration, breaks=False),
         Fault("other keys", "store", "CONFIG DENIED", other_keys, breaks=False),
-        Fault("200 more routes", "store", "CONFIG", more_routes, breaks=False),
+        Fault("200 more routes", "store", "CONFIG", configured(extra_routes=extra_routes(200)), breaks=False),
+        Fault("lower idle time", "store", "LOST", configured(idleTimeoutMs=LOWER_IDLE_MS), breaks=False),
+        Fault("lower quota", "store", "LOST", configured(tokensPerS=LOWER_QUOTA), breaks=False),
         Fault("router stops", "routers", "LOST REFUSED",
               interrupted(lambda process: process.send(signal.SIGTERM), restart_stopped), breaks=False),
         Fault("router is killed", "routers", "TWICE ORDER", interrupted(lambda process: process.end(), Stage.restart_router)),
