--- a/tools/soak.py
+++ b/tools/soak.py
@@ -177,14 +177,17 @@
         rng = random.Random(f"silences of {prefix} {self.seed}")
         while time.monotonic() < end:
             name = rng.choice([it for it in sorted(self._fleet.workers) if it.startswith(prefix)])
-            lasts = rng.uniform(0.3, max(SILENCE_SECONDS))
+            service = name.split("-")[0]
+            alike = [it for it in sorted(self._fleet.workers) if it.startswith(service)]
+            silent = alike if rng.random() < 0.3 else [name]
+            lasts = rng.uniform(*SILENCE_SECONDS) if rng.random() < 0.7 else rng.uniform(0.3, min(SILENCE_SECONDS))
             series = [(rng.uniform(0.0, 0.4), draw_changes(rng), rng.random() < 0.8)
                       for _ in range(rng.randint(0, LONGEST_SERIES))]
-            self._history.append(f"{name} silent for {lasts:.1f} s beside {len(series)} changes")
+            self._history.append(f"{', '.join(silent)} silent for {lasts:.1f} s beside {len(series)} changes")
             changes = threading.Thread(target=self._change_in_series, args=(series,), daemon=True)
             changes.start()
             time.sleep(rng.uniform(0.0, 0.3))
-            self._stop_for(self._fleet.workers[name]["process"], lasts)
+            self._stop_for([self._fleet.workers[it]["process"] for it in silent], lasts)
             time.sleep(rng.choice((0.0, rng.uniform(0.5, 2.0))))
             changes.join()
 
@@ -193,12 +196,14 @@
             self._configure(has_extra, **changes)
             time.sleep(pause)
 
-    def _stop_for(self, process, lasts):
-        """A sound target that goes on after a time that requests bear."""
+    def _stop_for(self, processes, lasts):
+        """Sound targets that go on after a time that requests bear."""
         begun = time.monotonic()
-        process.send(signal.SIGSTOP)
+        for process in processes:
+            process.send(signal.SIGSTOP)
         time.sleep(lasts)
-        process.send(signal.SIGCONT)
+        for process in processes:
+            process.send(signal.SIGCONT)
         self._silences.append((begun, time.monotonic()))
 
     def _leave_and_return(self, name, lasts):
@@ -311,7 +316,7 @@
     def _pause_worker(self, lasts):
         if lasts > max(SILENCE_SECONDS):
             self._unplanned_for(lasts)
-        self._stop_for(self._fleet.workers[self._rng.choice(sorted(self._fleet.workers))]["process"], lasts)
+        self._stop_for([self._fleet.workers[self._rng.choice(sorted(self._fleet.workers))]["process"]], lasts)
 
     def _change_configuration(self, _lasts):
         self._configure(self._rng.random() < 0.5)
@@ -334,6 +339,8 @@
     PLANNED = (_stop_router, _hang_up, _harm_store, _forget_history)
 
     def _heal(self):
+        if "silences" in self._extras:
+            self._configure(True)  # The last change may have left a quota below what is asked for.
         for proxy in self._proxies:
             proxy.set_mode("pass")
         self._fleet.command(self._fleet.store, "/standin/fault?kind=none")
