--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -59,6 +59,9 @@
     /// After this time the list of targets has been read again if a target was lost.
     constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(700);
 
+    /// Fraction of the retry budget up to which hedges are sent. The rest is for requests that have no attempt left.
+    constexpr double hedgeBudgetFraction = 0.5;
+
     /// After this time it is known whether a target has crashed.
     constexpr Duration undecidedRetryAfter = std::chrono::milliseconds(500);
 
@@ -230,10 +233,13 @@
     std::optional<Candidate> best = choose(now, request, prefixes, isHedge);
     if (!best)
         return refuseUnplaced(now, request.service, noTargetRetryAfter);
-    if (const std::optional<Refusal> refusal = isHedge ? admitHedge(request, *best) : admit(now, request, *best))
+    const bool isRefusable = !isHedge && request.progress == Progress::NotRun;
+    if (const std::optional<Refusal> refusal
+        = isRefusable ? admit(now, request, *best) : admitAgain(now, request, kind, *best))
         return *refusal;
+    const double budgetFraction = isHedge ? hedgeBudgetFraction : 1;
     if ((isHedge || kind == AttemptKind::RetryAfterSend)
-        && !retries(request.service).tryAcquire(now, m_peakRouterCount))
+        && !retries(request.service).tryAcquire(now, m_peakRouterCount, budgetFraction))
         return refuse(RefusalReason::RetryBudget, noTargetRetryAfter);
     if (kind == AttemptKind::First)
         m_shares.granted(now, request.customer, tokens);
@@ -260,7 +266,7 @@
             if (!best || candidate.cost < best->cost)
                 best = candidate;
         }
-        // A hedge on a doubtful target is no better than waiting for the one that has the request.
+        // A hedge on an avoided or tried target is no better than waiting for the one that has the request.
         if (best || isHedge)
             break;
     }
@@ -390,15 +396,20 @@
     return refuse(share > 1 ? RefusalReason::OverShare : RefusalReason::Overloaded, excessWait, admission);
 }
 
-std::optional<Refusal> LocalDispatcher::admitHedge(const PlacementRequest& request, Candidate& best)
+std::optional<Refusal> LocalDispatcher::admitAgain(
+    TimePoint now, const PlacementRequest& request, AttemptKind kind, Candidate& best)
 {
-    // The request has been admitted before, so its customer's share does not matter again.
     Admission& admission = best.admission;
     admission.wait = best.predictedFirstEventDelay - best.model->prefillTime(best.prefillTokens);
-    admission.allowed = request.route->goal;
-    if (admission.allowed <= Duration::zero() || admission.wait <= admission.allowed)
+    // A begun answer that goes on late is better than one that is cut. With a hedge it may go on without.
+    const bool isHedge = kind == AttemptKind::Hedge;
+    const bool isCutOtherwise = request.progress == Progress::Begun && !isHedge;
+    admission.allowed = isCutOtherwise ? request.due - now : request.route->goal;
+    const bool isLate = admission.allowed > Duration::zero() && admission.wait > admission.allowed;
+    const std::uint32_t reservedTokens = request.prompt.inputTokens + request.prompt.maxOutputTokens;
+    if (!isLate && (!isHedge || best.model->hasRoom(best.model->totalLoad(now), reservedTokens)))
         return std::nullopt;
-    return refuse(RefusalReason::Overloaded, admission.wait - admission.allowed, admission);
+    return refuse(RefusalReason::Overloaded, noTargetRetryAfter, admission);
 }
 
 void LocalDispatcher::setAllowedWait(
@@ -525,6 +536,7 @@
     Attempt& attempt = it->second;
     attempt.hasFirstAnswer = true;
     m_backoffs.served(now, attempt.target);
+    m_crashes.heard(now, dispatch::keyOf(attempt.target));
     if (TargetModel* model = find(attempt.target))
         model->firstAnswer(
             attempt.placedAt, attempt.prefillTokens, attempt.predictedFirstEventDelay, now - attempt.placedAt);
@@ -557,7 +569,10 @@
 {
     const TargetKey target = dispatch::keyOf(attempt.target);
     const bool isBroken = end == AttemptEnd::Broken || end == AttemptEnd::Silent;
-    if (end == AttemptEnd::Answered || end == AttemptEnd::Failed)
+    const bool isCompleted = end == AttemptEnd::Answered || end == AttemptEnd::Failed;
+    if (isCompleted || end == AttemptEnd::NotRun)
+        m_crashes.heard(now, target);
+    if (isCompleted)
         m_crashes.completed(attempt.placedAt, target, attempt.key);
     else if (isBroken && isListed && attempt.key)
         m_crashes.broke(now, attempt.placedAt, target, attempt.key, end == AttemptEnd::Silent);
--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -113,7 +113,7 @@
 // Guards against answers that are cut although their target goes on after a pause.
 TEST_CASE("a request of which one target pauses gets a whole answer or a refusal")
 {
-    FaultRates pausesOnly { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0.3 };
+    FaultRates pausesOnly { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0.3 };
     pausesOnly.retryRatio = GENERATE(0.0, 0.1, 1e6);
     for (unsigned seed = 1; seed <= 20; ++seed) {
         CAPTURE(pausesOnly.retryRatio, seed);
@@ -125,9 +125,10 @@
 
 /// A delegate that records its calls.
 struct RecordingDelegate final : RequestFlowDelegate {
-    dispatch::Decision place(TimePoint, const dispatch::PlacementRequest&, dispatch::AttemptKind round) override
+    dispatch::Decision place(TimePoint, const dispatch::PlacementRequest& demand, dispatch::AttemptKind round) override
     {
         rounds.push_back(round);
+        progress.push_back(demand.progress);
         if (round == dispatch::AttemptKind::Hedge && hedgeRefusal)
             return *hedgeRefusal;
         return placement;
@@ -165,6 +166,7 @@
     dispatch::Refusal lastRefusal;
     std::optional<dispatch::Refusal> hedgeRefusal; ///< Absent: hedges are placed.
     std::vector<dispatch::AttemptKind> rounds;
+    std::vector<dispatch::Progress> progress;
     std::vector<OutgoingAttempt> orders;
     std::vector<AttemptEnd> ends;
     std::vector<ResponseEnd> answerEnds;
@@ -359,20 +361,64 @@
     CHECK(delegate.cancels == 0);
 }
 
-TEST_CASE("a hedge that was not run is tried at another target, and the number of targets stays limited")
+// Guards against streams that are cut because their hedges, none of which ran, have used up the tries.
+TEST_CASE("hedges that were not run are tried elsewhere and leave a try for a stream whose target breaks off")
 {
     SilentFlow silent(RequestKind::Stream);
     auto& [route, delegate, flow] = static_cast<StartedFlow&>(silent);
-    for (unsigned number = 2; number <= dispatch::maxTries; ++number) {
-        REQUIRE(delegate.orders.size() == number);
-        flow.head(start + 1400ms, number, { 503, "id", true, false, false, {} });
-        flow.ended(start + 1400ms, number, net::TransferEnd::Completed);
-        if (flow.nextWake() <= start + 1400ms)
-            flow.wake(start + 1400ms);
+    for (TimePoint now = start + 1400ms; now < start + 2400ms; now += 10ms) {
+        const auto number = static_cast<unsigned>(delegate.orders.size());
+        if (number > delegate.ends.size() + 1) {
+            flow.head(now, number, { 503, "id", true, false, false, {} });
+            flow.ended(now, number, net::TransferEnd::Completed);
+        }
+        if (flow.nextWake() <= now)
+            flow.wake(now);
     }
+    REQUIRE_FALSE(flow.isDone());
+    CHECK(delegate.cancels == 0);
+    REQUIRE(delegate.orders.size() == dispatch::maxTries - 1);
+    flow.ended(start + 2400ms, 1, net::TransferEnd::BrokenAfterSend);
+    CHECK(delegate.aborts == 0);
     CHECK(delegate.orders.size() == dispatch::maxTries);
+}
+
+// Guards against callers that wait in vain: the answer is dropped, as their stream has begun, and nothing ends it.
+TEST_CASE("an answer that is no stream doesn't replace a stream that has begun")
+{
+    SilentFlow silent(RequestKind::Stream);
+    auto& [route, delegate, flow] = static_cast<StartedFlow&>(silent);
+    REQUIRE(delegate.orders.size() == 2);
+    flow.head(start + 1400ms, 2, { 400, "id", false, false, true, {} });
+    flow.ended(start + 1401ms, 2, net::TransferEnd::Completed);
+    CHECK(delegate.responses == 0);
+    CHECK(std::count(delegate.cancelled.begin(), delegate.cancelled.end(), 1U) == 0);
+    REQUIRE_FALSE(flow.isDone());
+    flow.bytes(start + 1500ms, 1, secondEvent);
+    flow.ended(start + 1501ms, 1, net::TransferEnd::Completed);
+    CHECK(delegate.written == firstEvent + secondEvent);
+    CHECK(delegate.finishes == 1);
+}
+
+// Guards against hedges that a comment of the silent target ends.
+TEST_CASE("a comment of a silent target leaves its hedge alone")
+{
+    SilentFlow silent(RequestKind::Stream);
+    auto& [route, delegate, flow] = static_cast<StartedFlow&>(silent);
+    REQUIRE(delegate.orders.size() == 2);
+    flow.bytes(start + 1400ms, 1, ": a comment is no event\n\n");
     CHECK(delegate.cancels == 0);
-    CHECK_FALSE(flow.isDone());
+}
+
+// Guards against a timer that expires again at each tick until the deadline.
+TEST_CASE("a flow never asks to be woken in the past")
+{
+    SilentFlow silent(RequestKind::Stream, dispatch::RefusalReason::RetryBudget);
+    auto& [route, delegate, flow] = static_cast<StartedFlow&>(silent);
+    for (const Duration after : { 2790ms, 2990ms }) {
+        flow.wake(start + after);
+        CHECK(flow.nextWake() > start + after);
+    }
 }
 
 TEST_CASE("a failure of one target waits for the other one's answer")
@@ -445,6 +491,21 @@
     CHECK(delegate.orders.size() == 2);
 }
 
+// Guards against a later attempt that is refused as if the request were a new one.
+TEST_CASE("each attempt of a stream is placed with how far the request has come")
+{
+    StartedFlow started(RequestKind::Stream, true, 3);
+    auto& [route, delegate, flow] = started;
+    flow.ended(start + 5ms, 1, net::TransferEnd::NothingSent);
+    flow.ended(start + 10ms, 2, net::TransferEnd::BrokenAfterSend);
+    flow.head(start + 15ms, 3, { 200, "id", false, false, true, {} });
+    flow.bytes(start + 16ms, 3, "id: 1\ndata: a\n\n");
+    flow.ended(start + 20ms, 3, net::TransferEnd::BrokenAfterSend);
+    using dispatch::Progress;
+    CHECK(
+        delegate.progress == std::vector { Progress::NotRun, Progress::NotRun, Progress::MayHaveRun, Progress::Begun });
+}
+
 TEST_CASE("a request that all targets turned away gets the dispatcher's refusal")
 {
     dispatch::Route route;
