Keep a connection whose target reads nothing while its VM answers

Symptom: callers got 502 for a large request although its target was sound. The target's process stood still for 1.4 s while the body was on its way. Requests that may not be repeated were lost with it.

Cause: connections to targets set TCP_USER_TIMEOUT to 1 s, to find VMs that acknowledge nothing. Linux applies this limit also to a connection whose receive buffer is full: it is ended 1 s after the first probe of the window, although the other kernel answers each probe. A process that pauses for longer than the limit costs every request that doesn't fit into its receive buffer.

Change: net::AckWatch asks the kernel (TCP_INFO) while bytes of a request are unacknowledged, and ends the connection when segments or probes have left and nothing has come back for the limit. Acknowledged probes of a full buffer reset it. The receiving kernel answers one such probe in 500 ms at most, so the limit is 1.2 s at least while the buffer is full.

Without TCP_USER_TIMEOUT a connection on which nothing is due is ended by the second lost keep-alive probe, 4 s after the last byte, as the constants in ClientConnection.cpp say; the user timeout had ended it with the first, after 3 s.

The processor time of one getsockopt a request was not measured.

--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -223,8 +223,10 @@
     std::chrono::milliseconds connectTimeout { 1000 };
     std::chrono::milliseconds totalTimeout { 0 }; ///< 0: none.
     std::chrono::milliseconds silenceTimeout { 0 }; ///< Longest time without a byte of answer; 0: none.
-    std::chrono::milliseconds unackedTimeout { 0 }; ///< Longest time that sent bytes may stay unacknowledged by the
-                                                    ///< other VM before its connection is broken; 0: the system's.
+    /// Longest time that the other VM may leave sent bytes unacknowledged, and probes unanswered while its receive
+    /// buffer is full, before the connection counts as broken; 0: the system's. A process that reads nothing doesn't
+    /// reach it as long as its VM answers.
+    std::chrono::milliseconds unackedTimeout { 0 };
     /// A pooled connection may be taken, but the request is never sent a second time. Without it, one that was sent on
     /// a pooled connection that turns out to be closed is sent again on a new one; it may then have run twice.
     bool sendOnce = false;
--- a/src/net/ClientConnection.cpp
+++ b/src/net/ClientConnection.cpp
@@ -27,15 +27,13 @@
 
     void setOption(int fd, int level, int name, int value) { setsockopt(fd, level, name, &value, sizeof(value)); }
 
-    void setOptions(int fd, std::chrono::milliseconds unackedTimeout)
+    void setOptions(int fd)
     {
         setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
         setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
         setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
         setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, probeEverySeconds);
         setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, mostLostProbes);
-        if (unackedTimeout.count())
-            setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unackedTimeout.count()));
     }
 
     std::string describe(int error) { return std::generic_category().message(error); }
@@ -55,8 +53,7 @@
 
 } // namespace
 
-std::unique_ptr<ClientConnection> ClientConnection::connect(
-    ClientPool& pool, const Endpoint& endpoint, std::chrono::milliseconds unackedTimeout, int& error)
+std::unique_ptr<ClientConnection> ClientConnection::connect(ClientPool& pool, const Endpoint& endpoint, int& error)
 {
     const auto address = SocketAddress::make(endpoint);
     FileDescriptor fd(address ? socket(address->family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) : -1);
@@ -64,7 +61,7 @@
         error = errno;
         return nullptr;
     }
-    setOptions(fd.value(), unackedTimeout);
+    setOptions(fd.value());
     if (::connect(fd.value(), address->data(), address->size()) && errno != EINPROGRESS) {
         error = errno;
         return nullptr;
@@ -159,6 +156,8 @@
         m_pool.ended(*this, *m_transfer, { TransferEnd::NothingSent, 0, "the request is not wanted any more" }, true);
         return;
     }
+    if (!m_sent)
+        watchAcknowledgements();
     const std::string& bytes = m_transfer->bytes();
     while (m_sent < bytes.size()) {
         const ssize_t n
@@ -183,6 +182,48 @@
     setEvents(EPOLLIN);
 }
 
+void ClientConnection::watchAcknowledgements()
+{
+    if (const Duration limit = m_transfer->request().unackedTimeout; limit.count()) {
+        const TimePoint now = steadyNow();
+        m_ackWatch.emplace(m_fd.value(), now, limit);
+        armAckTimer(now);
+    }
+}
+
+void ClientConnection::armAckTimer(TimePoint now)
+{
+    m_pool.loop().cancel(m_ackTimer);
+    m_ackTimer = m_pool.loop().callAt(m_ackWatch->nextCheck(now), [this] {
+        m_ackTimer = 0;
+        checkAcknowledgements();
+    });
+}
+
+void ClientConnection::checkAcknowledgements()
+{
+    const TimePoint now = steadyNow();
+    switch (m_ackWatch->check(now)) {
+    case AckWatch::State::Settled:
+        if (m_sent < m_transfer->bytes().size())
+            armAckTimer(now);
+        return;
+    case AckWatch::State::Waiting:
+        armAckTimer(now);
+        return;
+    case AckWatch::State::Lost:
+        fail(false, "the other VM acknowledges nothing");
+        return;
+    }
+}
+
+void ClientConnection::release()
+{
+    m_transfer = nullptr;
+    m_pool.loop().cancel(m_ackTimer);
+    m_ackTimer = 0;
+}
+
 void ClientConnection::receive()
 {
     if (m_isPaused)
@@ -298,6 +339,7 @@
     m_isClosed = true;
     m_transfer = nullptr;
     m_pool.loop().cancel(m_connectTimer);
+    m_pool.loop().cancel(m_ackTimer);
     m_pool.loop().unwatch(m_fd.value());
     m_fd = FileDescriptor();
 }
--- a/src/net/ClientConnection.h
+++ b/src/net/ClientConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/AckWatch.h"
 #include "net/ClientTransfer.h"
 
 namespace sagechute::net {
@@ -11,8 +12,7 @@
 public:
     /// Begins to connect.
     /// @return null, with @p error, an errno, set, where not even that is possible.
-    static std::unique_ptr<ClientConnection> connect(
-        ClientPool&, const Endpoint&, std::chrono::milliseconds unackedTimeout, int& error);
+    static std::unique_ptr<ClientConnection> connect(ClientPool&, const Endpoint&, int& error);
 
     ~ClientConnection() override;
 
@@ -29,7 +29,7 @@
     void resume();
 
     /// Its transfer has ended, or goes on elsewhere.
-    void release() { m_transfer = nullptr; }
+    void release();
 
     /// Closes it without a word to its transfer.
     void close();
@@ -47,6 +47,9 @@
 
     void connected();
     void send();
+    void watchAcknowledgements();
+    void armAckTimer(TimePoint now);
+    void checkAcknowledgements();
     void receive();
     void takeBytes(std::string_view);
     void takeEnd();
@@ -63,9 +66,11 @@
     bool m_isUsed = false;
     bool m_isClosed = false;
     Loop::TimerId m_connectTimer = 0;
+    Loop::TimerId m_ackTimer = 0;
 
     ClientTransfer* m_transfer = nullptr;
     std::size_t m_sent = 0;
+    std::optional<AckWatch> m_ackWatch; ///< Of the transfer's request.
     std::optional<AnswerReader> m_reader;
     std::string m_pending; ///< Read, and not taken by the reader.
     bool m_isPaused = false; ///< The sink refused bytes.
--- a/src/net/ClientPool.cpp
+++ b/src/net/ClientPool.cpp
@@ -120,7 +120,7 @@
 {
     ClientTransfer& transfer = *running.transfer;
     int error = 0;
-    auto connection = ClientConnection::connect(*this, transfer.endpoint(), transfer.request().unackedTimeout, error);
+    auto connection = ClientConnection::connect(*this, transfer.endpoint(), error);
     if (!connection) {
         const TransferEnd how = transfer.mayHaveLeft ? TransferEnd::BrokenAfterSend : TransferEnd::NothingSent;
         end(transfer.id(), { how, 0, std::generic_category().message(error), error == ECONNREFUSED });
--- a/tests/NetClientTest.cpp
+++ b/tests/NetClientTest.cpp
@@ -250,3 +250,69 @@
     client.reset();
     waitUntil([&] { return server->openConnections() == 0; });
 }
+
+// Guards against a request that is lost because its target pauses while the request's body is still on its way.
+TEST_CASE("A target that reads nothing for longer than the limit on acknowledgements still gets its request")
+{
+    RawServer target;
+    auto request = requestTo(target.endpoint());
+    request.method = "POST";
+    request.unackedTimeout = std::chrono::milliseconds(300);
+    request.sendOnce = true;
+    // The first fits into the sender's buffer in the kernel, the second doesn't.
+    request.body = std::string(GENERATE(1 << 20, 8 << 20), 'x');
+    bool isReceived = false;
+    std::thread serving([&] {
+        auto connection = target.accept();
+        std::this_thread::sleep_for(request.unackedTimeout * 6);
+        connection.readUntil("\r\n\r\n");
+        isReceived = connection.skip(request.body.size());
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    const ClientResponse answer = makeClient()->perform(request);
+    serving.join();
+    CAPTURE(answer.result.detail);
+    REQUIRE(answer.result.end == TransferEnd::Completed);
+    REQUIRE(answer.body == "ok");
+    REQUIRE(isReceived);
+}
+
+// Guards against requests that wait for a VM that is gone until their deadline.
+TEST_CASE("A VM that acknowledges nothing any more is found soon, also while its receive buffer is full")
+{
+    RawServer target;
+    auto request = requestTo(target.endpoint());
+    request.method = "POST";
+    request.unackedTimeout = std::chrono::milliseconds(300);
+    request.totalTimeout = std::chrono::seconds(20);
+    request.sendOnce = true;
+    const bool isFull = GENERATE(false, true);
+    request.body = std::string(isFull ? 8 << 20 : 100, 'x') + "end";
+    auto client = makeClient();
+    std::optional<RawConnection> connection;
+    std::thread serving([&] {
+        connection = target.accept();
+        if (!isFull) {
+            connection->readUntil("end");
+            connection->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            // Longer than the limit, so that the buffer is full and the window has been probed.
+            std::this_thread::sleep_for(request.unackedTimeout * 2);
+        }
+        connection->vanish();
+    });
+    TimePoint vanishedAt = steadyNow() + request.unackedTimeout * 2;
+    if (!isFull) {
+        REQUIRE(client->perform(request).result.end == TransferEnd::Completed);
+        serving.join();
+        vanishedAt = steadyNow();
+    }
+    const TransferResult result = client->perform(request).result;
+    const Duration found = steadyNow() - vanishedAt;
+    if (isFull)
+        serving.join();
+    CAPTURE(result.detail, found.count());
+    REQUIRE(result.end == TransferEnd::BrokenAfterSend);
+    REQUIRE(found >= Duration(request.unackedTimeout) - std::chrono::milliseconds(50));
+    REQUIRE(found < std::chrono::seconds(5));
+}
--- a/tests/NetFixtures.h
+++ b/tests/NetFixtures.h
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <thread>
 
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -141,6 +142,20 @@
         return text;
     }
 
+    /// Reads @p n bytes away.
+    /// @return false when the connection ends before that.
+    bool skip(std::size_t n)
+    {
+        std::vector<char> buf(1 << 16);
+        while (n) {
+            const ssize_t got = recv(m_fd.value(), buf.data(), std::min(n, buf.size()), 0);
+            if (got <= 0)
+                return false;
+            n -= static_cast<std::size_t>(got);
+        }
+        return true;
+    }
+
     /// Reading gives up after so long without a byte.
     void endReadingAfter(std::chrono::seconds time)
     {
@@ -165,6 +180,15 @@
 
     void endSending() { shutdown(m_fd.value(), SHUT_WR); }
 
+    /// From now on the kernel drops whatever arrives without acknowledging it, as if this end's VM had vanished.
+    void vanish()
+    {
+        sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
+        const sock_fprog program { 1, &dropAll };
+        if (setsockopt(m_fd.value(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)))
+            throw std::runtime_error("attach filter");
+    }
+
 private:
     ssize_t readPastAll()
     {
--- a/tests/silent_target_test.py
+++ b/tests/silent_target_test.py
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
 from platform_fleet import Fleet  # noqa: E402
-from promises import Caller, Ledgers, check  # noqa: E402
+from promises import Caller, Ledgers, Request, check  # noqa: E402
 
 BUILD = "build"
 ROUTERS = 2
@@ -23,6 +23,7 @@
 CHANGE_SECONDS = 0.7  # Between two versions of the configuration.
 SECONDS = 10
 FAILURES = (500, 502, 504)
+LARGE_BODY_BYTES = 3 << 20  # More than a receive buffer and less than routers take.
 
 
 class SilentTargetTest(unittest.TestCase):
@@ -82,6 +83,23 @@
         """Guards against reads that fail for a silence of their target when no other may take them."""
         self.assertEqual(self.play(engines=1, callers=40, silent="app"), [])
 
+    def test_large_posts_are_lost_though_their_application_goes_on(self):
+        """Guards against a request that is cut while its body waits in front of a target that reads nothing for a while."""
+        fleet = Fleet(BUILD, routers=1, engines=1, applications=1)
+        self.addCleanup(fleet.__exit__)
+        fleet.wait_ready()
+        fleet.configure(most_body_bytes=LARGE_BODY_BYTES)
+        fleet.wait_until("the router has the limit", lambda: fleet.send("/posts/x", "f" * 16, body="x" * LARGE_BODY_BYTES)[0] == 200)
+        application = fleet.workers["app-0"]["process"]
+        for number in range(3):
+            request = Request(f"{number:016x}", "/posts/x", "POST")
+            request.sent_body = "x" * LARGE_BODY_BYTES
+            application.send(signal.SIGSTOP)
+            threading.Timer(SILENCE_SECONDS, application.send, (signal.SIGCONT,)).start()
+            request.send(fleet.routers[0]["front"])
+            self.assertEqual((request.status, request.is_whole), (200, True), fleet.routers[0]["process"].log()[-600:])
+            self.assertGreater(request.ended_at - request.sent_at, SILENCE_SECONDS - 0.2)
+
     def test_requests_are_lost_beside_changes_of_the_configuration(self):
         """Guards against requests that are lost beside a change of the configuration while targets are silent."""
         self.assertEqual(self.play(engines=3, callers=60, silent=("app", "engine"), is_changed=True), [])
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -200,7 +200,7 @@
         status, _, body = call(router["control"], "GET", "/v1/status")
         return {target["id"] for target in json.loads(body)["targets"]} if status == 200 else set()
 
-    def configure(self, keys=(KEY,), extra_routes=()):
+    def configure(self, keys=(KEY,), extra_routes=(), most_body_bytes=65536):
         """Writes the next version of the configuration."""
         self.version += 3
 
@@ -218,7 +218,7 @@
             "services": [{"name": "llm", "healthPath": "/healthz", "maxConns": 100,
                           "engine": {"slots": 8, "kvCapacity": 500000, "stride": 1}},
                          {"name": "app", "healthPath": "/healthz", "maxConns": 100}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeoutMs": 15000, "tokensPerS": 100000},
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": most_body_bytes, "idleTimeoutMs": 15000, "tokensPerS": 100000},
             "tenants": [{"name": "teller", "apiKeys": list(keys)}],
         }
         self.command(self.store, "/standin/put?topic=keyed.op&key=config", json.dumps(document))
