Don't break a stream for a second of silence, whatever its service's limit

Symptom: a stream of the product with its own resource API ends as `unknown` or `incomplete` although its engine is sound and goes on after a pause. Sequence: a service has `tokenGapLimitMs: 10`, which its range allows; its engine falls silent for 1.4 s; the router breaks the stream after 10 ms, resumes it twice at the same engine, which is as silent, and gives up after 30 ms.

Cause: the limit may be set below what sound targets need, and nothing else tells a pause from a loss. Change: the router waits for 3 s at least. The bound isn't put into the field's range: stored changes below it would be refused by routers that start later, and an operator's file with such a value by the API. The field's help says so.

Evidence: "a short pause of a target costs no stream" failed before with `unknown`, for requests that may be repeated and that may not, and passes now with one run.

--- a/include/sagechute/Config.h
+++ b/include/sagechute/Config.h
@@ -61,7 +61,7 @@
     PoolId pool;
     TargetMode mode = TargetMode::Engine;
     bool repeatable = true; ///< Default for requests that do not say.
-    std::chrono::milliseconds tokenGapLimit { 5000 }; ///< A stream silent for longer is broken.
+    std::chrono::milliseconds tokenGapLimit { 5000 }; ///< A stream silent for longer, and for 3 s at least, is broken.
     std::chrono::milliseconds answerLimit { 60000 }; ///< Longest run of one request.
 };
 
--- a/src/config/FieldTables.cpp
+++ b/src/config/FieldTables.cpp
@@ -28,7 +28,8 @@
         { "pool", &Service::pool, "pool whose targets run the requests", {}, "", TextRule::Name, true },
         { "mode", &Service::mode, "how the pool's targets speak" },
         { "repeatable", &Service::repeatable, "whether a request that does not say may run twice" },
-        { "tokenGapLimitMs", &Service::tokenGapLimit, "a stream silent for longer is broken", { 10, 600'000 }, "ms" },
+        { "tokenGapLimitMs", &Service::tokenGapLimit, "a stream silent for longer, and for 3 s at least, is broken",
+            { 10, 600'000 }, "ms" },
         { "answerLimitMs", &Service::answerLimit, "longest run of one request", { 10, dayMs }, "ms" },
     };
     return table;
--- a/src/routing/CoreRequests.cpp
+++ b/src/routing/CoreRequests.cpp
@@ -14,6 +14,10 @@
     /// Maximum number of times a broken stream is resumed at the same engine.
     constexpr std::uint32_t maxResumes = 2;
 
+    /// Sound targets may fall silent for a second or so and go on. Services may allow less, and stored configurations
+    /// with such a value have to stay valid, so the lower bound is applied here.
+    constexpr std::chrono::milliseconds minTokenGapLimit { 3000 };
+
     constexpr seconds shortRetryAfter { 1 };
 
     /// How long and how often forwarding to the session's holder is retried while nothing could be sent. The limit
@@ -237,7 +241,7 @@
     action.freshConnection = !request.repeatable || resumeFrom.has_value();
     action.resumeFrom = resumeFrom;
     const config::Service defaults;
-    action.tokenGapLimit = service ? service->tokenGapLimit : defaults.tokenGapLimit;
+    action.tokenGapLimit = std::max(minTokenGapLimit, service ? service->tokenGapLimit : defaults.tokenGapLimit);
     action.answerLimit = service ? service->answerLimit : defaults.answerLimit;
     m_outbox.add(std::move(action));
 }
--- a/tests/FleetFake.cpp
+++ b/tests/FleetFake.cpp
@@ -73,12 +73,13 @@
     append("customer", name, { { "weight", weight }, { "key", "key-of-customer-" + name } });
 }
 
-void FleetFake::declareService(const std::string& name, const std::string& pool, bool repeatable)
+void FleetFake::declareService(
+    const std::string& name, const std::string& pool, bool repeatable, std::chrono::milliseconds tokenGapLimit)
 {
     m_servicePools[name] = pool;
     append("service", name,
         { { "pool", pool }, { "mode", pool == "model" ? "engine" : "application" }, { "repeatable", repeatable },
-            { "answerLimitMs", 10000 } });
+            { "answerLimitMs", 10000 }, { "tokenGapLimitMs", tokenGapLimit.count() } });
 }
 
 void FleetFake::declareTarget(const std::string& name, const std::string& pool, std::uint32_t slots, bool leaving)
--- a/tests/FleetFake.h
+++ b/tests/FleetFake.h
@@ -77,6 +77,7 @@
     BreakStream, ///< The stream breaks halfway and can be resumed.
     BreakForGood, ///< The stream breaks halfway and cannot be resumed.
     Hang, ///< No data arrives within the router's time limit.
+    Pause, ///< The target falls silent for FakeTarget::pause, and then goes on with all that it has.
     Reject,
 };
 
@@ -93,6 +94,8 @@
     std::deque<Fault> faults; ///< One for each of the next requests.
     std::optional<TimePoint> leavingSince;
     Duration lastStartAfterLeaving { -1 };
+    Duration pause = std::chrono::milliseconds(1400);
+    TimePoint silentUntil {};
     std::set<std::string> resumableStreams; ///< Identities of the streams that can be resumed.
 };
 
@@ -129,7 +132,8 @@
 
     // Configuration is distributed through the log.
     void declareCustomer(const std::string& name, double weight = 1);
-    void declareService(const std::string& name, const std::string& pool, bool repeatable);
+    void declareService(const std::string& name, const std::string& pool, bool repeatable,
+        std::chrono::milliseconds tokenGapLimit = std::chrono::seconds(5));
     void declareTarget(const std::string& name, const std::string& pool, std::uint32_t slots, bool leaving = false);
 
     /// Starts the cores and lets them discover each other.
--- a/tests/FleetTargets.cpp
+++ b/tests/FleetTargets.cpp
@@ -91,12 +91,19 @@
         if (++m_identityRuns[identity] > 1 && !mayRepeat && m_sends.at(id).session)
             reportViolation(Violation::DuplicateResendRun, identity);
     }
-    const FaultEffect effect = effectOf(fault);
+    if (fault == Fault::Pause)
+        target.silentUntil = m_now + target.pause;
+    FaultEffect effect = effectOf(fault);
+    const Duration silence = std::max(target.silentUntil - m_now, Duration::zero());
+    if (silence > Duration(run.start.streamed ? run.start.tokenGapLimit : run.start.answerLimit))
+        effect = { AttemptEnd::Stalled, false, true };
     Duration time = m_sends.at(id).cost - std::chrono::milliseconds(from);
     if (effect.halfway)
         time /= 2;
     if (effect.end == AttemptEnd::Stalled)
         time = run.start.streamed ? run.start.tokenGapLimit : run.start.answerLimit;
+    else
+        time += silence;
     if (effect.resumable)
         target.resumableStreams.insert(identity);
     ++target.started;
--- a/tests/RoutingDeliveryTest.cpp
+++ b/tests/RoutingDeliveryTest.cpp
@@ -275,6 +275,22 @@
     requireQuiescent(*fleet);
 }
 
+// Guards against a stream that is lost because its service allows less silence than a sound engine needs at times.
+TEST_CASE("a short pause of a target costs no stream, however short its service's limit on silence")
+{
+    auto fleet = oneTargetFleet();
+    fleet->declareService("model", "model", true, 10ms);
+    fleet->run(1s);
+    fleet->target("worker-1").faults = { Fault::Pause };
+    Send streamed { .customer = "tellers", .streamed = true };
+    streamed.repeatable = GENERATE(false, true);
+    const RequestId id = fleet->send(0, streamed);
+    fleet->run(5s);
+    REQUIRE(onlyEnd(*fleet, id).outcome == Outcome::Completed);
+    REQUIRE(fleet->runsOf(id) == 1);
+    requireQuiescent(*fleet);
+}
+
 TEST_CASE("a request's deadline expires in the queue")
 {
     auto fleet = oneTargetFleet();
