Cancel a silent run only when its request may run elsewhere

Symptom: a repeatable stream ends as `unknown` after 5 s of silence although its engine goes on a second later. Sequence: nothing was relayed yet; the router settles and cancels the run, then asks the retry budget, which is spent. Cause: the run is given up before it is known that there is another. Change: the retry is taken first; without one the stream is resumed at its engine, as others are.

Evidence: "a silent stream that may not be retried goes on where it runs" (budget spent by twelve rejected requests, engine silent for 6 s) failed before with `unknown`, and passes now with one run.

--- a/src/routing/Core.h
+++ b/src/routing/Core.h
@@ -73,8 +73,11 @@
     void attemptCompleted(TimePoint now, Request&, AttemptEnded&);
     void forwardEnded(TimePoint now, Request&, AttemptEnded&);
     void attemptFailed(TimePoint now, Request&, const AttemptEnded&);
-    bool resume(Request&, const AttemptEnded&);
-    bool retry(TimePoint now, Request&, AttemptEnd);
+    bool canResume(const Request&, AttemptEnd) const;
+    void resume(Request&);
+    /// @return after which time the request is sent again, if its retry budget allows; takes the retry from it.
+    std::optional<Duration> retryDelay(TimePoint, const Request&, AttemptEnd);
+    void retry(TimePoint, Request&, Duration delay);
     void failRequest(TimePoint now, Request&, ErrorKind, std::string_view message, std::string_view remedy);
     void refuse(TimePoint now, Request&, Outcome, const absl::Status&, std::optional<std::chrono::seconds> retryAfter);
     void answer(TimePoint now, Request&, delivery::KeptAnswer, std::string usage);
--- a/src/routing/CoreRequests.cpp
+++ b/src/routing/CoreRequests.cpp
@@ -352,49 +352,61 @@
 
 void Core::attemptFailed(TimePoint now, Request& request, const AttemptEnded& event)
 {
-    if (resume(request, event))
+    const bool isResumable = canResume(request, event.end);
+    const bool prefersRetry = request.repeatable && request.relayedPositions == 0 && event.end != AttemptEnd::Broken;
+    if (isResumable && !prefersRetry) {
+        resume(request);
         return;
+    }
+    const std::optional<Duration> delay = retryDelay(now, request, event.end);
+    if (isResumable && !delay) {
+        // The run may go on, and there is no other.
+        resume(request);
+        return;
+    }
     PoolRouter* owner = pool(request.pool);
     owner->ended(now, request, request.soFar, healthOf(event.end));
     if (event.end == AttemptEnd::Stalled && request.repeatable && request.mode == config::TargetMode::Engine)
         m_outbox.add(CancelAttempt { request.id, true, request.targetAddress });
-    if (retry(now, request, event.end))
-        return;
-    failRequest(now, request, ErrorKind::TargetFailed, describe(event.end),
-        request.repeatable ? "send it again" : "check its effect before sending it again");
+    if (delay)
+        retry(now, request, *delay);
+    else
+        failRequest(now, request, ErrorKind::TargetFailed, describe(event.end),
+            request.repeatable ? "send it again" : "check its effect before sending it again");
+}
+
+bool Core::canResume(const Request& request, AttemptEnd end) const
+{
+    const bool isStreamed = request.arrival.streamed && request.mode == config::TargetMode::Engine;
+    const bool isBroken = end == AttemptEnd::Broken || end == AttemptEnd::Stalled || end == AttemptEnd::Crossed;
+    return isStreamed && isBroken && request.resumes < maxResumes;
 }
 
 // Resuming a stream never starts a second run: the engine rejects a position of a stream that it does not know.
-bool Core::resume(Request& request, const AttemptEnded& event)
+void Core::resume(Request& request)
 {
-    const bool streamed = request.arrival.streamed && request.mode == config::TargetMode::Engine;
-    const bool broken
-        = event.end == AttemptEnd::Broken || event.end == AttemptEnd::Stalled || event.end == AttemptEnd::Crossed;
-    const bool retryable = request.repeatable && request.relayedPositions == 0 && event.end != AttemptEnd::Broken;
-    if (!streamed || !broken || retryable || request.resumes >= maxResumes)
-        return false;
     ++request.resumes;
     beginAttempt(request, request.relayedPositions);
-    return true;
 }
 
-bool Core::retry(TimePoint now, Request& request, AttemptEnd end)
+std::optional<Duration> Core::retryDelay(TimePoint now, const Request& request, AttemptEnd end)
 {
     // NothingSent holds for this attempt only. A resume attempt that cannot connect says nothing about the run whose
     // stream broke; starting over would run the request twice or splice two answers.
     const bool neverRan = end == AttemptEnd::NothingSent && !request.mayHaveBeenSent;
     const bool safe = neverRan || (request.repeatable && request.relayedPositions == 0);
     if (!safe || request.callerGone || !m_freshness.fresh(now, *m_gossip))
-        return false;
-    const auto delay = m_retries->takeRetry(request.arrival.customer, request.attempt, *m_random);
-    if (!delay)
-        return false;
+        return std::nullopt;
+    return m_retries->takeRetry(request.arrival.customer, request.attempt, *m_random);
+}
+
+void Core::retry(TimePoint now, Request& request, Duration delay)
+{
     request.avoid.push_back(request.target);
     request.phase = RequestPhase::Backoff;
-    request.retryAt = now + *delay;
+    request.retryAt = now + delay;
     request.soFar = 0;
     m_requests.setDeadlineActive(request, true);
-    return true;
 }
 
 void Core::failRequest(
--- a/tests/RoutingDeliveryTest.cpp
+++ b/tests/RoutingDeliveryTest.cpp
@@ -291,6 +291,25 @@
     requireQuiescent(*fleet);
 }
 
+// Guards against a run that is cancelled for its silence before it is known that the request may run elsewhere.
+TEST_CASE("a silent stream that may not be retried goes on where it runs")
+{
+    auto fleet = oneTargetFleet();
+    fleet->target("worker-1").faults.assign(40, Fault::Reject);
+    for (int n = 0; n < 12; ++n) {
+        fleet->send(0, { "tellers" });
+        fleet->run(20s);
+    }
+    REQUIRE(countEnds(*fleet, Outcome::Unknown) > 0); // The retry budget is spent.
+    fleet->target("worker-1").faults = { Fault::Pause };
+    fleet->target("worker-1").pause = 6s;
+    const RequestId id = fleet->send(0, { .customer = "tellers", .streamed = true });
+    fleet->run(20s);
+    REQUIRE(onlyEnd(*fleet, id).outcome == Outcome::Completed);
+    REQUIRE(fleet->runsOf(id) == 1);
+    requireQuiescent(*fleet);
+}
+
 TEST_CASE("a request's deadline expires in the queue")
 {
     auto fleet = oneTargetFleet();
