Test requests beside changes of the targets and of the configuration under a virtual clock

RelayWorld can now change what a router knows every 50 ms: a target drains, leaves the list or is listed again, perhaps with a new life, or a version has no services or another quota. Attempts wait for up to 300 ms before they are sent, and are withdrawn if their target takes no requests any more by then. Attempts that are at a target go on.

--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -121,6 +121,23 @@
     }
 }
 
+// Guards against requests that are lost as their target, route or service is taken away while they are placed, queued
+// or running.
+TEST_CASE("a request beside changes of the targets and of the configuration gets a whole answer or a refusal")
+{
+    FaultRates changesOnly { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 };
+    changesOnly.pauses = GENERATE(0.0, 0.3);
+    changesOnly.changes = GENERATE(0.3, 1.0);
+    unsigned withdrawn = 0;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        CAPTURE(changesOnly.pauses, changesOnly.changes, seed);
+        RelayWorld world(seed, changesOnly, FlowRules::standard());
+        CHECK(world.run(requestsPerTrial).empty());
+        withdrawn += world.withdrawn();
+    }
+    CHECK(withdrawn > 100);
+}
+
 namespace {
 
 /// A delegate that records its calls.
--- a/tests/RelayWorld.cpp
+++ b/tests/RelayWorld.cpp
@@ -16,6 +16,8 @@
     constexpr Duration timeout = 3s;
     constexpr Duration requestInterval = 20ms;
     constexpr Duration pause = 1500ms; ///< Two of them and an answer take longer than the timeout.
+    constexpr Duration changeInterval = 50ms;
+    constexpr Duration maxQueueTime = 300ms;
     constexpr double unframedFraction = 0.5; ///< Fraction of the streams that end with their connection.
 
     enum RouteIndex : unsigned { Idempotent, Once, Resumable, Plain, RouteCount };
@@ -112,7 +114,13 @@
     {
         return dispatcher.giveUp(now, service);
     }
-    void send(const OutgoingAttempt& order) override { owner.deliver(*this, order); }
+    void send(const OutgoingAttempt& order) override
+    {
+        if (owner.m_faultRates.changes > 0)
+            owner.queue(*this, order);
+        else
+            owner.deliver(*this, order);
+    }
     void cancel(unsigned number) override { cancelled.insert(number); }
 
     void startStream(int, const std::vector<net::Field>&) override { isStreaming = true; }
@@ -198,7 +206,8 @@
         settings.retryRatio = m_faultRates.retryRatio;
         m_routers.push_back(dispatch::Dispatcher::make(settings, { "z" }, seed + i));
         m_routers.back()->setConfig(m_table);
-        m_routers.back()->setTargets(m_now, makeTargets());
+        m_lists.push_back(makeTargets());
+        m_routers.back()->setTargets(m_now, m_lists.back());
     }
 }
 
@@ -235,6 +244,47 @@
     return isHit;
 }
 
+void RelayWorld::queue(Send& send, const OutgoingAttempt& order)
+{
+    after(maxQueueTime, [this, &send, order] {
+        if (send.cancelled.contains(order.number)) {
+            send.flow.ended(m_now, order.number, net::TransferEnd::NothingSent);
+        } else if (send.dispatcher.maySend(m_now, order.placement.target.incarnation())) {
+            deliver(send, order);
+        } else {
+            ++m_withdrawn;
+            send.flow.withdrawn(m_now, order.number);
+        }
+    });
+}
+
+void RelayWorld::changeAtRandom()
+{
+    const std::size_t router = m_random.below(routers);
+    std::vector<dispatch::Target>& list = m_lists[router];
+    if (chance(0.3)) {
+        dispatch::FleetConfig config = m_table->config();
+        config.tokensPerSecond = static_cast<double>(m_random.below(2));
+        if (chance(0.5))
+            config.services.clear();
+        config.routes.clear();
+        m_routers[router]->setConfig(dispatch::RoutingTable::make(config));
+        return;
+    }
+    const dispatch::Target fresh = makeTargets()[m_random.below(targets)];
+    const auto it = std::find_if(
+        list.begin(), list.end(), [&fresh](const dispatch::Target& target) { return target.id == fresh.id; });
+    if (it == list.end()) {
+        list.push_back(fresh);
+        list.back().startedAtMs = static_cast<std::int64_t>(m_random.below(3));
+    } else if (it->draining || chance(0.3)) {
+        list.erase(it);
+    } else {
+        it->draining = true;
+    }
+    m_routers[router]->setTargets(m_now, list);
+}
+
 void RelayWorld::deliver(Send& send, const OutgoingAttempt& order)
 {
     const unsigned number = order.number;
@@ -347,6 +397,12 @@
         at(m_now + i * requestInterval,
             [this] { startRequest(static_cast<unsigned>(m_random.below(RouteCount)), callerRetries); });
     const TimePoint last = m_now + requests * requestInterval + 4 * timeout;
+    for (TimePoint when = m_now; m_faultRates.changes > 0 && when < last; when += changeInterval) {
+        at(when, [this] {
+            if (chance(m_faultRates.changes))
+                changeAtRandom();
+        });
+    }
     for (; m_now < last; m_now += 1ms) {
         while (!m_events.empty() && m_events.begin()->first <= m_now) {
             const auto call = std::move(m_events.begin()->second);
--- a/tests/RelayWorld.h
+++ b/tests/RelayWorld.h
@@ -39,6 +39,7 @@
     double rejected = 0.03; ///< The target runs it and reports an error of the caller.
     double pauses = 0.05; ///< The target falls silent somewhere in its response and goes on.
     double retryRatio = 1e6; ///< Retries per request; not a probability.
+    double changes = 0; ///< Every 50 ms, a router learns of another list of targets or another configuration.
 };
 
 /// Simulates requests and records breaches.
@@ -50,6 +51,7 @@
     std::set<Breach> run(unsigned requests);
 
     unsigned completed() const { return m_completed; }
+    unsigned withdrawn() const { return m_withdrawn; }
 
 private:
     struct Run {
@@ -66,6 +68,13 @@
     void after(Duration most, std::function<void()>);
     void deliver(Send&, const OutgoingAttempt&);
 
+    /// Delivers the attempt a little later unless its target has meanwhile been withdrawn.
+    void queue(Send&, const OutgoingAttempt&);
+
+    /// A target drains, leaves the list of a router, or is listed again, perhaps with a new life, or the router learns
+    /// of a version with other services and quotas. Attempts that are at a target go on.
+    void changeAtRandom();
+
     /// @return whether a fault occurs, which is noted as trouble of the request.
     bool isHit(Send&, double probability);
     void answer(Send&, unsigned number, const std::string& runTag, const std::string& resumeAfter, double sentFraction);
@@ -81,11 +90,13 @@
     TimePoint m_now { std::chrono::seconds(100) };
     std::shared_ptr<const dispatch::RoutingTable> m_table;
     std::vector<std::unique_ptr<dispatch::Dispatcher>> m_routers;
+    std::vector<std::vector<dispatch::Target>> m_lists; ///< By router.
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::vector<std::unique_ptr<Send>> m_sends;
     std::vector<Run> m_runs;
     std::set<Breach> m_breaches;
     unsigned m_completed = 0;
+    unsigned m_withdrawn = 0;
 };
 
 } // namespace sagechute::relay
