Test that targets which lose to a hedge put no request under suspicion

Found by the review of the hedges: the loser of a hedge counts as silent, and three such within 10 s left a key undecided.

--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -729,3 +729,37 @@
     const Decision retry = dispatcher.place(start + 1s, request, AttemptKind::RetryAfterSend);
     CHECK(std::holds_alternative<Placement>(retry));
 }
+
+// Guards against requests that are refused as undecided because sound targets paused.
+TEST_CASE("targets that pause, lose to a hedge and go on put no request under suspicion")
+{
+    TestDeployment deployment(4);
+    auto& dispatcher = *deployment.dispatcher;
+    const auto place = [&](TimePoint now, const PlacementRequest& request, AttemptKind kind) {
+        return std::get<Placement>(dispatcher.place(now, request, kind));
+    };
+    PlacementRequest request = deployment.demand("c", prompt(1, 800, 200));
+    for (unsigned i = 0; i < 100; ++i) {
+        const Placement placement = place(start, request, AttemptKind::First);
+        dispatcher.firstAnswer(start, placement.attempt);
+        dispatcher.ended(start, placement.attempt, AttemptEnd::Answered);
+    }
+    for (unsigned i = 0; i < 3; ++i) {
+        const TimePoint now = start + 1s + i * 2s;
+        request.key = 52;
+        request.tried.clear();
+        for (unsigned j = 0; j < 4; ++j) {
+            if (j != i)
+                request.tried.insert(deployment.targets[j].incarnation());
+        }
+        const Placement first = place(now, request, AttemptKind::First);
+        request.tried = { first.target.incarnation() };
+        const Placement hedge = place(now + 1200ms, request, AttemptKind::Hedge);
+        dispatcher.firstAnswer(now + 1300ms, hedge.attempt);
+        dispatcher.ended(now + 1300ms, first.attempt, AttemptEnd::Silent);
+        for (const quarantine::TargetCheck& it : dispatcher.crashes().checksDue(now + 1310ms))
+            dispatcher.crashes().checked(now + 1320ms, it, quarantine::CheckResult::Accepted);
+    }
+    request.tried.clear();
+    CHECK(std::holds_alternative<Placement>(dispatcher.place(start + 7s, request, AttemptKind::First)));
+}
