Set the simulated faults of request flows by name, and scale all of them

The property of random faults left the probabilities that are new (pauses, errors of the caller) unscaled, and two cases set faults by their position.

--- a/tests/RelayFlowTest.cpp
+++ b/tests/RelayFlowTest.cpp
@@ -76,11 +76,7 @@
     rc::prop("random faults", [] {
         const auto seed = *rc::gen::arbitrary<std::uint64_t>();
         const double scale = *rc::gen::element(0.2, 1.0, 2.5);
-        FaultRates it;
-        for (double* probability : { &it.unreachable, &it.lostRequest, &it.lostAnswer, &it.silent, &it.refused,
-                 &it.otherTarget, &it.failed, &it.foreign, &it.closedInEvent, &it.leaves })
-            *probability *= scale;
-        RelayWorld world(seed, it, FlowRules::standard());
+        RelayWorld world(seed, FaultRates {}.scaledBy(scale), FlowRules::standard());
         const std::set<Breach> breaches = world.run(requestsPerTrial);
         for (const Breach breach : breaches)
             RC_LOG() << toString(breach) << "\n";
@@ -113,7 +109,8 @@
 // Guards against answers that are cut although their target goes on after a pause.
 TEST_CASE("a request of which one target pauses gets a whole answer or a refusal")
 {
-    FaultRates pausesOnly { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0.3 };
+    FaultRates pausesOnly = FaultRates::none();
+    pausesOnly.pauses = 0.3;
     pausesOnly.retryRatio = GENERATE(0.0, 0.1, 1e6);
     for (unsigned seed = 1; seed <= 20; ++seed) {
         CAPTURE(pausesOnly.retryRatio, seed);
@@ -125,7 +122,7 @@
 // or running.
 TEST_CASE("a request beside changes of the targets and of the configuration gets a whole answer or a refusal")
 {
-    FaultRates changesOnly { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 };
+    FaultRates changesOnly = FaultRates::none();
     changesOnly.pauses = GENERATE(0.0, 0.3);
     changesOnly.changes = GENERATE(0.3, 1.0);
     unsigned withdrawn = 0;
--- a/tests/RelayWorld.cpp
+++ b/tests/RelayWorld.cpp
@@ -80,6 +80,18 @@
     return "";
 }
 
+FaultRates FaultRates::none() { return FaultRates {}.scaledBy(0); }
+
+FaultRates FaultRates::scaledBy(double factor) const
+{
+    FaultRates scaled = *this;
+    for (double* probability : { &scaled.unreachable, &scaled.lostRequest, &scaled.lostAnswer, &scaled.closedInEvent,
+             &scaled.silent, &scaled.refused, &scaled.otherTarget, &scaled.failed, &scaled.foreign, &scaled.leaves,
+             &scaled.rejected, &scaled.pauses })
+        *probability *= factor;
+    return scaled;
+}
+
 struct RelayWorld::Send final : RequestFlowDelegate {
     Send(RelayWorld& world, unsigned kindOfRoute, std::string requestId, unsigned retries, dispatch::Dispatcher& chosen)
         : owner(world)
--- a/tests/RelayWorld.h
+++ b/tests/RelayWorld.h
@@ -26,6 +26,11 @@
 
 /// Faults of the transport, the targets and the callers, as probabilities per attempt.
 struct FaultRates {
+    static FaultRates none();
+
+    /// @return the same faults, each @p factor times as likely.
+    FaultRates scaledBy(double factor) const;
+
     double unreachable = 0.05; ///< The connection is refused.
     double lostRequest = 0.05; ///< The connection breaks after sending; the target never receives the request.
     double lostAnswer = 0.1; ///< The target runs it, and the connection breaks during the response.
