Leave a request's own time out of its wait before an application

Cause: the predicted wait before an application included the time of the answer itself. Answers that come after a pause of 1.4 s raise its estimate; once it is above the route's goal each request is refused, no answer lowers it, and that is final. Hedges make it more likely, as the first attempt of a read now ends with its late answer.

A target with a free slot is always worth a request, and its answers bring the estimate down again.

--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -381,11 +381,13 @@
     admission.isFarAbove = isShared && m_shares.isFarAboveOthers(now, request.customer);
     if (admission.isFarAbove)
         return refuse(RefusalReason::OverShare, noTargetRetryAfter, admission);
-    const Duration prefillDuration = best.model->prefillTime(best.prefillTokens);
-    admission.wait = best.predictedFirstEventDelay - prefillDuration;
+    // The wait leaves the request's own time out: an application that paused would seem too slow for any request, and
+    // without requests that estimate would never change.
+    const Duration ownDelay = best.model->ownDelay(best.prefillTokens);
+    admission.wait = best.predictedFirstEventDelay - ownDelay;
     const double tokens = tokensOf(request.prompt);
     SizeBalance& sizes = m_sizeBalances[{ request.route->name, share > 1 }];
-    setAllowedWait(admission, request, prefillDuration, sizes);
+    setAllowedWait(admission, request, ownDelay, sizes);
     const bool isAdmitted = admission.wait <= admission.allowed;
     sizes.recordDecision(now, tokens, admission.wait, isAdmitted);
     if (share > kindBalanceMinShare)
@@ -400,7 +402,7 @@
     TimePoint now, const PlacementRequest& request, AttemptKind kind, Candidate& best)
 {
     Admission& admission = best.admission;
-    admission.wait = best.predictedFirstEventDelay - best.model->prefillTime(best.prefillTokens);
+    admission.wait = best.predictedFirstEventDelay - best.model->ownDelay(best.prefillTokens);
     // A begun answer that goes on late is better than one that is cut. With a hedge it may go on without.
     const bool isHedge = kind == AttemptKind::Hedge;
     const bool isCutOtherwise = request.progress == Progress::Begun && !isHedge;
@@ -413,7 +415,7 @@
 }
 
 void LocalDispatcher::setAllowedWait(
-    Admission& admission, const PlacementRequest& request, Duration prefillDuration, const SizeBalance& sizes) const
+    Admission& admission, const PlacementRequest& request, Duration ownDelay, const SizeBalance& sizes) const
 {
     const Duration goal = request.route->goal;
     const double tokens = tokensOf(request.prompt);
@@ -427,7 +429,7 @@
     // to 0.56 of all its requests; with it, the largest tenth is served half as often as all (replay of a flood of many
     // sizes, engines of 22 to 300 tokens per millisecond).
     const auto waitAllowedFor = [&](double limit, double part) {
-        const auto onTimeWait = std::chrono::duration_cast<Duration>(limit * goal - part * prefillDuration);
+        const auto onTimeWait = std::chrono::duration_cast<Duration>(limit * goal - part * ownDelay);
         const auto minWait = std::chrono::duration_cast<Duration>(limit * minWaitGoalFraction * goal);
         return std::max(onTimeWait, minWait);
     };
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -83,8 +83,8 @@
     std::optional<Refusal> admitAgain(TimePoint now, const PlacementRequest&, AttemptKind, Candidate&);
     double waitFactorForShare(double share) const;
 
-    /// Sets the allowed queueing delay. @param prefillDuration of the request itself.
-    void setAllowedWait(Admission&, const PlacementRequest&, Duration prefillDuration, const SizeBalance&) const;
+    /// Sets the allowed queueing delay. @param ownDelay see TargetModel::ownDelay().
+    void setAllowedWait(Admission&, const PlacementRequest&, Duration ownDelay, const SizeBalance&) const;
     bool isWarmStart(TimePoint now) const { return m_warmStartUntil && now < *m_warmStartUntil; }
 
     /// A router has placed a prompt with this prefix: whether its homes have it cached is known from now on.
--- a/src/dispatch/TargetModel.cpp
+++ b/src/dispatch/TargetModel.cpp
@@ -84,6 +84,11 @@
     return m_engine ? fromMs(tokens / m_settings.prefillTokensPerMs * m_speed.slowness) : Duration::zero();
 }
 
+Duration TargetModel::ownDelay(std::uint32_t prefillTokens) const
+{
+    return m_engine ? prefillTime(prefillTokens) : fromMs(m_speed.answerMs);
+}
+
 Duration TargetModel::predictFirstEventDelay(const TargetLoad& inFlight, std::uint32_t prefillTokens) const
 {
     if (m_engine) {
--- a/src/dispatch/TargetModel.h
+++ b/src/dispatch/TargetModel.h
@@ -37,6 +37,10 @@
     /// @return time to prefill the tokens.
     Duration prefillTime(std::uint32_t tokens) const;
 
+    /// @return the part of predictFirstEventDelay() that isn't queueing: the time to prefill the tokens or, for an
+    /// application, to answer.
+    Duration ownDelay(std::uint32_t prefillTokens) const;
+
     /// @param inFlight see totalLoad(); computed once per request and target.
     /// @return predicted delay of the first event or, for an application, of the whole answer.
     Duration predictFirstEventDelay(const TargetLoad& inFlight, std::uint32_t prefillTokens) const;
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -763,3 +763,28 @@
     request.tried.clear();
     CHECK(std::holds_alternative<Placement>(dispatcher.place(start + 7s, request, AttemptKind::First)));
 }
+
+// Guards against applications that get no request any more, as answers after a pause make them seem too slow for any.
+TEST_CASE("an application that paused gets requests again")
+{
+    TestDeployment deployment;
+    FleetConfig config = deployment.table->config();
+    Route& route = config.routes.front();
+    route.kind = RequestKind::Once;
+    route.goal = 500ms;
+    deployment.table = RoutingTable::make(config);
+    auto& dispatcher = *deployment.dispatcher;
+    dispatcher.setConfig(deployment.table);
+    const Target application { { "a" }, { "app" }, "127.0.0.1:9100", { "a" }, 6, false };
+    dispatcher.setTargets(start, { application });
+    PlacementRequest request = deployment.demand("c", {});
+    request.service = { "app" };
+    for (unsigned i = 0; i < 30; ++i) {
+        const TimePoint now = start + i * 2s;
+        const Decision decision = dispatcher.place(now, request, AttemptKind::First);
+        REQUIRE(std::holds_alternative<Placement>(decision));
+        const AttemptId attempt = std::get<Placement>(decision).attempt;
+        dispatcher.firstAnswer(now + 1400ms, attempt);
+        dispatcher.ended(now + 1400ms, attempt, AttemptEnd::Answered);
+    }
+}
