--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,7 +22,7 @@
 import time
 
 from platform_fleet import KEY, Fleet, call
-from promises import FAILED, Caller, Ledgers, Request, check_arrivals, findings_of
+from promises import DEADLINE_SLACK_SECONDS, FAILED, Caller, Ledgers, Request, check_arrivals, findings_of
 from soak_proxy import Proxy
 from target_signals import SignalCheck, overlaps
 from trial_faults import ALWAYS, FAULTS, SILENCE_SECONDS, Stage, draw_changes
@@ -371,7 +371,7 @@
         for request in requests:
             self._check_request(request)
         self.breaches += check_arrivals(requests + self._recovery, self._ledgers,
-                                        lambda begin, end: overlaps(self._unplanned, begin, end))
+                                        self._may_arrive_late)
         for router, target, seconds in self.signals.after_draining():
             self.breaches.append(f"{target} got a request {seconds} s after {router} had passed on that it leaves")
         for router, target, count in self.signals.in_backoff():
@@ -402,6 +402,11 @@
     def _is_excused(self, request):
         return overlaps(self._unplanned, request.sent_at, request.ended_at) or self._ran_out_of_time(request)
 
+    def _may_arrive_late(self, begin, end):
+        """Whether what was sent at the first time may have been seen by its target only at the second."""
+        return overlaps(self._unplanned, begin, end) \
+            or end - begin - covered(self._silences, begin, end) <= DEADLINE_SLACK_SECONDS
+
     def _ran_out_of_time(self, request):
         """Whether it met so much silence that its time may have ended before its answer."""
         held_up = covered(self._silences, request.sent_at, request.ended_at)
