--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -27,6 +27,15 @@
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
     }
 
+    /// @return the IDs of the parts that other requests may have in common with this one: all but the last.
+    std::string sharedPartsText(const dispatch::PromptSize& prompt)
+    {
+        std::string text;
+        for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+            text += (text.empty() ? "" : ",") + quarantine::toHex(prompt.parts[i].id);
+        return text.empty() ? "none" : text;
+    }
+
     TimePoint deadlineOf(const RelayOrder& order)
     {
         const Duration timeout = order.route->timeout;
@@ -278,7 +287,8 @@
             { "read-tokens", std::to_string(record.placement.prefillTokens) },
             { "prompt-tokens", std::to_string(m_order.facts.prompt.inputTokens) },
             { "answer-tokens", std::to_string(m_order.facts.prompt.maxOutputTokens) },
-            { "wait-ms", formatDurationMs(admission.wait) }, { "allowed-ms", formatDurationMs(admission.allowed) },
+            { "parts", sharedPartsText(m_order.facts.prompt) }, { "wait-ms", formatDurationMs(admission.wait) },
+            { "allowed-ms", formatDurationMs(admission.allowed) },
             { "share-percent", std::to_string(static_cast<int>(admission.share * percent)) },
             { "far-above", admission.isFarAbove ? "yes" : "no" },
             { "size-helped", admission.isSizeBoosted ? "yes" : "no" },
