--- a/apps/sagechute-edge/CrashJournal.cpp
+++ b/apps/sagechute-edge/CrashJournal.cpp
@@ -40,12 +40,42 @@
     m_threads.emplace_back([this] { runReader(); });
 }
 
-void CrashJournal::write(const std::vector<quarantine::CrashRecord>& records)
+void CrashJournal::Subjects::add(const Records& records)
+{
+    pendingRecords.insert(pendingRecords.end(), records.begin(), records.end());
+    while (pendingRecords.size() > maxPendingRecords)
+        pendingRecords.pop_front();
+}
+
+void CrashJournal::Subjects::written(const Records& records)
+{
+    for (const quarantine::CrashRecord& it : records) {
+        if (it.isCleared)
+            storedQuarantines.erase(it.subject);
+        if (!pendingRecords.empty() && pendingRecords.front() == it)
+            pendingRecords.pop_front();
+    }
+}
+
+void CrashJournal::Subjects::written(const Cases& cases)
+{
+    for (const quarantine::CrashCase& it : cases)
+        storedQuarantines.insert(it.subject);
+}
+
+void CrashJournal::Subjects::apply(const news::SubjectCrashNews& update)
+{
+    storedQuarantines.insert(update.quarantined.begin(), update.quarantined.end());
+    for (const quarantine::SubjectKey it : update.released)
+        storedQuarantines.erase(it);
+}
+
+void CrashJournal::write(
+    const std::vector<quarantine::CrashRecord>& requests, const std::vector<quarantine::CrashRecord>& parts)
 {
     std::lock_guard lock(m_mutex);
-    m_pendingRecords.insert(m_pendingRecords.end(), records.begin(), records.end());
-    while (m_pendingRecords.size() > maxPendingRecords)
-        m_pendingRecords.pop_front();
+    m_requests.add(requests);
+    m_parts.add(parts);
 }
 
 void CrashJournal::runWriter()
@@ -57,23 +87,21 @@
 
 bool CrashJournal::flush()
 {
-    std::vector<quarantine::CrashRecord> records;
+    Records requests;
+    Records parts;
     {
         std::lock_guard lock(m_mutex);
-        records.assign(m_pendingRecords.begin(), m_pendingRecords.end());
+        requests = m_requests.pending();
+        parts = m_parts.pending();
     }
-    if (records.empty())
+    if (requests.empty() && parts.empty())
         return true;
     // Writes are idempotent, so that a call without an answer can be repeated.
-    if (!m_store.writeCrashes(records).ok())
+    if (!m_store.writeCrashes(requests, parts).ok())
         return false;
     std::lock_guard lock(m_mutex);
-    for (const quarantine::CrashRecord& it : records) {
-        if (it.isCleared)
-            m_storedQuarantines.erase(it.request);
-        if (!m_pendingRecords.empty() && m_pendingRecords.front() == it)
-            m_pendingRecords.pop_front();
-    }
+    m_requests.written(requests);
+    m_parts.written(parts);
     return true;
 }
 
@@ -92,14 +120,8 @@
 
 bool CrashJournal::pollStore()
 {
-    const std::vector<quarantine::CrashCase> missing = missingFromStore();
-    if (m_nextOffset && !missing.empty()) {
-        if (!m_store.writeQuarantined(missing).ok())
-            return false;
-        std::lock_guard lock(m_mutex);
-        for (const quarantine::CrashCase& it : missing)
-            m_storedQuarantines.insert(it.request);
-    }
+    if (m_nextOffset && !writeMissing())
+        return false;
     const absl::StatusOr<news::CrashNews> found
         = m_nextOffset ? m_store.followCrashes(*m_nextOffset, longPollTimeout) : m_store.readCrashes();
     if (!found.ok()) {
@@ -116,29 +138,49 @@
 {
     m_nextOffset.reset();
     std::lock_guard lock(m_mutex);
-    m_storedQuarantines.clear();
+    m_requests.storedQuarantines.clear();
+    m_parts.storedQuarantines.clear();
 }
 
 void CrashJournal::applyRecords(const news::CrashNews& update)
 {
     {
         std::lock_guard lock(m_mutex);
-        m_storedQuarantines.insert(update.quarantined.begin(), update.quarantined.end());
-        for (const quarantine::RequestKey it : update.released)
-            m_storedQuarantines.erase(it);
+        m_requests.apply(update);
+        m_parts.apply(update.parts);
     }
     const TimePoint now = steadyNow();
-    m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.crashes().learn(now, update.records); });
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) {
+        it.crashes().learn(now, update.records);
+        it.crashes().parts().learn(now, update.parts.records);
+    });
 }
 
-std::vector<quarantine::CrashCase> CrashJournal::missingFromStore()
+bool CrashJournal::writeMissing()
 {
-    std::vector<quarantine::CrashCase> cases
-        = m_state.withDispatcher([](dispatch::Dispatcher& it) { return it.crashes().cases(); });
+    Cases requests;
+    Cases parts;
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) {
+        requests = it.crashes().cases();
+        parts = it.crashes().parts().cases();
+    });
+    {
+        std::lock_guard lock(m_mutex);
+        std::erase_if(requests, [this](const auto& it) {
+            return !it.isQuarantined() || m_requests.storedQuarantines.contains(it.subject);
+        });
+        std::erase_if(parts, [this](const auto& it) {
+            return !it.isPartQuarantined() || m_parts.storedQuarantines.contains(it.subject);
+        });
+    }
+    if (requests.empty() && parts.empty())
+        return true;
+    if (!m_store.writeQuarantined(requests, parts).ok())
+        return false;
     std::lock_guard lock(m_mutex);
-    std::erase_if(
-        cases, [this](const auto& it) { return !it.isQuarantined() || m_storedQuarantines.contains(it.request); });
-    return cases;
+    m_requests.written(requests);
+    m_parts.written(parts);
+    return true;
 }
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/CrashJournal.h
+++ b/apps/sagechute-edge/CrashJournal.h
@@ -8,8 +8,8 @@
 
 namespace sagechute::edge {
 
-/// Persists the crash records of requests that crash targets in the store, for routers that cannot reach each other and
-/// for those that start after all routers were lost.
+/// Persists the crash records of requests and of parts of prompts that crash targets in the store, for routers that
+/// cannot reach each other and for those that start after all routers were lost.
 ///
 /// One thread writes this router's own findings. Another polls the store's records if this router reads the store for
 /// others or has no peers; all other routers receive the records with heartbeats.
@@ -24,9 +24,24 @@
 
     /// Queues records for writing. Thread-safe and non-blocking. The oldest records are dropped when the queue is full,
     /// as during a long outage of the store.
-    void write(const std::vector<quarantine::CrashRecord>&);
+    void write(const std::vector<quarantine::CrashRecord>& requests, const std::vector<quarantine::CrashRecord>& parts);
 
 private:
+    using Records = std::vector<quarantine::CrashRecord>;
+    using Cases = std::vector<quarantine::CrashCase>;
+
+    /// Of requests, or of parts.
+    struct Subjects {
+        std::deque<quarantine::CrashRecord> pendingRecords;
+        std::set<quarantine::SubjectKey> storedQuarantines; ///< Quarantined subjects that the store holds.
+
+        void add(const Records&);
+        Records pending() const { return { pendingRecords.begin(), pendingRecords.end() }; }
+        void written(const Records&);
+        void written(const Cases&);
+        void apply(const news::SubjectCrashNews&);
+    };
+
     void runWriter();
     void runReader();
 
@@ -36,8 +51,9 @@
     void restartFromSnapshot();
     void applyRecords(const news::CrashNews&);
 
-    /// @return quarantined requests that are not in the store, as far as it has been read.
-    std::vector<quarantine::CrashCase> missingFromStore();
+    /// Writes what is quarantined and not in the store, as far as it has been read.
+    /// @return false when the store did not accept it.
+    bool writeMissing();
 
     EdgeState& m_state;
     Fleet& m_fleet;
@@ -45,8 +61,8 @@
     const news::NewsTimes m_times;
     InterruptibleSleeper m_sleeper;
     std::mutex m_mutex;
-    std::deque<quarantine::CrashRecord> m_pendingRecords;
-    std::set<quarantine::RequestKey> m_storedQuarantines; ///< Quarantined requests that the store holds.
+    Subjects m_requests;
+    Subjects m_parts;
     std::optional<LogOffset> m_nextOffset; ///< Used by the reading thread only.
     std::vector<std::thread> m_threads;
 };
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -30,6 +30,7 @@
     void recordClosedConnection(const net::ClosedConnection&);
     void recordTargetEnd(quarantine::ExitEvidence);
     prometheus::Gauge& quarantinedRequests() { return m_quarantinedRequests; }
+    prometheus::Gauge& quarantinedParts() { return m_quarantinedParts; }
 
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
@@ -50,6 +51,7 @@
     prometheus::Family<prometheus::Counter>& m_closedConnections;
     prometheus::Family<prometheus::Counter>& m_targetEnds;
     prometheus::Gauge& m_quarantinedRequests;
+    prometheus::Gauge& m_quarantinedParts;
     prometheus::Histogram& m_duration;
     prometheus::Histogram& m_firstEvent;
     prometheus::Histogram& m_predictionError;
--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -311,8 +311,12 @@
     if (m_plan.isRelay) {
         // A relay merges crash records into its own state, which it sends out a part at a time. Adding the records of
         // all reports to its sums would make these unbounded.
-        m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.crashes().learn(now, load->crashes); });
+        m_state.withDispatcher([&](dispatch::Dispatcher& it) {
+            it.crashes().learn(now, load->crashes);
+            it.crashes().parts().learn(now, load->partCrashes);
+        });
         load->crashes.clear();
+        load->partCrashes.clear();
     }
     if (heartbeat->scope == HeartbeatScope::Zone) {
         m_relayReports.setZoneReport(now, heartbeat->zone, std::move(*load));
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -17,6 +17,7 @@
     constexpr int unavailable = 503;
 
     constexpr std::string_view quarantinePath = "/v1/quarantine";
+    constexpr std::string_view partsPath = "/parts"; ///< Below quarantinePath.
 
     /// Callers' idle connections stay open for longer than callers reuse them, 15 s in the deployments: a request that
     /// is sent while the router closes its connection fails.
@@ -196,9 +197,13 @@
         exchange.respond(net::jsonResponse(okStatus, crashCasesJson()));
         return;
     }
-    const auto key = name.starts_with('/') ? quarantine::requestKeyFromHex(name.substr(1)) : std::nullopt;
-    const bool isReleased = key && exchange.request().method == "DELETE"
-        && m_context.state.withDispatcher([&](dispatch::Dispatcher& it) { return it.crashes().release(*key); });
+    const bool isPart = name.starts_with(partsPath);
+    const std::string_view path = isPart ? name.substr(partsPath.size()) : name;
+    const auto key = path.starts_with('/') ? quarantine::requestKeyFromHex(path.substr(1)) : std::nullopt;
+    const bool isReleased
+        = key && exchange.request().method == "DELETE" && m_context.state.withDispatcher([&](dispatch::Dispatcher& it) {
+              return isPart ? it.crashes().parts().release(*key) : it.crashes().release(*key);
+          });
     exchange.respond(textResponse(isReleased ? okStatus : notFound));
 }
 
@@ -207,9 +212,15 @@
     nlohmann::json requests = nlohmann::json::array();
     for (const quarantine::CrashCase& it :
         m_context.state.withDispatcher([](dispatch::Dispatcher& it) { return it.crashes().cases(); }))
-        requests.push_back({ { "key", quarantine::toHex(it.request) }, { "targetEnds", it.targets.size() },
+        requests.push_back({ { "key", quarantine::toHex(it.subject) }, { "targetEnds", it.targets.size() },
             { "quarantined", it.isQuarantined() } });
-    return { { "requests", std::move(requests) } };
+    nlohmann::json parts = nlohmann::json::array();
+    const TimePoint now = steadyNow();
+    for (const quarantine::CrashCase& it :
+        m_context.state.withDispatcher([](dispatch::Dispatcher& it) { return it.crashes().parts().cases(); }))
+        parts.push_back({ { "part", quarantine::toHex(it.subject) }, { "targetEnds", it.targets.size() },
+            { "firstEndAgeMs", ageMs(now - it.firstLearnedAt) }, { "quarantined", it.isPartQuarantined() } });
+    return { { "requests", std::move(requests) }, { "parts", std::move(parts) } };
 }
 
 void Listeners::handleControl(net::ServerExchange& exchange)
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -31,8 +31,8 @@
     std::string sharedPartsText(const dispatch::PromptSize& prompt)
     {
         std::string text;
-        for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
-            text += (text.empty() ? "" : ",") + quarantine::toHex(prompt.parts[i].id);
+        for (const quarantine::PartKey it : dispatch::sharedPartsOf(prompt))
+            text += (text.empty() ? "" : ",") + quarantine::toHex(it);
         return text.empty() ? "none" : text;
     }
 
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -165,6 +165,9 @@
 /// it too occupies the engine's cache and so evicts prefixes that other requests share.
 std::vector<PrefixKey> prefixesOf(const std::vector<PromptPart>&);
 
+/// @return the parts that other requests may have in common with this one: all but the last, each once.
+std::vector<quarantine::PartKey> sharedPartsOf(const PromptSize&);
+
 /// Tuning parameters of placement and admission. Each is a process setting or a constant of the engines in use.
 struct DispatchSettings {
     /// Initial estimate of an engine's prefill rate, in tokens per millisecond. The engines' data sheet gives 51.1
@@ -267,6 +270,8 @@
     RetryBudget,
     Backoff, ///< All targets that could take it are in a backoff pause.
     Quarantined, ///< Targets crash when they run it; see quarantine::CrashGuard.
+    PartSuspected, ///< Targets may crash because of a part of its prompt; it is not sent again after a break.
+    PartQuarantined, ///< Targets crash because of a part of its prompt; see quarantine::PartGuard.
 };
 
 std::string_view toString(RefusalReason);
@@ -346,7 +351,8 @@
     std::map<TargetKey, TargetLoad> targets;
     std::map<CustomerId, CustomerUsage> customers;
     std::map<TargetKey, PlacedPrompts> placed; ///< Since the report before the last; each placement is sent twice.
-    std::set<quarantine::CrashRecord> crashes; ///< See quarantine::CrashRecordSet::tell().
+    std::set<quarantine::CrashRecord> crashes; ///< Of requests; see quarantine::CrashGuard::recordsToSend().
+    std::set<quarantine::CrashRecord> partCrashes; ///< See quarantine::PartGuard::recordsToSend().
 };
 
 /// Adds the report of another router, or an aggregate of several.
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -55,11 +55,16 @@
     std::string gossipAddress;
 };
 
-/// Records written by routers about requests that crash targets.
-struct CrashNews {
+/// Records written by routers about requests, or about parts of prompts, that crash targets.
+struct SubjectCrashNews {
     std::vector<quarantine::CrashRecord> records;
-    std::vector<quarantine::RequestKey> quarantined; ///< Quarantined requests; their records are included above.
-    std::vector<quarantine::RequestKey> released; ///< Requests released from quarantine.
+    std::vector<quarantine::SubjectKey> quarantined; ///< Quarantined subjects; their records are included above.
+    std::vector<quarantine::SubjectKey> released; ///< Subjects released from quarantine.
+};
+
+/// Crash records of requests and of parts.
+struct CrashNews : SubjectCrashNews {
+    SubjectCrashNews parts;
     LogOffset next = 0; ///< Offset to continue reading from.
 };
 
@@ -86,17 +91,21 @@
     virtual absl::Status announce(const RouterAnnouncement&) = 0;
     virtual absl::StatusOr<std::vector<RouterAnnouncement>> announcements() = 0;
 
-    /// @return all retained records: quarantined requests and some of the others.
+    /// @return all retained records: quarantined requests and parts and some of the others.
     virtual absl::StatusOr<CrashNews> readCrashes() = 0;
 
     /// @param wait see followConfig().
     virtual absl::StatusOr<CrashNews> followCrashes(LogOffset from, std::chrono::milliseconds wait) = 0;
 
-    /// Writes records for followers; only some are retained permanently. A cleared request is released from quarantine.
-    virtual absl::Status writeCrashes(const std::vector<quarantine::CrashRecord>&) = 0;
+    /// Writes records for followers; only some are retained permanently. A cleared subject is released from quarantine.
+    virtual absl::Status writeCrashes(
+        const std::vector<quarantine::CrashRecord>& requests, const std::vector<quarantine::CrashRecord>& parts)
+        = 0;
 
-    /// Writes quarantined requests, which are retained until they are cleared.
-    virtual absl::Status writeQuarantined(const std::vector<quarantine::CrashCase>&) = 0;
+    /// Writes quarantined requests and parts, which are retained until they are cleared.
+    virtual absl::Status writeQuarantined(
+        const std::vector<quarantine::CrashCase>& requests, const std::vector<quarantine::CrashCase>& parts)
+        = 0;
 
     /// @return the number of calls made so far, including refused ones.
     virtual std::uint64_t calls() const = 0;
--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -1,9 +1,9 @@
 #pragma once
 
 /// @file
-/// Quarantine of requests that crash the targets that run them: which targets exited while running which requests, as
-/// known to all routers together, and which requests are therefore no longer run. Decision logic without sockets,
-/// threads or a clock.
+/// Quarantine of requests, and of parts of prompts, that crash the targets that run them: which targets exited while
+/// running which requests, as known to all routers together, and which requests are therefore no longer run. Decision
+/// logic without sockets, threads or a clock.
 
 #include <sagechute/Core.h>
 
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace sagechute::quarantine {
@@ -37,14 +38,24 @@
 /// @return the key that toHex() formatted, or nullopt.
 std::optional<RequestKey> requestKeyFromHex(std::string_view);
 
+/// Identifies a part of a prompt that several requests may share: the ID that requests state for it, whatever their
+/// customer, service and model and the part's number of tokens.
+using PartKey = std::uint64_t;
+
+/// What a crash record is about: a RequestKey or a PartKey. Records of the two kinds are kept apart.
+using SubjectKey = std::uint64_t;
+
 /// Compact identifier of one incarnation of a target; see dispatch::keyOf().
 using TargetKey = std::uint32_t;
 
-/// States that a target exited while it ran a request, which may be the cause.
+/// States that a target exited while it ran a request, which may be the cause, or a part of its prompt may be. None of
+/// the flags is ever reset to false, so records can be merged in any order.
 struct CrashRecord {
-    RequestKey request = 0;
+    SubjectKey subject = 0;
     TargetKey target = 0;
-    bool isCleared = false; ///< The request has completed since, or an operator released it. Never reset to false.
+    bool isCleared = false; ///< The subject was run since without an exit, or an operator released it.
+    bool isConfirmed = false; ///< A router has established that the subject, a part of prompts, is the cause.
+    bool isRepeated = false; ///< The attempt was sent when an earlier exit under the subject was already known.
 
     auto operator<=>(const CrashRecord&) const = default;
 };
@@ -52,6 +63,9 @@
 /// A request is quarantined once this many targets have exited while running it and it has completed on none.
 inline constexpr unsigned quarantineThreshold = 3;
 
+/// A part of prompts can be quarantined once this many targets have exited under it and it has been run on none since.
+inline constexpr unsigned partQuarantineThreshold = 5;
+
 // How often a record is sent, since datagrams get lost: by the router that created it, and by a router that received
 // it.
 inline constexpr unsigned ownRecordTransmissions = 10;
@@ -86,6 +100,7 @@
     TargetKey target = 0;
     ExitEvidence evidence = ExitEvidence::Refused;
     std::set<RequestKey> requests;
+    std::map<PartKey, TimePoint> parts; ///< Suspected parts of their prompts, each with when it was last sent there.
 };
 
 /// Distinguishes target exits from attempts that broke for other reasons.
@@ -101,7 +116,9 @@
     void ended(TimePoint sentAt, TargetKey);
 
     /// An attempt broke after it may have run. @param isSilent whether it timed out: the target may go on later.
-    void broke(TimePoint now, TimePoint sentAt, TargetKey, RequestKey, bool isSilent);
+    /// @param suspectParts see PartGuard::ended().
+    void broke(TimePoint now, TimePoint sentAt, TargetKey, RequestKey, bool isSilent,
+        const std::vector<PartKey>& suspectParts = {});
 
     /// Any attempt received bytes from the target. Attempts that timed out there are no longer undecided.
     void heard(TimePoint now, TargetKey);
@@ -124,9 +141,11 @@
 private:
     struct BrokenAttempt {
         RequestKey request = 0;
+        TimePoint sentAt;
         TimePoint at;
         bool isSilent = false;
         bool isTargetKnownAlive = false; ///< The target accepted a connection or, if silent, was heard afterwards.
+        std::vector<PartKey> suspectParts;
     };
 
     struct Watch {
@@ -147,53 +166,73 @@
 
 // ---- State shared by all routers
 
-/// A request and the targets that exited while running it.
+/// A request or part and the targets that exited while running it.
 struct CrashCase {
-    RequestKey request = 0;
-    std::vector<TargetKey> targets; ///< Without cleared ones.
+    SubjectKey subject = 0;
+    std::vector<TargetKey> targets; ///< Without cleared ones, in ascending order.
+    unsigned confirmed = 0; ///< How many of these exits were established to be caused by the subject.
+    unsigned repeated = 0; ///< How many of these exits came under an attempt that was sent when another was known.
+    TimePoint firstLearnedAt {}; ///< When this router learned of the first of these exits.
 
+    /// Of a request.
     bool isQuarantined() const { return targets.size() >= quarantineThreshold; }
+
+    /// Of a part. Exits that come after the verdict don't add to it.
+    bool isPartQuarantined() const { return confirmed >= partQuarantineThreshold; }
 };
 
-/// The crash records by request. Merging is commutative and idempotent, so routers that receive the same records in any
+/// The crash records by subject. Merging is commutative and idempotent, so routers that receive the same records in any
 /// order and any number of times converge to the same state.
 class CrashRecordSet {
 public:
     /// @param transmissions how often to send the record to other routers if it is new here.
     void merge(TimePoint now, const CrashRecord&, unsigned transmissions);
 
-    /// @return the number of targets that exited while running the request and were not cleared.
-    unsigned exitCount(RequestKey) const;
+    /// @return the number of targets that exited while running the subject and were not cleared.
+    unsigned exitCount(SubjectKey) const;
 
-    /// @return the request with its targets that were not cleared.
-    CrashCase find(RequestKey) const;
+    /// @return the subject with its targets that were not cleared.
+    CrashCase find(SubjectKey) const;
 
-    /// Notes that the request was received again. The quarantined requests evicted first are those not received for
+    /// Notes that the subject was received again. The quarantined ones evicted first are those not received for
     /// longest.
-    void markRequested(TimePoint now, RequestKey);
+    void markRequested(TimePoint now, SubjectKey);
 
+    /// @param learnedUntil exits that this router learned of later are not cleared.
     /// @return the records that this call cleared.
-    std::vector<CrashRecord> clear(RequestKey);
+    std::vector<CrashRecord> clear(SubjectKey, TimePoint learnedUntil = TimePoint::max());
+
+    /// Sets CrashRecord::isConfirmed of all records of the subject that were not cleared.
+    /// @return these records.
+    std::vector<CrashRecord> confirm(SubjectKey);
+
+    /// @return the records of the subject that were not cleared.
+    std::vector<CrashRecord> unclearedRecords(SubjectKey) const;
 
     /// @return the records to send next: new ones, and in rotation all that a router which has just started needs.
     std::vector<CrashRecord> recordsToSend();
 
-    /// @return all requests during which targets exited, in descending order of exits.
+    /// @return all subjects under which targets exited, in descending order of exits.
     std::vector<CrashCase> cases() const;
 
 private:
-    using RecordId = std::pair<RequestKey, TargetKey>;
+    using RecordId = std::pair<SubjectKey, TargetKey>;
+
+    struct Exit {
+        CrashRecord record;
+        TimePoint learnedAt;
+    };
 
     struct Entry {
-        std::map<TargetKey, bool> targets; ///< Maps to whether the record was cleared.
+        std::map<TargetKey, Exit> exits;
         unsigned exitCount = 0;
         TimePoint lastRequestedAt;
     };
 
     void evictIfFull();
-    void dropClearedTargets(Entry&, RequestKey);
+    void dropClearedTargets(Entry&, SubjectKey);
 
-    std::map<RequestKey, Entry> m_entries;
+    std::map<SubjectKey, Entry> m_entries;
     std::map<RecordId, unsigned> m_pendingSends; ///< Maps to the number of transmissions left.
     RecordId m_lastPendingSent {};
     RecordId m_lastRepeated {};
@@ -204,18 +243,106 @@
 /// Whether a request may be run.
 enum class Standing {
     Clear,
-    Undecided, ///< It would be quarantined if one more suspected exit were confirmed.
+    Suspect, ///< It may be sent once: neither again after a break nor to a second target beside the first.
+    Undecided, ///< Whether it is quarantined will be known shortly.
     Quarantined,
 };
 
-/// What has changed, for logs and for the store.
-struct QuarantineUpdate {
-    std::vector<TargetExit> targetExits; ///< Detected by this router.
+/// Changes among requests or among parts, for logs and for the store.
+struct SubjectChanges {
     std::vector<CrashCase> quarantined;
-    std::vector<RequestKey> released;
+    std::vector<SubjectKey> released;
     std::vector<CrashRecord> ownRecords; ///< Created by this router.
 };
 
+/// What has changed, for logs and for the store.
+struct QuarantineUpdate : SubjectChanges {
+    std::vector<TargetExit> targetExits; ///< Detected by this router.
+    SubjectChanges parts;
+};
+
+/// Identifies an attempt of this router.
+using TrialId = std::uint64_t;
+
+/// Finds the part of prompts that crashes the targets that begin to answer it, among sound parts that are in the same
+/// prompts, or in those of other requests on the same targets.
+///
+/// Failure pattern: requests that have nothing but one part of their prompts in common crash a target each. All parts
+/// of all requests that a target had not begun to answer are suspects of its exit. An attempt that a target goes on to
+/// answer clears its parts of the exits that were known when it was sent. A part is quarantined if the targets exit
+/// under it again and again and it is not cleared while attempts without it survive: if nothing survives, as when a
+/// rack is lost, no part is to blame.
+class PartGuard {
+public:
+    /// @return the standing of a request by the parts of its prompt that other requests may share.
+    Standing standing(TimePoint now, const std::vector<PartKey>& parts);
+
+    /// An attempt with a prompt is being sent.
+    void sent(TimePoint now, TrialId, const std::vector<PartKey>& parts);
+
+    /// The attempt's target has begun to answer.
+    void answering(TimePoint now, TrialId);
+
+    /// @param isAnswered whether the attempt ended with a complete answer.
+    /// @return the parts that are suspects if the target has exited: none if it went on for long enough after it had
+    /// begun to answer.
+    std::vector<PartKey> ended(TimePoint now, TrialId, bool isAnswered);
+
+    /// A target of this router exited. @param parts see TargetExit.
+    void exited(TimePoint now, TargetKey, const std::map<PartKey, TimePoint>& parts);
+
+    /// Call it every few tens of milliseconds.
+    void tick(TimePoint now);
+
+    /// @return the records to send to the other routers with the next report.
+    std::vector<CrashRecord> recordsToSend() { return m_records.recordsToSend(); }
+
+    /// Merges records from another router or from the store. @param records any range of CrashRecord.
+    template <typename Records> void learn(TimePoint now, const Records& records)
+    {
+        for (const CrashRecord& it : records)
+            merge(now, it, forwardedRecordTransmissions);
+    }
+
+    /// Releases a part, for an operator. @return whether there was anything to clear.
+    bool release(PartKey part) { return clear(part, TimePoint::max()); }
+
+    /// @return all parts under which targets exited, in descending order of exits.
+    std::vector<CrashCase> cases() const { return m_records.cases(); }
+
+    /// @return the changes since the last call.
+    SubjectChanges takeChanges() { return std::exchange(m_changes, {}); }
+
+private:
+    struct Trial {
+        std::vector<PartKey> parts;
+        TimePoint sentAt;
+        std::optional<TimePoint> answeringSince;
+        bool hasSurvived = false;
+    };
+
+    /// Survivals of attempts without the part, sent since the first exit under it that was not cleared.
+    using SurvivalsOfOthers = unsigned;
+
+    void merge(TimePoint now, const CrashRecord&, unsigned transmissions);
+    bool clear(PartKey, TimePoint learnedUntil);
+    void survived(Trial&);
+
+    /// Adds the part to the suspects, or removes it, by the exits under it that were not cleared.
+    /// @param hasClearing whether exits under it have just been cleared.
+    void updateSuspect(PartKey, bool hasClearing);
+    bool isToBeQuarantined(TimePoint now, const CrashCase&, SurvivalsOfOthers) const;
+
+    /// @return whether another quarantined part, which is not in the prompt, explains all exits under this one.
+    bool isExplainedByOther(const CrashCase&, const std::vector<PartKey>& prompt) const;
+    bool isInFlight(PartKey) const;
+
+    CrashRecordSet m_records;
+    std::map<PartKey, SurvivalsOfOthers> m_suspects;
+    std::map<TrialId, Trial> m_trials;
+    SubjectChanges m_changes;
+};
+
 /// Keeps requests that crash targets away from them.
 ///
 /// Failure pattern: a request crashes the process that starts to run it. Its caller retries it, each time with another
@@ -231,7 +358,8 @@
 
     /// An attempt completed: the target survived the request.
     void completed(TimePoint sentAt, TargetKey, RequestKey);
-    void broke(TimePoint now, TimePoint sentAt, TargetKey, RequestKey, bool isSilent);
+    void broke(TimePoint now, TimePoint sentAt, TargetKey, RequestKey, bool isSilent,
+        const std::vector<PartKey>& suspectParts = {});
 
     /// See TargetExitDetector.
     void heard(TimePoint now, TargetKey target) { m_detector.heard(now, target); }
@@ -261,6 +389,9 @@
 
     std::vector<CrashCase> cases() const { return m_records.cases(); }
 
+    /// @return the tracker of parts of prompts; exits of targets are reported to it by this class.
+    PartGuard& parts() { return m_parts; }
+
     /// @return the changes since the last call.
     QuarantineUpdate takeUpdate();
 
@@ -271,6 +402,7 @@
 
     TargetExitDetector m_detector;
     CrashRecordSet m_records;
+    PartGuard m_parts;
     QuarantineUpdate m_update;
 };
 
--- a/src/dispatch/LoadReport.cpp
+++ b/src/dispatch/LoadReport.cpp
@@ -16,9 +16,12 @@
         std::vector<PlacedRow>>;
 
     using CrashRow = std::tuple<quarantine::RequestKey, TargetKey, bool>;
+    using PartCrashRow = std::tuple<quarantine::PartKey, TargetKey, bool, bool, bool>;
 
-    /// Index of the crash rows. Releases without crash detection send only the rows before them.
+    /// Index of the crash rows of requests. Releases without crash detection send only the rows before them, and those
+    /// without detection of crashing parts not the rows behind them.
     constexpr std::size_t crashesIndex = std::tuple_size_v<Record>;
+    constexpr std::size_t partCrashesIndex = crashesIndex + 1;
 
     using WireAge = std::chrono::duration<std::uint32_t, std::milli>;
 
@@ -60,6 +63,7 @@
         total.unsharedTokens += placed.unsharedTokens;
     }
     sum.crashes.insert(part.crashes.begin(), part.crashes.end());
+    sum.partCrashes.insert(part.partCrashes.begin(), part.partCrashes.end());
 }
 
 void subtract(LoadReport& sum, const LoadReport& part)
@@ -86,7 +90,7 @@
 {
     msgpack::sbuffer bytes;
     msgpack::packer<msgpack::sbuffer> out(bytes);
-    out.pack_array(crashesIndex + 1);
+    out.pack_array(partCrashesIndex + 1);
     out.pack(report.serial);
     out.pack(std::chrono::duration_cast<WireAge>(report.age).count());
     out.pack_array(static_cast<std::uint32_t>(report.targets.size()));
@@ -101,7 +105,10 @@
         out.pack(PlacedRow { key, placed.unsharedTokens, placed.shared });
     out.pack_array(static_cast<std::uint32_t>(report.crashes.size()));
     for (const quarantine::CrashRecord& it : report.crashes)
-        out.pack(CrashRow { it.request, it.target, it.isCleared });
+        out.pack(CrashRow { it.subject, it.target, it.isCleared });
+    out.pack_array(static_cast<std::uint32_t>(report.partCrashes.size()));
+    for (const quarantine::CrashRecord& it : report.partCrashes)
+        out.pack(PartCrashRow { it.subject, it.target, it.isCleared, it.isConfirmed, it.isRepeated });
     return { bytes.data(), bytes.size() };
 }
 
@@ -129,6 +136,11 @@
                 handle->via.array.ptr[crashesIndex].as<std::vector<CrashRow>>())
                 report.crashes.insert({ request, target, isCleared });
         }
+        if (handle->via.array.size > partCrashesIndex) {
+            for (const auto& [part, target, isCleared, isConfirmed, isRepeated] :
+                handle->via.array.ptr[partCrashesIndex].as<std::vector<PartCrashRow>>())
+                report.partCrashes.insert({ part, target, isCleared, isConfirmed, isRepeated });
+        }
         return report;
     } catch (const msgpack::unpack_error&) {
         return malformedReport();
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -206,11 +206,13 @@
     return perSecond * std::chrono::duration<double>(m_settings.shareWindow).count();
 }
 
-std::optional<Refusal> LocalDispatcher::checkCrashGuard(TimePoint now, quarantine::RequestKey key)
+std::optional<Refusal> LocalDispatcher::checkCrashGuard(
+    TimePoint now, const PlacementRequest& request, AttemptKind kind)
 {
-    switch (m_crashes.standing(now, key)) {
+    switch (m_crashes.standing(now, request.key)) {
     case quarantine::Standing::Clear:
-        return std::nullopt;
+    case quarantine::Standing::Suspect:
+        return checkPartGuard(now, request, kind);
     case quarantine::Standing::Undecided:
         return Refusal { RefusalReason::Quarantined, undecidedRetryAfter, {} };
     case quarantine::Standing::Quarantined:
@@ -219,9 +221,28 @@
     return Refusal { RefusalReason::Quarantined, quarantinedRetryAfter, {} };
 }
 
+std::optional<Refusal> LocalDispatcher::checkPartGuard(TimePoint now, const PlacementRequest& request, AttemptKind kind)
+{
+    // A request that a target has begun to answer doesn't crash targets.
+    const bool isRepeat
+        = kind == AttemptKind::Hedge || (kind == AttemptKind::RetryAfterSend && request.progress != Progress::Begun);
+    switch (m_crashes.parts().standing(now, sharedPartsOf(request.prompt))) {
+    case quarantine::Standing::Clear:
+        return std::nullopt;
+    case quarantine::Standing::Suspect:
+        return isRepeat ? std::optional(Refusal { RefusalReason::PartSuspected, undecidedRetryAfter, {} })
+                        : std::nullopt;
+    case quarantine::Standing::Undecided:
+        return Refusal { RefusalReason::PartQuarantined, undecidedRetryAfter, {} };
+    case quarantine::Standing::Quarantined:
+        break;
+    }
+    return Refusal { RefusalReason::PartQuarantined, quarantinedRetryAfter, {} };
+}
+
 Decision LocalDispatcher::place(TimePoint now, const PlacementRequest& request, AttemptKind kind)
 {
-    if (const std::optional<Refusal> refusal = checkCrashGuard(now, request.key))
+    if (const std::optional<Refusal> refusal = checkCrashGuard(now, request, kind))
         return *refusal;
     const std::vector<PrefixKey> prefixes = prefixesOf(request.prompt.parts);
     const double tokens = tokensOf(request.prompt);
@@ -510,6 +531,8 @@
     m_crashes.sent(now, best.model->key(), best.model->target().address);
     m_attempts[++m_lastAttempt]
         = { incarnation, best.prefillTokens, reservedTokens, now, best.predictedFirstEventDelay, false, request.key };
+    if (!request.prompt.parts.empty())
+        m_crashes.parts().sent(now, m_lastAttempt, sharedPartsOf(request.prompt));
     return { m_lastAttempt, best.model->target(), best.prefillTokens, best.predictedFirstEventDelay, best.admission };
 }
 
@@ -539,6 +562,7 @@
     attempt.hasFirstAnswer = true;
     m_backoffs.served(now, attempt.target);
     m_crashes.heard(now, dispatch::keyOf(attempt.target));
+    m_crashes.parts().answering(now, id);
     if (TargetModel* model = find(attempt.target))
         model->firstAnswer(
             attempt.placedAt, attempt.prefillTokens, attempt.predictedFirstEventDelay, now - attempt.placedAt);
@@ -552,7 +576,7 @@
     const Attempt attempt = it->second;
     m_attempts.erase(it);
     TargetModel* model = find(attempt.target);
-    recordEndForCrashGuard(now, attempt, model != nullptr && !model->target().draining, end);
+    recordEndForCrashGuard(now, id, attempt, model != nullptr && !model->target().draining, end);
     if (end == AttemptEnd::Answered)
         m_backoffs.served(now, attempt.target);
     if (!model)
@@ -567,8 +591,10 @@
         model->recordOutcome(now, end, now - attempt.placedAt);
 }
 
-void LocalDispatcher::recordEndForCrashGuard(TimePoint now, const Attempt& attempt, bool isListed, AttemptEnd end)
+void LocalDispatcher::recordEndForCrashGuard(
+    TimePoint now, AttemptId id, const Attempt& attempt, bool isListed, AttemptEnd end)
 {
+    const std::vector<quarantine::PartKey> suspectParts = m_crashes.parts().ended(now, id, end == AttemptEnd::Answered);
     const TargetKey target = dispatch::keyOf(attempt.target);
     const bool isBroken = end == AttemptEnd::Broken || end == AttemptEnd::Silent;
     const bool isCompleted = end == AttemptEnd::Answered || end == AttemptEnd::Failed;
@@ -577,7 +603,7 @@
     if (isCompleted)
         m_crashes.completed(attempt.placedAt, target, attempt.key);
     else if (isBroken && isListed && attempt.key)
-        m_crashes.broke(now, attempt.placedAt, target, attempt.key, end == AttemptEnd::Silent);
+        m_crashes.broke(now, attempt.placedAt, target, attempt.key, end == AttemptEnd::Silent, suspectParts);
     else
         m_crashes.ended(attempt.placedAt, target);
 }
@@ -593,6 +619,8 @@
     report.customers = m_shares.localUsage(now);
     const std::vector<quarantine::CrashRecord> crashes = m_crashes.recordsToSend();
     report.crashes = { crashes.begin(), crashes.end() };
+    const std::vector<quarantine::CrashRecord> partCrashes = m_crashes.parts().recordsToSend();
+    report.partCrashes = { partCrashes.begin(), partCrashes.end() };
     report.placed = m_previouslyPlaced;
     for (const auto& [key, placed] : m_newlyPlaced) {
         PlacedPrompts& reported = report.placed[key];
@@ -617,6 +645,7 @@
     }
     m_shares.setPeerUsage(now, peer, report.customers, report.age);
     m_crashes.learn(now, report.crashes);
+    m_crashes.parts().learn(now, report.partCrashes);
     for (const auto& [key, placed] : report.placed) {
         for (const auto& [prompt, tokens] : placed.shared)
             markPrefixKnown(now, prompt);
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -96,13 +96,16 @@
     double homeBonusMs(const PromptSize&, const std::vector<PrefixKey>&) const;
     double zoneCostMs(const PlacementRequest&) const;
     /// @return a refusal if targets crash, or may have crashed, when they run the request.
-    std::optional<Refusal> checkCrashGuard(TimePoint now, quarantine::RequestKey);
+    std::optional<Refusal> checkCrashGuard(TimePoint now, const PlacementRequest&, AttemptKind);
+
+    /// As checkCrashGuard(), for the parts of the prompt.
+    std::optional<Refusal> checkPartGuard(TimePoint now, const PlacementRequest&, AttemptKind);
 
     /// Detects targets that ended without draining first.
     void detectLostTargets(TimePoint now, const std::vector<Target>&, const std::set<TargetIncarnation>& present);
 
     /// @param isListed the target is known and not draining, so that its end can be detected.
-    void recordEndForCrashGuard(TimePoint now, const Attempt&, bool isListed, AttemptEnd);
+    void recordEndForCrashGuard(TimePoint now, AttemptId, const Attempt&, bool isListed, AttemptEnd);
     Refusal refuse(RefusalReason, Duration retryAfter, const Admission& = {});
     Placement commit(TimePoint now, const PlacementRequest&, const Candidate&, const std::vector<PrefixKey>&);
     void recordPlacement(TimePoint now, TargetKey, const std::vector<PrefixKey>&);
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -53,6 +53,10 @@
         return "backoff";
     case RefusalReason::Quarantined:
         return "quarantined";
+    case RefusalReason::PartSuspected:
+        return "prompt-part-suspected";
+    case RefusalReason::PartQuarantined:
+        return "prompt-part-quarantined";
     }
     return "";
 }
--- a/src/dispatch/PrefixMemory.cpp
+++ b/src/dispatch/PrefixMemory.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/PrefixMemory.h"
 
+#include <algorithm>
+
 namespace sagechute::dispatch {
 
 std::vector<PrefixKey> prefixesOf(const std::vector<PromptPart>& parts)
@@ -14,6 +16,16 @@
     return result;
 }
 
+std::vector<quarantine::PartKey> sharedPartsOf(const PromptSize& prompt)
+{
+    std::vector<quarantine::PartKey> shared;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+        if (std::find(shared.begin(), shared.end(), prompt.parts[i].id) == shared.end())
+            shared.push_back(prompt.parts[i].id);
+    }
+    return shared;
+}
+
 void PrefixMemory::touch(const std::vector<PrefixKey>& prefixes)
 {
     // Longest first, so that the shortest prefix becomes the most recent: an engine cannot use a part without those
--- a/src/quarantine/CrashGuard.cpp
+++ b/src/quarantine/CrashGuard.cpp
@@ -19,9 +19,10 @@
     clear(request);
 }
 
-void CrashGuard::broke(TimePoint now, TimePoint sentAt, TargetKey target, RequestKey request, bool isSilent)
+void CrashGuard::broke(TimePoint now, TimePoint sentAt, TargetKey target, RequestKey request, bool isSilent,
+    const std::vector<PartKey>& suspectParts)
 {
-    m_detector.broke(now, sentAt, target, request, isSilent);
+    m_detector.broke(now, sentAt, target, request, isSilent, suspectParts);
     takeExits(now);
 }
 
@@ -47,24 +48,25 @@
 {
     for (TargetExit& end : m_detector.takeExits()) {
         for (const RequestKey request : end.requests) {
-            const CrashRecord record { request, end.target, false };
+            const CrashRecord record { request, end.target };
             m_update.ownRecords.push_back(record);
             merge(now, record, ownRecordTransmissions);
         }
+        m_parts.exited(now, end.target, end.parts);
         m_update.targetExits.push_back(std::move(end));
     }
 }
 
 void CrashGuard::merge(TimePoint now, const CrashRecord& record, unsigned transmissions)
 {
-    const bool wasQuarantined = m_records.exitCount(record.request) >= quarantineThreshold;
+    const bool wasQuarantined = m_records.exitCount(record.subject) >= quarantineThreshold;
     m_records.merge(now, record, transmissions);
-    const bool isQuarantined = m_records.exitCount(record.request) >= quarantineThreshold;
+    const bool isQuarantined = m_records.exitCount(record.subject) >= quarantineThreshold;
     if (wasQuarantined && !isQuarantined)
-        m_update.released.push_back(record.request);
+        m_update.released.push_back(record.subject);
     if (wasQuarantined || !isQuarantined)
         return;
-    m_update.quarantined.push_back(m_records.find(record.request));
+    m_update.quarantined.push_back(m_records.find(record.subject));
 }
 
 bool CrashGuard::clear(RequestKey request)
@@ -76,6 +78,10 @@
     return !cleared.empty();
 }
 
-QuarantineUpdate CrashGuard::takeUpdate() { return std::exchange(m_update, {}); }
+QuarantineUpdate CrashGuard::takeUpdate()
+{
+    m_update.parts = m_parts.takeChanges();
+    return std::exchange(m_update, {});
+}
 
 } // namespace sagechute::quarantine
--- a/src/quarantine/CrashRecordSet.cpp
+++ b/src/quarantine/CrashRecordSet.cpp
@@ -7,43 +7,48 @@
 
 namespace {
 
-    /// Limit for remembered requests. A target may have dozens in flight when it exits.
+    /// Limit for remembered subjects. A target may have dozens of requests in flight when it exits.
     constexpr std::size_t maxEntries = 4096;
 
-    /// Limit for the targets of one request; a valid request that is sent for years is cleared of an exit now and then.
-    constexpr std::size_t maxTargetsPerRequest = 32;
+    /// Limit for the targets of one subject; a valid one that is sent for years is cleared of an exit now and then.
+    constexpr std::size_t maxTargetsPerSubject = 32;
     constexpr TargetKey maxTargetKey = std::numeric_limits<TargetKey>::max();
 
     // Limits per report, which must fit into a small datagram.
     constexpr std::size_t maxPendingPerReport = 24;
     constexpr std::size_t maxRepeatedPerReport = 4;
 
-    /// Requests with this many exits are sent repeatedly, since the next exit decides and a router that has just
+    /// Subjects with this many exits are sent repeatedly, since the next exit decides and a router that has just
     /// started needs to know about them.
     constexpr unsigned minRepeatedExits = quarantineThreshold - 1;
 
+    CrashRecord merged(CrashRecord record, const CrashRecord& other)
+    {
+        record.isCleared |= other.isCleared;
+        record.isConfirmed |= other.isConfirmed;
+        record.isRepeated |= other.isRepeated;
+        return record;
+    }
+
 } // namespace
 
 void CrashRecordSet::merge(TimePoint now, const CrashRecord& record, unsigned transmissions)
 {
-    Entry& entry = m_entries[record.request];
-    const auto [it, isNew] = entry.targets.emplace(record.target, record.isCleared);
-    if (!isNew && it->second == record.isCleared)
-        return;
-    if (!isNew && it->second) {
-        // The sender has not received the clearing yet.
-        m_pendingSends[{ record.request, record.target }] = transmissions;
+    Entry& entry = m_entries[record.subject];
+    const auto [it, isNew] = entry.exits.emplace(record.target, Exit { record, now });
+    CrashRecord& known = it->second.record;
+    if (!isNew && known == record)
         return;
-    }
-    it->second = record.isCleared;
-    if (!record.isCleared)
+    m_pendingSends[{ record.subject, record.target }] = transmissions;
+    const bool wasCounted = !isNew && !known.isCleared;
+    known = merged(known, record);
+    if (!known.isCleared && isNew)
         ++entry.exitCount;
-    else if (!isNew)
+    else if (known.isCleared && wasCounted)
         --entry.exitCount;
     if (isNew)
         entry.lastRequestedAt = now;
-    m_pendingSends[{ record.request, record.target }] = transmissions;
-    dropClearedTargets(entry, record.request);
+    dropClearedTargets(entry, record.subject);
     evictIfFull();
 }
 
@@ -56,63 +61,98 @@
             < std::pair(b.second.exitCount, b.second.lastRequestedAt);
     });
     // Evicted records must not be sent on: other routers may still need theirs.
-    const RequestKey request = leastRelevant->first;
+    const SubjectKey subject = leastRelevant->first;
     m_pendingSends.erase(
-        m_pendingSends.lower_bound({ request, 0 }), m_pendingSends.upper_bound({ request, maxTargetKey }));
+        m_pendingSends.lower_bound({ subject, 0 }), m_pendingSends.upper_bound({ subject, maxTargetKey }));
     m_entries.erase(leastRelevant);
 }
 
-void CrashRecordSet::dropClearedTargets(Entry& entry, RequestKey request)
+void CrashRecordSet::dropClearedTargets(Entry& entry, SubjectKey subject)
 {
-    for (auto it = entry.targets.begin(); it != entry.targets.end() && entry.targets.size() > maxTargetsPerRequest;) {
-        if (it->second)
-            m_pendingSends.erase({ request, it->first });
-        it = it->second ? entry.targets.erase(it) : std::next(it);
+    for (auto it = entry.exits.begin(); it != entry.exits.end() && entry.exits.size() > maxTargetsPerSubject;) {
+        const bool isCleared = it->second.record.isCleared;
+        if (isCleared)
+            m_pendingSends.erase({ subject, it->first });
+        it = isCleared ? entry.exits.erase(it) : std::next(it);
     }
 }
 
-unsigned CrashRecordSet::exitCount(RequestKey request) const
+unsigned CrashRecordSet::exitCount(SubjectKey subject) const
 {
-    const auto it = m_entries.find(request);
+    const auto it = m_entries.find(subject);
     return it == m_entries.end() ? 0 : it->second.exitCount;
 }
 
-CrashCase CrashRecordSet::find(RequestKey request) const
+CrashCase CrashRecordSet::find(SubjectKey subject) const
 {
-    CrashCase found { request, {} };
-    const auto entry = m_entries.find(request);
+    CrashCase found { subject, {} };
+    const auto entry = m_entries.find(subject);
     if (entry == m_entries.end())
         return found;
-    for (const auto& [target, isCleared] : entry->second.targets) {
-        if (!isCleared)
-            found.targets.push_back(target);
+    found.firstLearnedAt = TimePoint::max();
+    for (const auto& [target, exit] : entry->second.exits) {
+        if (exit.record.isCleared)
+            continue;
+        found.targets.push_back(target);
+        found.confirmed += exit.record.isConfirmed ? 1 : 0;
+        found.repeated += exit.record.isRepeated ? 1 : 0;
+        found.firstLearnedAt = std::min(found.firstLearnedAt, exit.learnedAt);
     }
     return found;
 }
 
-void CrashRecordSet::markRequested(TimePoint now, RequestKey request)
+void CrashRecordSet::markRequested(TimePoint now, SubjectKey subject)
 {
-    if (const auto it = m_entries.find(request); it != m_entries.end())
+    if (const auto it = m_entries.find(subject); it != m_entries.end())
         it->second.lastRequestedAt = now;
 }
 
-std::vector<CrashRecord> CrashRecordSet::clear(RequestKey request)
+std::vector<CrashRecord> CrashRecordSet::clear(SubjectKey subject, TimePoint learnedUntil)
 {
     std::vector<CrashRecord> cleared;
-    const auto it = m_entries.find(request);
+    const auto it = m_entries.find(subject);
     if (it == m_entries.end())
         return cleared;
-    for (auto& [target, isCleared] : it->second.targets) {
-        if (isCleared)
+    for (auto& [target, exit] : it->second.exits) {
+        if (exit.record.isCleared || exit.learnedAt > learnedUntil)
             continue;
-        isCleared = true;
-        cleared.push_back({ request, target, true });
-        m_pendingSends[{ request, target }] = ownRecordTransmissions;
+        exit.record.isCleared = true;
+        --it->second.exitCount;
+        cleared.push_back(exit.record);
+        m_pendingSends[{ subject, target }] = ownRecordTransmissions;
     }
-    it->second.exitCount = 0;
     return cleared;
 }
 
+std::vector<CrashRecord> CrashRecordSet::confirm(SubjectKey subject)
+{
+    std::vector<CrashRecord> confirmed;
+    const auto it = m_entries.find(subject);
+    if (it == m_entries.end())
+        return confirmed;
+    for (auto& [target, exit] : it->second.exits) {
+        if (exit.record.isCleared)
+            continue;
+        exit.record.isConfirmed = true;
+        confirmed.push_back(exit.record);
+        m_pendingSends[{ subject, target }] = ownRecordTransmissions;
+    }
+    return confirmed;
+}
+
+std::vector<CrashRecord> CrashRecordSet::unclearedRecords(SubjectKey subject) const
+{
+    std::vector<CrashRecord> found;
+    const auto it = m_entries.find(subject);
+    if (it == m_entries.end())
+        return found;
+    for (const auto& [target, exit] : it->second.exits) {
+        if (!exit.record.isCleared)
+            found.push_back(exit.record);
+    }
+    return found;
+}
+
 std::vector<CrashRecord> CrashRecordSet::recordsToSend()
 {
     std::set<CrashRecord> told;
@@ -121,24 +161,24 @@
         if (it == m_pendingSends.end())
             it = m_pendingSends.begin();
         m_lastPendingSent = it->first;
-        const auto& [request, target] = it->first;
-        told.insert({ request, target, m_entries.at(request).targets.at(target) });
+        const auto& [subject, target] = it->first;
+        told.insert(m_entries.at(subject).exits.at(target).record);
         if (--it->second == 0)
             m_pendingSends.erase(it);
     }
-    std::map<RecordId, bool> decisive;
-    for (const auto& [request, entry] : m_entries) {
+    std::map<RecordId, CrashRecord> decisive;
+    for (const auto& [subject, entry] : m_entries) {
         if (entry.exitCount < minRepeatedExits)
             continue;
-        for (const auto& [target, isCleared] : entry.targets)
-            decisive.emplace(RecordId { request, target }, isCleared);
+        for (const auto& [target, exit] : entry.exits)
+            decisive.emplace(RecordId { subject, target }, exit.record);
     }
     for (std::size_t i = 0; i < std::min(maxRepeatedPerReport, decisive.size()); ++i) {
         auto it = decisive.upper_bound(m_lastRepeated);
         if (it == decisive.end())
             it = decisive.begin();
         m_lastRepeated = it->first;
-        told.insert({ it->first.first, it->first.second, it->second });
+        told.insert(it->second);
     }
     return { told.begin(), told.end() };
 }
@@ -146,9 +186,9 @@
 std::vector<CrashCase> CrashRecordSet::cases() const
 {
     std::vector<CrashCase> found;
-    for (const auto& [request, entry] : m_entries) {
+    for (const auto& [subject, entry] : m_entries) {
         if (entry.exitCount)
-            found.push_back(find(request));
+            found.push_back(find(subject));
     }
     std::stable_sort(found.begin(), found.end(),
         [](const CrashCase& a, const CrashCase& b) { return a.targets.size() > b.targets.size(); });
--- a/src/quarantine/TargetExitDetector.cpp
+++ b/src/quarantine/TargetExitDetector.cpp
@@ -47,12 +47,13 @@
         m_watches.erase(it);
 }
 
-void TargetExitDetector::broke(TimePoint now, TimePoint sentAt, TargetKey target, RequestKey request, bool isSilent)
+void TargetExitDetector::broke(TimePoint now, TimePoint sentAt, TargetKey target, RequestKey request, bool isSilent,
+    const std::vector<PartKey>& suspectParts)
 {
     const auto it = m_watches.find(target);
     if (it == m_watches.end())
         return;
-    it->second.broken.push_back({ request, now, isSilent, false });
+    it->second.broken.push_back({ request, sentAt, now, isSilent, false, suspectParts });
     ended(sentAt, target);
     if (it->second.exitedAt)
         confirmExit(now, target, it->second, ExitEvidence::Refused, false);
@@ -133,11 +134,16 @@
 void TargetExitDetector::confirmExit(
     TimePoint now, TargetKey target, Watch& watch, ExitEvidence evidence, bool includesKnownAlive)
 {
-    TargetExit end { target, evidence, {} };
+    TargetExit end { target, evidence, {}, {} };
     for (const BrokenAttempt& it : watch.broken) {
         // The kernel accepts connections for a process that hangs and may still exit because of the request.
-        if (includesKnownAlive || it.isSilent || !it.isTargetKnownAlive)
-            end.requests.insert(it.request);
+        if (!includesKnownAlive && !it.isSilent && it.isTargetKnownAlive)
+            continue;
+        end.requests.insert(it.request);
+        for (const PartKey part : it.suspectParts) {
+            TimePoint& sentAt = end.parts[part];
+            sentAt = std::max(sentAt, it.sentAt);
+        }
     }
     watch.broken.clear();
     if (end.requests.empty())
--- a/tests/CrashPlacementTest.cpp
+++ b/tests/CrashPlacementTest.cpp
@@ -182,11 +182,15 @@
     LoadReport report;
     report.serial = 5;
     std::string bytes = encode(report);
+    constexpr char sevenRows = '\x97';
     constexpr char sixRows = '\x96';
     constexpr char fiveRows = '\x95';
-    REQUIRE(bytes.front() == sixRows);
-    bytes.front() = fiveRows;
+    REQUIRE(bytes.front() == sevenRows);
+    bytes.pop_back();
+    bytes.front() = sixRows; // Without detection of crashing parts.
+    REQUIRE(decodeLoadReport(bytes).ok());
     bytes.pop_back();
+    bytes.front() = fiveRows;
     const absl::StatusOr<LoadReport> read = decodeLoadReport(bytes);
     REQUIRE(read.ok());
     CHECK(read->serial == 5);
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -354,7 +354,7 @@
     REQUIRE(forgetting.exitCount(crashing) == 0);
     for (int i = 0; i < 500; ++i) {
         for (const CrashRecord& it : forgetting.recordsToSend()) {
-            if (it.request == crashing)
+            if (it.subject == crashing)
                 other.merge(now, it, 1);
         }
     }
