Bound what targets send without end

What callers would see of a target that sends bytes without end: they waited until their deadline where the bytes were interim answers, a chunk's extension, trailers or comments between events, and ten bodies without end took 160 MiB of the router. A refusal whose body has no end was answered 502, though it says that nothing ran. Cause: each of these is read until it is whole, and only some had a bound of their own: the head (256 KiB), a body (16 MiB each) and an event (1 MiB each), the latter two for each answer and not for all together. Change: bounds for interim answers (64 KiB for each request), a chunk's head and trailers (16 KiB) and for comments (as an event); what all answers hold together beyond 64 KiB each is bounded (32 MiB); a refusal's body is not kept, and its connection is closed after 64 KiB. Rejected answers are counted by reason. Before: EndlessAnswersTest failed in 22 of 25 cases (3 s until the caller's deadline for interim answers, chunk extensions, trailers and comments; 167 MB of memory for bodies; the others uncounted only). After: it passes, as do RelayFlowTest, EventSplitterTest and NetClientTest.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -42,6 +42,10 @@
               .Name("sagechute_edge_unframed_answers_total")
               .Help("Answers of targets that ended with their connection, and streams cut inside an event")
               .Register(metrics.registry()))
+    , m_rejectedAnswers(prometheus::BuildCounter()
+                            .Name("sagechute_edge_rejected_answers_total")
+                            .Help("Answers of targets of which the rest was not read, by what was wrong with them")
+                            .Register(metrics.registry()))
     , m_signals(prometheus::BuildCounter()
                     .Name("sagechute_edge_target_signals_total")
                     .Help("Answers of targets that say that they leave or ask for a pause, by which they say")
@@ -159,6 +163,13 @@
         m_unframedAnswers
             .Add({ { "framing", isClosed ? "connection" : "announced" }, { "cut", end.truncatedBytes ? "yes" : "no" } })
             .Increment();
+    if (!end.rejectReason.empty())
+        recordRejectedAnswer(end.rejectReason);
+}
+
+void EdgeMetrics::recordRejectedAnswer(std::string_view reason)
+{
+    m_rejectedAnswers.Add({ { "reason", std::string(reason) } }).Increment();
 }
 
 void EdgeMetrics::recordTargetSignals(const dispatch::TargetSignals& signals)
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -20,6 +20,9 @@
 
     /// Counts responses that were delimited only by the connection's close, and streams cut inside an event.
     void recordAnswerEnd(const relay::ResponseEnd&);
+
+    /// Counts answers of which the rest was not read. @param reason why.
+    void recordRejectedAnswer(std::string_view reason);
     void recordTargetSignals(const dispatch::TargetSignals&);
     void recordRefusal(dispatch::RefusalReason);
 
@@ -45,6 +48,7 @@
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_unframedAnswers;
+    prometheus::Family<prometheus::Counter>& m_rejectedAnswers;
     prometheus::Family<prometheus::Counter>& m_signals;
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_lostAnswers;
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -90,6 +90,7 @@
     std::atomic<TimePoint> configReadAt { TimePoint {} };
     std::atomic<TimePoint> targetsReadAt { TimePoint {} };
     std::atomic<int> activeRequests { 0 };
+    std::atomic<std::size_t> reservedBytes { 0 }; ///< See relay::RequestFlowDelegate::reserveBuffer().
 
 private:
     template <typename Change> void updateTargetsLocked(Change&& change)
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -14,6 +14,10 @@
     /// acknowledgement by about 600 ms.
     constexpr std::chrono::milliseconds unackedTimeout { 1000 };
 
+    /// Of all responses that are held, beyond what each may hold. Buffers that grow may take twice as much, a quarter
+    /// of the memory of the smallest VMs.
+    constexpr std::size_t maxReservedBytes = 32 << 20;
+
     constexpr double percent = 100;
 
     /// @return the last admission decision on a request: that of its refusal, if any, else of its placement.
@@ -165,6 +169,8 @@
 
 void Relay::onEnd(unsigned number, const net::TransferResult& result)
 {
+    if (!result.rejectReason.empty())
+        m_context.metrics.recordRejectedAnswer(result.rejectReason);
     handleEvent([&](relay::RequestFlow& flow, TimePoint now) { flow.ended(now, number, result.end); });
 }
 
@@ -186,6 +192,17 @@
     m_context.metrics.recordAnswerEnd(responseEnd);
 }
 
+bool Relay::reserveBuffer(std::size_t bytes)
+{
+    std::atomic<std::size_t>& reserved = m_context.state.reservedBytes;
+    if (reserved.fetch_add(bytes) + bytes <= maxReservedBytes)
+        return true;
+    reserved -= bytes;
+    return false;
+}
+
+void Relay::releaseBuffer(std::size_t bytes) { m_context.state.reservedBytes -= bytes; }
+
 void Relay::onTargetSignals(
     TimePoint now, const dispatch::TargetIncarnation& target, const dispatch::TargetSignals& signals)
 {
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -57,6 +57,8 @@
     dispatch::Decision place(TimePoint now, const dispatch::PlacementRequest&, dispatch::AttemptKind) override;
     void firstAnswer(TimePoint now, dispatch::AttemptId) override;
     void attemptEnded(TimePoint now, dispatch::AttemptId, dispatch::AttemptEnd, const relay::ResponseEnd&) override;
+    bool reserveBuffer(std::size_t) override;
+    void releaseBuffer(std::size_t) override;
     void onTargetSignals(TimePoint now, const dispatch::TargetIncarnation&, const dispatch::TargetSignals&) override;
     dispatch::Refusal giveUp(TimePoint now, const ServiceId&) override;
     void send(const relay::OutgoingAttempt&) override;
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -114,6 +114,9 @@
     /// @return whether an event was repeated, out of order or too large. That event and all later ones are withheld.
     bool hasInvalidEvent() const { return m_hasInvalidEvent; }
 
+    /// @return whether an event, or comments without one, were too large.
+    bool isEventTooLarge() const { return m_isEventTooLarge; }
+
     std::uint64_t events() const { return m_events; }
 
 private:
@@ -141,7 +144,9 @@
     std::string m_lastId;
     bool m_canResumeAfterLastId = true;
     std::uint64_t m_events = 0;
+    std::size_t m_bytesSinceEvent = 0;
     bool m_hasInvalidEvent = false;
+    bool m_isEventTooLarge = false;
 };
 
 // ---- Other routers of the fleet
--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -217,6 +217,7 @@
     int httpStatus = 0; ///< 0 when no status line arrived.
     std::string detail; ///< The library's message, for logs.
     bool isRefused = false; ///< The other VM answered that nothing listens at the address.
+    std::string_view rejectReason; ///< Why the bytes that came were not read on, if that ended it: a static text.
 };
 
 /// A request to send.
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -54,6 +54,11 @@
     /// A target reported signals about itself, whether or not its response is usable.
     virtual void onTargetSignals(TimePoint now, const dispatch::TargetIncarnation&, const dispatch::TargetSignals&) = 0;
 
+    /// Reserves memory for bytes of responses, beyond what each may hold anyway.
+    /// @return false if the requests of this router together hold too much.
+    virtual bool reserveBuffer(std::size_t) { return true; }
+    virtual void releaseBuffer(std::size_t) { }
+
     /// @return the refusal for a request that has used up its attempts.
     virtual dispatch::Refusal giveUp(TimePoint now, const ServiceId&) = 0;
 
@@ -180,6 +185,9 @@
     void startStream(TimePoint now, const Attempt&);
     void endStream(TimePoint now, const Attempt&);
     void rejectResponse(Attempt&, std::string_view why);
+
+    /// @return whether the attempt may hold this many bytes of its response.
+    bool mayHold(Attempt&, std::size_t);
     void recordSilence(TimePoint now, const Attempt&);
     bool isStreamed(const Attempt&) const;
     bool isResumable() const { return m_info.route->isResumable && m_mayResume; }
--- a/src/edge/EventSplitter.cpp
+++ b/src/edge/EventSplitter.cpp
@@ -11,7 +11,8 @@
     constexpr std::string_view idField = "id:";
     constexpr char commentMark = ':';
 
-    /// Keeps a target that never ends an event from exhausting the router's memory.
+    /// Keeps a target that never ends an event from exhausting the router's memory, and one that sends comments without
+    /// end from keeping its caller.
     constexpr std::size_t maxEventBytes = 1 << 20;
 
     std::optional<std::uint64_t> parseNumber(std::string_view text)
@@ -45,6 +46,7 @@
         m_lineBegin = m_searched = m_pending.size();
         bytes.remove_prefix(1);
     }
+    const std::uint64_t eventsBefore = m_events;
     m_pending += bytes;
     m_endsWithCr = bytes.ends_with('\r');
     std::size_t completeEnd = 0;
@@ -64,7 +66,9 @@
     m_pending.erase(0, completeEnd);
     m_lineBegin -= completeEnd;
     m_searched = m_pending.size();
-    m_hasInvalidEvent |= m_pending.size() > maxEventBytes;
+    m_bytesSinceEvent = m_events > eventsBefore ? m_pending.size() : m_bytesSinceEvent + bytes.size();
+    m_isEventTooLarge = m_bytesSinceEvent > maxEventBytes;
+    m_hasInvalidEvent |= m_isEventTooLarge;
     return completeEvents;
 }
 
--- a/src/net/ClientConnection.cpp
+++ b/src/net/ClientConnection.cpp
@@ -22,6 +22,10 @@
     constexpr int probeEverySeconds = 1;
     constexpr int mostLostProbes = 2;
 
+    // What belongs to no body is kept until it is complete, so a server that never ends it must be cut off.
+    constexpr std::size_t mostFramingBytes = 16 << 10; ///< Of a chunk's head with its extensions, or of all trailers.
+    constexpr std::size_t mostInterimBytes = 64 << 10; ///< Of all interim answers to one request.
+
     /// A server closes an idle connection when its time is over; a request must not cross that.
     constexpr Duration keepAliveMargin = std::chrono::seconds(1);
 
@@ -87,6 +91,7 @@
     m_sent = 0;
     m_isPaused = false;
     m_pending.clear();
+    m_interimBytes = 0;
     m_reader.emplace(static_cast<AnswerSink&>(*this), transfer.request().method != "HEAD");
     if (m_isConnected) {
         send();
@@ -261,13 +266,19 @@
 void ClientConnection::takeBytes(std::string_view bytes)
 {
     while (m_transfer && !bytes.empty()) {
-        bytes.remove_prefix(m_reader->take(bytes));
+        const std::size_t n = m_reader->take(bytes);
+        bytes.remove_prefix(n);
         if (!m_reader->isDone())
             break;
         if (!m_reader->isInterim()) {
             complete(!bytes.empty());
             return;
         }
+        m_interimBytes += n;
+        if (m_interimBytes > mostInterimBytes) {
+            reject("too-large", "the interim answers have no end");
+            return;
+        }
         m_reader.emplace(static_cast<AnswerSink&>(*this), m_transfer->request().method != "HEAD");
     }
     if (!m_transfer)
@@ -278,8 +289,12 @@
         m_isPaused = true;
         setEvents(m_sent < m_transfer->bytes().size() ? EPOLLOUT : 0U);
         m_transfer->isPaused = true;
+    } else if (problem == ReadProblem::HeadersTooLarge) {
+        reject("too-large", "the answer's head is too large");
     } else if (problem != ReadProblem::None) {
-        fail(false, "the answer is no HTTP/1.1");
+        reject("malformed", "the answer is no HTTP/1.1");
+    } else if (m_reader->hasHead() && m_pending.size() > mostFramingBytes) {
+        reject("too-large", "a chunk's head or the trailers are too large");
     }
 }
 
@@ -338,6 +353,12 @@
     m_pool.ended(*this, transfer, { end, transfer.status, detail, m_isRefused }, false);
 }
 
+void ClientConnection::reject(std::string_view reason, const std::string& detail)
+{
+    m_pool.ended(
+        *this, *m_transfer, { TransferEnd::BrokenAfterSend, m_transfer->status, detail, false, reason }, false);
+}
+
 void ClientConnection::close()
 {
     if (m_isClosed)
--- a/src/net/ClientConnection.h
+++ b/src/net/ClientConnection.h
@@ -55,6 +55,10 @@
     void takeEnd();
     void complete(bool hasMore);
     void fail(bool isTimeout, const std::string& detail);
+
+    /// Ends the transfer because of the bytes that came.
+    /// @param reason see TransferResult::rejectReason.
+    void reject(std::string_view reason, const std::string& detail);
     void setEvents(std::uint32_t);
 
     ClientPool& m_pool;
@@ -73,6 +77,7 @@
     std::optional<AckWatch> m_ackWatch; ///< Of the transfer's request.
     std::optional<AnswerReader> m_reader;
     std::string m_pending; ///< Read, and not taken by the reader.
+    std::size_t m_interimBytes = 0; ///< Of interim answers to the current request.
     bool m_isPaused = false; ///< The sink refused bytes.
 };
 
--- a/src/relay/Attempt.h
+++ b/src/relay/Attempt.h
@@ -22,6 +22,8 @@
     TimePoint hedgeDue; ///< When to check whether the target is silent and the request needs a hedge.
     std::optional<edge::TargetResponseHead> head;
     std::string body; ///< Of a response that is not a stream.
+    std::size_t reservedBytes = 0; ///< See RequestFlowDelegate::reserveBuffer().
+    std::size_t discardedBytes = 0; ///< Of a response that says that the request has not run.
     std::string heldBytes; ///< Of a stream, not forwarded because another attempt may still go on.
     std::string_view rejectReason; ///< Why the rest of the response is discarded; empty: it is forwarded.
     edge::EventSplitter splitter;
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -36,6 +36,13 @@
     /// deployments are far smaller.
     constexpr std::size_t maxBufferedBodyBytes = 16 << 20;
 
+    /// Each response may hold this much, so that one without end doesn't take the room of the others.
+    constexpr std::size_t unreservedBytes = 64 << 10;
+
+    /// The body of a response that says that the request has not run is of no use. Until here it is read, to keep the
+    /// connection.
+    constexpr std::size_t maxDiscardedBytes = 64 << 10;
+
     /// An attempt is not worth making with less time than this.
     constexpr Duration minAttemptTime = std::chrono::milliseconds(15);
 
@@ -265,13 +272,30 @@
         processStreamBytes(now, *attempt, bytes);
         return;
     }
-    if (attempt->body.size() + bytes.size() > maxBufferedBodyBytes) {
+    if (attempt->head->hasNotRun) {
+        attempt->discardedBytes += bytes.size();
+        if (attempt->discardedBytes > maxDiscardedBytes)
+            m_delegate.cancel(number);
+        return;
+    }
+    const std::size_t size = attempt->body.size() + bytes.size();
+    if (size > maxBufferedBodyBytes || !mayHold(*attempt, size)) {
         rejectResponse(*attempt, "size");
         return;
     }
     attempt->body += bytes;
 }
 
+bool RequestFlow::mayHold(Attempt& attempt, std::size_t bytes)
+{
+    if (bytes <= std::max(unreservedBytes, attempt.reservedBytes))
+        return true;
+    if (!m_delegate.reserveBuffer(bytes - attempt.reservedBytes))
+        return false;
+    attempt.reservedBytes = bytes;
+    return true;
+}
+
 void RequestFlow::processStreamBytes(TimePoint now, Attempt& attempt, std::string_view bytes)
 {
     const std::size_t eventsBefore = attempt.splitter.events();
@@ -291,11 +315,15 @@
         m_mayResume = attempt.splitter.canResumeAfterLastId();
         m_delegate.write(std::exchange(attempt.heldBytes, {}));
     }
+    if (!mayHold(attempt, attempt.heldBytes.size() + attempt.splitter.remainder().size())) {
+        rejectResponse(attempt, "size");
+        return;
+    }
     if (!attempt.splitter.hasInvalidEvent())
         return;
     if (!isHeld)
         m_mayResume &= attempt.splitter.canResumeAfterLastId();
-    rejectResponse(attempt, "order");
+    rejectResponse(attempt, attempt.splitter.isEventTooLarge() ? "size" : "order");
 }
 
 void RequestFlow::keepOnly(TimePoint now, unsigned number)
@@ -333,6 +361,8 @@
     ResponseEnd end { transferEnd };
     end.rejectReason
         = attempt.rejectReason.empty() && isUnconfirmedNotRun(attempt.head) ? "status" : attempt.rejectReason;
+    if (attempt.discardedBytes > maxDiscardedBytes)
+        end.rejectReason = "size";
     if (isStreamed(attempt)) {
         end.truncatedBytes = attempt.splitter.isInsideEvent() ? attempt.splitter.remainder().size() : 0;
         end.hasNoEvent = attempt.splitter.events() == 0;
@@ -359,6 +389,8 @@
 {
     m_record.lastEnd = end;
     recordSilence(now, attempt);
+    if (attempt.reservedBytes)
+        m_delegate.releaseBuffer(attempt.reservedBytes);
     m_delegate.attemptEnded(now, attempt.placement.attempt, end, responseEnd);
     m_record.trace += " " + toString(attempt.placement.target.incarnation()) + ":" + std::string(toString(end))
         + toString(responseEnd);
--- a/tools/conformance.py
+++ b/tools/conformance.py
@@ -19,7 +19,7 @@
 from soak_proxy import Proxy
 from target_signals import SignalCheck
 from trial_callers import CALLS
-from trial_faults import FAULTS, Stage
+from trial_faults import CRASHING_PART, FAULTS, Stage
 
 ROUTERS, ENGINES, APPLICATIONS = 3, 3, 2
 FAULT_SECONDS = 1.0
@@ -122,7 +122,8 @@
 
     def __init__(self, build):
         self.proxies = {"targets": [], "store": []}
-        self.fleet = Fleet(build, routers=ROUTERS, engines=ENGINES, applications=APPLICATIONS, proxy=self._proxied)
+        self.fleet = Fleet(build, routers=ROUTERS, engines=ENGINES, applications=APPLICATIONS, proxy=self._proxied,
+                           worker_arguments=("--crash-part", CRASHING_PART))
         self.fleet.wait_ready()
 
     def _proxied(self, address):
--- a/tools/trial_faults.py
+++ b/tools/trial_faults.py
@@ -20,6 +20,8 @@
 LOWER_QUOTA = 2000  # Tokens per second: less than callers ask for.
 OTHER_TIMEOUTS_MS = (2500, 4000)
 OTHER_KEY = "another-key"
+CRASHING_PART = "bad0000bad0000ba"
+CRASHING_REQUESTS, CRASHING_INTERVAL_SECONDS = 3, 0.25
 
 
 class Fault:
@@ -108,6 +110,33 @@
     return lambda: stage.restart_worker(name)
 
 
+def crashed_by_part(stage):
+    """Requests of which no two are alike share a part that ends the engines that begin to answer them."""
+    def send():
+        for _ in range(CRASHING_REQUESTS):
+            send_crashing(stage.fleet, stage.router(), stage.rng)
+            time.sleep(CRASHING_INTERVAL_SECONDS)
+    for name in stage.fleet.workers:
+        stage.read_ledger(name)
+    stage.ledgers.lost |= {it for it in stage.fleet.workers if it.startswith("engine")}
+    thread = threading.Thread(target=send, daemon=True)
+    thread.start()
+
+    def end():
+        thread.join()
+        for name, worker in stage.fleet.workers.items():
+            if worker["process"].child.poll() is not None:
+                stage.restart_worker(name)
+    return end
+
+
+def send_crashing(fleet, router, rng):
+    """A request like no other but for its crashing part."""
+    unique = f"{rng.getrandbits(64):016x}"
+    return fleet.send("/chats/" + unique, unique, router=fleet.routers.index(router), body=unique,
+                      headers={"X-Sagechute-Prompt-Prefix": f"5c1e07a2:200,{CRASHING_PART}:200,{unique}:100"})[0]
+
+
 def frozen(stage):
     process = stage.fleet.workers[stage.worker("engine")]["process"]
     process.send(signal.SIGSTOP)
@@ -283,6 +312,9 @@
 SILENCES = ("late-answer", "pause-between-events")  # Of a sound answer, once.
 CUTS = ("lose", "reset", "break", "short-of-length", "close-in-head", "reset-in-event", "silent-after-head", "hang")
 STRANGE = ("foreign", "foreign-first", "no-http", "zero-bytes", "two-lengths", "no-id", "unsigned")
+ENDLESS = ("endless-field", "endless-fields", "endless-interim", "endless-no-http", "endless-chunk-extension",
+           "endless-trailer", "endless-trailers", "endless-body", "endless-foreign-body", "endless-refusal", "endless-event",
+           "endless-lines", "endless-comments")
 EXTRA = ("doubled", "extra-bytes", "extra-at-once", "idle-close", "idle-reset")
 SAID = ("fail", "fail-at-deadline", "busy-unsaid", "other-target", "too-many", "busy-dated", "busy-absurd",
         "refused-body-late", "shed")
@@ -293,7 +325,7 @@
      for kind in ALLOWED_FRAMES for it in ("engine", "app")]
     + [Fault(f"{kind} of engine", "answers", "ORDER MIXED", answers(kind, "engine")) for kind in STREAM_CUTS]
     + [Fault(f"{kind} of {it}", "answers", "ORDER MIXED TWICE REFUSED", answers(kind, it))
-       for kind in CUTS + STRANGE + EXTRA + SAID for it in ("engine", "app")]
+       for kind in CUTS + STRANGE + ENDLESS + EXTRA + SAID for it in ("engine", "app")]
     + [Fault(f"{kind} of {it}", "silences", "LOST ORDER", answers(kind, it, True), breaks=False, seconds=1.4)
        for kind in SILENCES for it in ("engine", "app")]
     + [Fault(f"silent {it}", "silences", "LOST TWICE", silent(it), breaks=False, seconds=max(SILENCE_SECONDS))
@@ -311,6 +343,7 @@
         Fault("drain in answers only", "targets", "DRAIN", drained("untold"), breaks=False),
         Fault("unlisted and serving", "targets", "ROUTE LOST", unlisted, breaks=False),
         Fault("crash", "targets", "ORDER TWICE BUDGET", crashed),
+        Fault("part that crashes targets", "targets", "ORDER TWICE BUDGET", crashed_by_part),
         Fault("frozen target", "targets", "TWICE GONE", frozen),
         Fault("address taken by another service", "targets", "ROUTE TWICE", address_taken),
         Fault("entry that is no text", "targets", "ROUTE", entry(b"\xff\xfe\x00"), breaks=False),
