--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -234,6 +234,21 @@
 
 // Guards against callers that act for another customer or control an engine's cache by sending headers reserved for the
 // system, which were forwarded in addition to, or instead of, the system's own.
+// Guards against a part that is not seen because of what stands before it.
+TEST_CASE("a malformed entry hides no part of a prompt behind it")
+{
+    net::ServerRequest request = callerRequest();
+    std::erase_if(request.headers, [](const net::Field& it) { return it.name == "X-Sagechute-Prompt-Prefix"; });
+    request.headers.push_back(
+        { "X-Sagechute-Prompt-Prefix", "zz:1, 5c1e07a2:800,,0123456789abcdef0123:7,e4402b7d:many,66:5" });
+    const auto facts = platform::makeCallerProtocol()->decode(request);
+    REQUIRE(facts.ok());
+    REQUIRE(facts->prompt.parts.size() == 3);
+    CHECK(facts->prompt.parts[0].id == 0x5c1e07a2);
+    CHECK(facts->prompt.parts[1].id == stableHash("0123456789abcdef0123"));
+    CHECK(facts->prompt.parts[2].id == 0x66);
+}
+
 TEST_CASE("reserved headers are replaced or removed, and hop-by-hop headers are removed")
 {
     const net::ServerRequest request = callerRequest();
