Crash targets by a part of prompts in the soak and in the conformance run

After the silences a seed of the soak sends requests with a part that crashes engines, beside planned work (stops, SIGHUP, the store's faults); engines come back after 1 to 3 s. BUDGET: at most three crash later than 3 s after the fifth. The conformance run has a row of the same.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -6,7 +6,8 @@
     tools/soak.py --build build --seeds 1-5 --routers 40 --engines 80 --applications 40 --callers 60     a larger fleet
 
 The faults of a seed come together. Then come silences of targets, each shorter than the time that a request has, beside
-changes of the configuration and other planned work alone: no request may be lost by these.
+changes of the configuration and other planned work alone: no request may be lost by these. At last come requests with a
+part of their prompts that crashes targets, again beside planned work: few targets may end by it.
 
 Ends only processes that it started, by id. Exits with 1 when a promise was broken.
 """
@@ -25,7 +26,7 @@
 from promises import DEADLINE_SLACK_SECONDS, FAILED, Caller, Ledgers, Request, check_arrivals, findings_of
 from soak_proxy import Proxy
 from target_signals import SignalCheck, overlaps
-from trial_faults import ALWAYS, FAULTS, SILENCE_SECONDS, Stage, draw_changes
+from trial_faults import ALWAYS, CRASHING_PART, FAULTS, SILENCE_SECONDS, Stage, draw_changes, send_crashing
 
 SIZES = {"routers": 3, "engines": 3, "applications": 2, "callers": 6}
 CALLERS_PAUSE_SECONDS = 0.06
@@ -36,7 +37,12 @@
 TOLD_LATE_SECONDS = 2.0  # A failure sooner than that is no matter of time, however long targets were silent.
 HELD_UP_SECONDS = 1.5  # By which a request is held up that has its answer in time nevertheless.
 LONGEST_SERIES = 4  # Versions of the configuration around one silence.
-EXTRAS = ("signals", "answers", "silences")  # What came to the soak later; each has chances of its own.
+STABLE_SECONDS = 3.0  # After the decisive crash under a part of prompts, until all routers must know.
+DECISIVE_CRASHES = 5
+MOST_LATE_CRASHES = 3
+CRASHING_INTERVALS_SECONDS = (0.3, 0.9)
+DOWN_SECONDS = (1.0, 3.0)  # Of a target that crashed.
+EXTRAS = ("signals", "answers", "silences", "parts")  # What came to the soak later; each has chances of its own.
 HERE = os.path.dirname(os.path.abspath(__file__))
 SEEDS_FILE = os.path.join(HERE, "..", "tests", "soak-seeds.txt")
 
@@ -69,7 +75,7 @@
         self._revoked = None  # When the extra key's removal was acknowledged; None while it is there.
         self._revocations = []
         self._fleet = Fleet(build, self._sizes["routers"], self._sizes["engines"], self._sizes["applications"],
-                            proxy=self._proxied)
+                            proxy=self._proxied, worker_arguments=("--crash-part", CRASHING_PART))
         self._threads = []
 
     def _proxied(self, address):
@@ -96,6 +102,9 @@
             if "silences" in self._extras:
                 self._disturb_by_plan()
                 self._heal()
+            if "parts" in self._extras:
+                self._crash_by_part()
+                self._heal()
             self._check_recovery()
             self.is_over.set()
             for thread in self._threads:
@@ -111,7 +120,8 @@
     def _disturb(self):
         end = time.monotonic() + self._seconds
         beside = {"signals": self._signal, "answers": self._spoil_answers, "silences": self._silence}
-        pending = [threading.Thread(target=beside[it], args=(end,), daemon=True) for it in self._extras]
+        pending = [threading.Thread(target=beside[it], args=(end,), daemon=True) for it in beside
+                   if it in self._extras]
         for thread in pending:
             thread.start()
         while time.monotonic() < end:
@@ -172,6 +182,42 @@
         for thread in pending:
             thread.join(timeout=20)
 
+    def _crash_by_part(self):
+        """A part of prompts crashes targets; planned work comes beside it."""
+        rng = random.Random(f"parts of {self.seed}")
+        self._stage.give_up_ledgers("engine")
+        end = time.monotonic() + self._seconds
+        self._unplanned.append((time.monotonic() - 0.2, end + max(DOWN_SECONDS) + 4.0))
+        crashes, is_done = [], threading.Event()
+        keeper = threading.Thread(target=self._restart_crashed, args=(crashes, is_done, rng), daemon=True)
+        keeper.start()
+        while time.monotonic() < end:
+            routers = self._fleet.routers
+            threading.Thread(target=send_crashing, args=(self._fleet, rng.choice(routers), rng), daemon=True).start()
+            time.sleep(rng.uniform(*CRASHING_INTERVALS_SECONDS))
+            if rng.random() < 0.1:
+                rng.choice(self.PLANNED)(self, rng.uniform(0.3, 2.0))
+        time.sleep(max(DOWN_SECONDS) + 1.0)
+        is_done.set()
+        keeper.join()
+        self._history.append(f"{len(crashes)} crashes by a part")
+        late = sum(it > crashes[DECISIVE_CRASHES - 1] + STABLE_SECONDS for it in crashes[DECISIVE_CRASHES:])
+        if late > MOST_LATE_CRASHES:
+            self.breaches.append(f"BUDGET {late} of {len(crashes)} targets crashed by a part after it had to be known")
+
+    def _restart_crashed(self, crashes, is_done, rng):
+        due = {}
+        while not is_done.is_set() or due:
+            now = time.monotonic()
+            for name, worker in self._fleet.workers.items():
+                if name in due and now >= due[name]:
+                    del due[name]
+                    worker["process"].start()
+                elif name not in due and worker["process"].child.poll() is not None:
+                    crashes.append(now)
+                    due[name] = now + rng.uniform(*DOWN_SECONDS)
+            time.sleep(0.01)
+
     def _silence(self, end, prefix=""):
         """Beside the other faults, as _signal: targets that fall silent and go on, amid a series of changes."""
         rng = random.Random(f"silences of {prefix} {self.seed}")
--- a/tools/trial_faults.py
+++ b/tools/trial_faults.py
@@ -55,6 +55,14 @@
             self.ledgers.add(ledger)
             self.signals.note_ledger(name, ledger["arrivals"])
 
+    def give_up_ledgers(self, prefix):
+        """Reads the ledgers of targets that may end at any time from now on."""
+        for name in self.fleet.workers:
+            if name.startswith(prefix):
+                self.read_ledger(name)
+                call(self.fleet.workers[name]["address"], "POST", "/standin/forget")
+                self.ledgers.lost.add(name)
+
     def restart_worker(self, name):
         self.fleet.workers[name]["process"].start()
         self.fleet.wait_until("a worker is there again", lambda: self.is_up(name))
@@ -116,9 +124,7 @@
         for _ in range(CRASHING_REQUESTS):
             send_crashing(stage.fleet, stage.router(), stage.rng)
             time.sleep(CRASHING_INTERVAL_SECONDS)
-    for name in stage.fleet.workers:
-        stage.read_ledger(name)
-    stage.ledgers.lost |= {it for it in stage.fleet.workers if it.startswith("engine")}
+    stage.give_up_ledgers("engine")
     thread = threading.Thread(target=send, daemon=True)
     thread.start()
 
