Doubt a part of prompts only once a sound one would have been cleared

With ends of targets in quick succession a sound part that many requests share has two uncleared ends much of the time; a survivor shows after its first event and 0.5 s, and is known everywhere another moment later. After 1 s such a part was in doubt at times, and requests whose target had gone were not sent again. Now after 1.5 s.

--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -326,7 +326,7 @@
 
     void merge(TimePoint now, const CrashRecord&, unsigned transmissions);
     bool clear(PartKey, TimePoint learnedUntil);
-    void survived(Trial&);
+    void recordSurvival(Trial&);
 
     /// Adds the part to the suspects, or removes it, by the exits under it that were not cleared.
     /// @param hasClearing whether exits under it have just been cleared.
--- a/src/quarantine/PartGuard.cpp
+++ b/src/quarantine/PartGuard.cpp
@@ -15,7 +15,7 @@
 
     /// A sound part that is in use has been cleared after this time. Until then suspicion has no consequences, so that
     /// an exit doesn't keep all requests that share a part with one of its victims from being sent again.
-    constexpr Duration minSuspectAge = std::chrono::seconds(1);
+    constexpr Duration minSuspectAge = std::chrono::milliseconds(1500);
 
     /// As minSuspectAge, before a part is quarantined. Covers the time until a survival at any router is known at all.
     constexpr Duration minQuarantineAge = std::chrono::seconds(2);
@@ -80,7 +80,7 @@
     Trial trial = std::move(it->second);
     m_trials.erase(it);
     if (trial.answeringSince && (isAnswered || now - *trial.answeringSince >= survivalTime))
-        survived(trial);
+        recordSurvival(trial);
     return trial.hasSurvived ? std::vector<PartKey> {} : std::move(trial.parts);
 }
 
@@ -104,7 +104,7 @@
 {
     for (auto& [id, trial] : m_trials) {
         if (!trial.hasSurvived && trial.answeringSince && now - *trial.answeringSince >= survivalTime)
-            survived(trial);
+            recordSurvival(trial);
     }
     std::erase_if(m_suspects, [this](const auto& it) { return m_records.exitCount(it.first) < suspectThreshold; });
     for (const auto& [part, survivalsOfOthers] : m_suspects) {
@@ -145,7 +145,7 @@
         m_trials.begin(), m_trials.end(), [part](const auto& it) { return contains(it.second.parts, part); });
 }
 
-void PartGuard::survived(Trial& trial)
+void PartGuard::recordSurvival(Trial& trial)
 {
     if (std::exchange(trial.hasSurvived, true))
         return;
