--- a/tests/PartGuardTest.cpp
+++ b/tests/PartGuardTest.cpp
@@ -95,6 +95,27 @@
     CHECK(world.soundRefused == 0);
 }
 
+// Guards against a part of large prompts that is refused because smaller ones show sooner that they survived.
+TEST_CASE("a part whose requests are answered late is not quarantined when targets end in quick succession")
+{
+    PartWorldSettings settings = settingsOf(8, GENERATE(1U, 2U, 3U));
+    settings.slowPart = 2;
+    settings.slowFirstEventDelay = 900ms;
+    settings.answerTime = 2500ms;
+    settings.targets = 60;
+    settings.soundInterval = 5ms;
+    settings.downtime = 1s;
+    PartWorld world(settings);
+    world.soundPrompts = { { shared }, { 2 }, { 3 } };
+    world.run(3s);
+    for (unsigned i = 0; i < 100; ++i) {
+        world.kill(i % settings.targets);
+        world.run(100ms);
+    }
+    CHECK(world.quarantinedAt(2) == 0);
+    CHECK(world.soundRefused == 0);
+}
+
 // Guards against past completions that speak for a part for ever.
 TEST_CASE("a part that was sound is quarantined once it crashes targets")
 {
--- a/tests/PartWorld.cpp
+++ b/tests/PartWorld.cpp
@@ -103,7 +103,10 @@
 void PartWorld::advance(Attempt& attempt)
 {
     CrashGuard& guard = m_routers[attempt.router].guard;
-    if (!attempt.isAnswering && m_now >= attempt.sentAt + m_settings.firstEventDelay) {
+    const bool isSlow
+        = std::find(attempt.parts.begin(), attempt.parts.end(), m_settings.slowPart) != attempt.parts.end();
+    const Duration delay = isSlow ? m_settings.slowFirstEventDelay : m_settings.firstEventDelay;
+    if (!attempt.isAnswering && m_now >= attempt.sentAt + delay) {
         attempt.isAnswering = true;
         guard.parts().answering(m_now, attempt.id);
     }
--- a/tests/PartWorld.h
+++ b/tests/PartWorld.h
@@ -22,6 +22,8 @@
     Duration downtime = std::chrono::seconds(3); ///< Of a target, from its exit to its next start.
     Duration soundInterval = std::chrono::milliseconds(20); ///< Between sound requests, over all routers.
     Duration firstEventDelay = std::chrono::milliseconds(250);
+    PartKey slowPart = 0; ///< Prompts with it have their first event after this time instead; 0: none.
+    Duration slowFirstEventDelay {};
     Duration answerTime = std::chrono::milliseconds(1200);
     std::uint64_t seed = 1;
 };
