Repeat a request whose pooled connection holds bytes that are no answer, as before

No test showed the difference; NetClientTest, NetPathTest, NetTest and EndlessAnswersTest pass before and after. Names: markWritten; the tests of parts share the fleet of those of requests.

--- a/apps/sagechute-edge/CrashJournal.cpp
+++ b/apps/sagechute-edge/CrashJournal.cpp
@@ -47,7 +47,7 @@
         pendingRecords.pop_front();
 }
 
-void CrashJournal::Subjects::written(const Records& records)
+void CrashJournal::Subjects::markWritten(const Records& records)
 {
     for (const quarantine::CrashRecord& it : records) {
         if (it.isCleared)
@@ -57,7 +57,7 @@
     }
 }
 
-void CrashJournal::Subjects::written(const Cases& cases)
+void CrashJournal::Subjects::markWritten(const Cases& cases)
 {
     for (const quarantine::CrashCase& it : cases)
         storedQuarantines.insert(it.subject);
@@ -100,8 +100,8 @@
     if (!m_store.writeCrashes(requests, parts).ok())
         return false;
     std::lock_guard lock(m_mutex);
-    m_requests.written(requests);
-    m_parts.written(parts);
+    m_requests.markWritten(requests);
+    m_parts.markWritten(parts);
     return true;
 }
 
@@ -178,8 +178,8 @@
     if (!m_store.writeQuarantined(requests, parts).ok())
         return false;
     std::lock_guard lock(m_mutex);
-    m_requests.written(requests);
-    m_parts.written(parts);
+    m_requests.markWritten(requests);
+    m_parts.markWritten(parts);
     return true;
 }
 
--- a/apps/sagechute-edge/CrashJournal.h
+++ b/apps/sagechute-edge/CrashJournal.h
@@ -37,8 +37,8 @@
 
         void add(const Records&);
         Records pending() const { return { pendingRecords.begin(), pendingRecords.end() }; }
-        void written(const Records&);
-        void written(const Cases&);
+        void markWritten(const Records&);
+        void markWritten(const Cases&);
         void apply(const news::SubjectCrashNews&);
     };
 
--- a/src/net/ClientConnection.cpp
+++ b/src/net/ClientConnection.cpp
@@ -276,7 +276,7 @@
         }
         m_interimBytes += n;
         if (m_interimBytes > mostInterimBytes) {
-            reject("too-large", "the interim answers have no end");
+            fail(false, "the interim answers have no end", "too-large");
             return;
         }
         m_reader.emplace(static_cast<AnswerSink&>(*this), m_transfer->request().method != "HEAD");
@@ -290,11 +290,11 @@
         setEvents(m_sent < m_transfer->bytes().size() ? EPOLLOUT : 0U);
         m_transfer->isPaused = true;
     } else if (problem == ReadProblem::HeadersTooLarge) {
-        reject("too-large", "the answer's head is too large");
+        fail(false, "the answer's head is too large", "too-large");
     } else if (problem != ReadProblem::None) {
-        reject("malformed", "the answer is no HTTP/1.1");
+        fail(false, "the answer is no HTTP/1.1", "malformed");
     } else if (m_reader->hasHead() && m_pending.size() > mostFramingBytes) {
-        reject("too-large", "a chunk's head or the trailers are too large");
+        fail(false, "a chunk's head or the trailers are too large", "too-large");
     }
 }
 
@@ -342,7 +342,7 @@
     m_pool.ended(*this, *m_transfer, { end, m_transfer->status, {} }, isReusable);
 }
 
-void ClientConnection::fail(bool isTimeout, const std::string& detail)
+void ClientConnection::fail(bool isTimeout, const std::string& detail, std::string_view rejectReason)
 {
     ClientTransfer& transfer = *m_transfer;
     if (!isTimeout && m_pool.repeats(*this, transfer))
@@ -350,13 +350,7 @@
     TransferEnd end = TransferEnd::NothingSent;
     if (transfer.mayHaveLeft)
         end = isTimeout ? TransferEnd::TimedOut : TransferEnd::BrokenAfterSend;
-    m_pool.ended(*this, transfer, { end, transfer.status, detail, m_isRefused }, false);
-}
-
-void ClientConnection::reject(std::string_view reason, const std::string& detail)
-{
-    m_pool.ended(
-        *this, *m_transfer, { TransferEnd::BrokenAfterSend, m_transfer->status, detail, false, reason }, false);
+    m_pool.ended(*this, transfer, { end, transfer.status, detail, m_isRefused, rejectReason }, false);
 }
 
 void ClientConnection::close()
--- a/src/net/ClientConnection.h
+++ b/src/net/ClientConnection.h
@@ -54,11 +54,8 @@
     void takeBytes(std::string_view);
     void takeEnd();
     void complete(bool hasMore);
-    void fail(bool isTimeout, const std::string& detail);
-
-    /// Ends the transfer because of the bytes that came.
-    /// @param reason see TransferResult::rejectReason.
-    void reject(std::string_view reason, const std::string& detail);
+    /// @param rejectReason see TransferResult.
+    void fail(bool isTimeout, const std::string& detail, std::string_view rejectReason = {});
     void setEvents(std::uint32_t);
 
     ClientPool& m_pool;
--- a/tests/crashing_part_test.py
+++ b/tests/crashing_part_test.py
@@ -12,7 +12,7 @@
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
-from crashing_request_test import Callers, Keeper, fresh  # noqa: E402
+from crashing_request_test import Callers, CrashingTargetsCase, Keeper, fresh  # noqa: E402
 from platform_fleet import Fleet, call  # noqa: E402
 
 BUILD = "build"
@@ -43,10 +43,13 @@
         self.fleet.workers[name]["process"].send(9)
 
 
-class CrashingPartCase(unittest.TestCase):
+class CrashingPartCase(CrashingTargetsCase):
     routers = ROUTERS
     engines = ENGINES
 
+    def setUp(self):
+        """Each test starts a fleet of its own."""
+
     def start(self, worker_arguments=("--crash-part", CRASHING_PART)):
         self.fleet = Fleet(BUILD, routers=self.routers, engines=self.engines, applications=0,
                            worker_arguments=["--work", "60ms", *worker_arguments])
@@ -61,10 +64,6 @@
         time.sleep(1)
         self.served_before = self.callers.served_share(0)
 
-    def stop_keeper(self):
-        self.keeper.is_stopping = True
-        self.keeper.join()
-
     def send(self, *parts, router=None):
         chosen = len(self.answers) % self.routers if router is None else router
         begun = time.monotonic()
@@ -91,14 +90,6 @@
         while len(self.keeper.ends) < LAST_DECISIVE_END and time.monotonic() < end:
             self.send_for(PAUSE_SECONDS / 2, FIRST_PART, CRASHING_PART)
 
-    def restart(self, routers):
-        for it in routers:
-            it["process"].end()
-        for it in routers:
-            it["process"].start()
-        for it in routers:
-            self.fleet.wait_until("it is ready", lambda: self.fleet.is_ready(it), 8)
-
     def check_bound(self):
         self.assertGreaterEqual(len(self.keeper.ends), LAST_DECISIVE_END, "the part crashed no targets")
         self.assertLessEqual(self.keeper.ends_after(STABLE_SECONDS), MOST_MORE, f"{len(self.keeper.ends)} ended in all")
