Declare evacuated zones and heard routers in the dispatcher's interface

The dispatcher excludes targets in evacuated availability zones from placement and from the check before a request leaves. Nothing sets such a zone yet.

--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -419,6 +419,13 @@
     /// @return whether the target was not already in a pause.
     virtual bool backOff(TimePoint now, const TargetIncarnation&, Duration) = 0;
 
+    /// Replaces the set of evacuated availability zones. Their targets get no new request; requests that run there end
+    /// normally.
+    virtual void setEvacuatedZones(TimePoint now, const std::set<ZoneId>&) = 0;
+
+    /// @param heard the other routers that were heard of recently.
+    virtual void setRouters(TimePoint now, const std::vector<VmId>& heard) = 0;
+
     /// @return whether a request that was placed on the target may still be sent: the target accepts requests.
     virtual bool maySend(TimePoint now, const TargetIncarnation&) const = 0;
 
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -509,6 +509,10 @@
     return m_backoffs.recordBackoff(now, incarnation, pause);
 }
 
+void LocalDispatcher::setEvacuatedZones(TimePoint, const std::set<ZoneId>& zones) { m_evacuatedZones = zones; }
+
+void LocalDispatcher::setRouters(TimePoint, const std::vector<VmId>&) { }
+
 bool LocalDispatcher::maySend(TimePoint now, const TargetIncarnation& incarnation) const
 {
     const TargetModel* model = find(incarnation);
@@ -517,7 +521,8 @@
 
 bool LocalDispatcher::takesRequests(TimePoint now, const TargetIncarnation& incarnation, const TargetModel& model) const
 {
-    return !model.target().draining && !m_backoffs.isPaused(now, incarnation);
+    const Target& target = model.target();
+    return !target.draining && !m_evacuatedZones.contains(target.zone) && !m_backoffs.isPaused(now, incarnation);
 }
 
 Placement LocalDispatcher::commit(
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -24,6 +24,8 @@
     void firstAnswer(TimePoint now, AttemptId) override;
     void ended(TimePoint now, AttemptId, AttemptEnd) override;
     bool backOff(TimePoint now, const TargetIncarnation&, Duration) override;
+    void setEvacuatedZones(TimePoint now, const std::set<ZoneId>&) override;
+    void setRouters(TimePoint now, const std::vector<VmId>& heard) override;
     bool maySend(TimePoint now, const TargetIncarnation&) const override;
     Refusal giveUp(TimePoint now, const ServiceId&) override;
     LoadReport report(TimePoint now) override;
@@ -53,7 +55,7 @@
         Admission admission;
     };
 
-    /// @return whether the target is neither draining nor in a backoff pause.
+    /// @return whether the target is neither draining nor in a backoff pause, and its zone is not evacuated.
     bool takesRequests(TimePoint now, const TargetIncarnation&, const TargetModel&) const;
 
     /// @return when the first of the service's targets ends its pause; absent if a target is not in a pause or there is
@@ -122,6 +124,7 @@
     std::shared_ptr<const RoutingTable> m_table;
     std::map<TargetIncarnation, std::unique_ptr<TargetModel>> m_targets;
     std::set<TargetIncarnation> m_listedTargets; ///< As of the last setTargets().
+    std::set<ZoneId> m_evacuatedZones;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     BackoffTable m_backoffs;
     std::map<ServiceId, RetryWindow> m_retries;
