Refuse requests with a reason of their own if all targets are evacuated

A request to a service whose targets are all in evacuated availability zones was refused as without a target, or with the end of a pause of a target that may not be used as the retry time. The reason is now "evacuated", with a retry time of 2 to 3 s, and pauses of evacuated targets are not considered.

--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -272,6 +272,7 @@
     Quarantined, ///< Targets crash when they run it; see quarantine::CrashGuard.
     PartSuspected, ///< Targets may crash because of a part of its prompt; it is not sent again after a break.
     PartQuarantined, ///< Targets crash because of a part of its prompt; see quarantine::PartGuard.
+    Evacuated, ///< All targets that could take it are in evacuated availability zones.
 };
 
 std::string_view toString(RefusalReason);
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -59,6 +59,10 @@
     /// After this time the list of targets has been read again if a target was lost.
     constexpr Duration noTargetRetryAfter = std::chrono::milliseconds(700);
 
+    /// The end of an evacuation is not known in advance. Together with the jitter this is the longest retry time of a
+    /// refusal, as evacuations last for minutes.
+    constexpr Duration evacuatedRetryAfter = std::chrono::seconds(2);
+
     /// Fraction of the retry budget up to which hedges are sent. The rest is for requests that have no attempt left.
     constexpr double hedgeBudgetFraction = 0.5;
 
@@ -480,7 +484,7 @@
 {
     std::optional<TimePoint> first;
     for (const auto& [incarnation, model] : m_targets) {
-        if (model->target().service != service || model->target().draining)
+        if (model->target().service != service || model->target().draining || isEvacuated(*model))
             continue;
         const std::optional<TimePoint> end = m_backoffs.pauseEnd(now, incarnation);
         if (!end)
@@ -490,8 +494,23 @@
     return first;
 }
 
+bool LocalDispatcher::areAllEvacuated(const ServiceId& service) const
+{
+    bool hasEvacuated = false;
+    for (const auto& [incarnation, model] : m_targets) {
+        if (model->target().service != service || model->target().draining)
+            continue;
+        if (!isEvacuated(*model))
+            return false;
+        hasEvacuated = true;
+    }
+    return hasEvacuated;
+}
+
 Refusal LocalDispatcher::refuseUnplaced(TimePoint now, const ServiceId& service, Duration otherwise)
 {
+    if (areAllEvacuated(service))
+        return refuse(RefusalReason::Evacuated, evacuatedRetryAfter);
     const std::optional<TimePoint> until = earliestPauseEnd(now, service);
     if (!until)
         return refuse(RefusalReason::NoTarget, otherwise);
@@ -521,8 +540,7 @@
 
 bool LocalDispatcher::takesRequests(TimePoint now, const TargetIncarnation& incarnation, const TargetModel& model) const
 {
-    const Target& target = model.target();
-    return !target.draining && !m_evacuatedZones.contains(target.zone) && !m_backoffs.isPaused(now, incarnation);
+    return !model.target().draining && !isEvacuated(model) && !m_backoffs.isPaused(now, incarnation);
 }
 
 Placement LocalDispatcher::commit(
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -58,8 +58,13 @@
     /// @return whether the target is neither draining nor in a backoff pause, and its zone is not evacuated.
     bool takesRequests(TimePoint now, const TargetIncarnation&, const TargetModel&) const;
 
-    /// @return when the first of the service's targets ends its pause; absent if a target is not in a pause or there is
-    ///         none.
+    bool isEvacuated(const TargetModel& model) const { return m_evacuatedZones.contains(model.target().zone); }
+
+    /// @return whether the service has targets that are not draining, and all of them are in evacuated zones.
+    bool areAllEvacuated(const ServiceId&) const;
+
+    /// @return when the first of the service's targets outside evacuated zones ends its pause; absent if one of them is
+    ///         not in a pause or there is none.
     std::optional<TimePoint> earliestPauseEnd(TimePoint now, const ServiceId&) const;
 
     /// Refuses a request for which no target was found.
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -57,6 +57,8 @@
         return "prompt-part-suspected";
     case RefusalReason::PartQuarantined:
         return "prompt-part-quarantined";
+    case RefusalReason::Evacuated:
+        return "evacuated";
     }
     return "";
 }
