Track evacuated zones and the offset of the operator's records

The operator's topic will hold evacuations of availability zones beside the configuration. A configuration's version doesn't tell whether a router knows them, so Knowledge and ToldKnowledge get the offset before which all operator records are known. An age is adopted only by a router that knows as much; that of a release without the offset is not adopted once one is known. EvacuatedZones keeps the list, in which newer offsets win.

--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -211,7 +211,8 @@
 /// @return a router's knowledge as a list for a CBOR document. Ages are in milliseconds.
 nlohmann::json encodeKnowledge(const news::ToldKnowledge&);
 
-/// Decodes the result of encodeKnowledge(). Throws nlohmann::json::exception for anything else.
+/// Decodes the result of encodeKnowledge(), also of a release without the offset of the operator records. Throws
+/// nlohmann::json::exception for anything else.
 news::ToldKnowledge decodeKnowledge(const nlohmann::json&);
 
 /// @return the heartbeat without includedSerial, which differs by receiver, as a compact binary record. A relay encodes
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -29,11 +29,21 @@
     std::string reason;
 };
 
-/// Result of reading the configuration topic.
+/// The operator's request that no more be sent to the targets of an availability zone, or its end.
+struct ZoneChange {
+    ZoneId zone;
+    bool isEvacuated = false;
+    LogOffset offset = 0; ///< Offset of the record. Of two records for one zone the later takes precedence.
+
+    bool operator==(const ZoneChange&) const = default;
+};
+
+/// Result of reading the operator's topic, which holds the configuration and the evacuations.
 struct ConfigNews {
     std::optional<ConfigRecord> newest; ///< The newest readable configuration; absent if there is nothing new.
     LogOffset next = 0; ///< Offset to continue reading from.
     std::vector<UnreadableRecord> unreadable;
+    std::vector<ZoneChange> zones; ///< In log order; after a full read, all evacuated zones.
 };
 
 /// A change of one entry in the target list.
@@ -257,6 +267,51 @@
     std::uint64_t m_revision = 0;
 };
 
+// ---- Evacuated availability zones
+
+/// The evacuated zones known to this router, and the operator records up to which they are complete.
+///
+/// Routers exchange the whole list, as an evacuation is rare and few zones are evacuated at a time. A list is complete
+/// up to an offset, so that the older of two lists never takes back what the newer one states, and the removal of a
+/// record needs no entry of its own.
+class EvacuatedZones {
+public:
+    struct Entry {
+        LogOffset offset = 0; ///< Offset of the newest record that evacuates the zone.
+        TimePoint since; ///< When this router learned of the evacuation.
+    };
+
+    /// Applies the changes returned by one read that continued from next() or before. Records before next() are known
+    /// already and change nothing. @param next offset after the last record read.
+    /// @return the zones that were evacuated or lifted by these changes, each with its newest record.
+    std::vector<ZoneChange> applyAll(TimePoint now, const std::vector<ZoneChange>&, LogOffset next);
+
+    /// Replaces the zones by a full list, unless it is complete only up to an offset older than next().
+    /// @param end all records before this offset are taken into account; the list may contain later ones as well.
+    /// @return see applyAll(). A zone that is missing from the list has @p end as the offset of its change, as its last
+    /// record was written before.
+    std::vector<ZoneChange> replace(TimePoint now, const std::vector<ZoneChange>& all, LogOffset end);
+
+    /// @return the offset of the first operator record that is not known yet; absent before the first update.
+    std::optional<LogOffset> next() const { return m_next; }
+
+    const std::map<ZoneId, Entry>& zones() const { return m_zones; }
+
+    /// @return the evacuated zones, each as the change that evacuated it.
+    std::vector<ZoneChange> all() const;
+
+    /// @return a number that changes whenever the set of evacuated zones does.
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    /// @return whether the set of evacuated zones changed.
+    bool apply(TimePoint now, const ZoneChange&);
+
+    std::map<ZoneId, Entry> m_zones;
+    std::optional<LogOffset> m_next;
+    std::uint64_t m_revision = 0;
+};
+
 // ---- Reading the store
 
 /// Position of a router in one topic of the store, and the outcome of its reads.
@@ -301,10 +356,11 @@
 /// advance while the VM is suspended; otherwise a resumed router would treat old data as fresh.
 struct Knowledge {
     std::uint64_t configVersion = 0;
-    std::optional<TimePoint> configUntil; ///< Every configuration acknowledged before this time is known.
+    std::optional<TimePoint> configUntil; ///< Every operator record acknowledged before this time is known.
     LogOffset targetsNext = 0; ///< Target records before this offset are known.
     std::optional<TimePoint> targetsUntil; ///< As configUntil, for the targets.
     std::optional<TimePoint> targetsFrom; ///< The store has been read without a gap since then; see ReadSpan.
+    LogOffset operatorNext = 0; ///< Operator records before this offset are known: configurations and evacuations.
 };
 
 /// Knowledge as reported to other routers: ages instead of times, since clocks differ.
@@ -315,6 +371,7 @@
     std::optional<Duration> targetsAge;
     std::optional<Duration> readAge; ///< Time since the last successful reads of its own, the older of both topics.
     std::optional<Duration> targetsFromAge; ///< How long the store has been read without a gap.
+    LogOffset operatorNext = 0; ///< Zero from a router of a release that doesn't know evacuations.
 };
 
 /// Estimates the queueing delay of messages from the sender's and the receiver's timestamps.
@@ -345,7 +402,7 @@
 
 /// Topics of which another router has newer data.
 struct Missing {
-    bool config = false;
+    bool config = false; ///< The configuration or an evacuation.
     bool targets = false;
     bool any() const { return config || targets; }
 };
@@ -353,6 +410,11 @@
 /// @param readAt the older of its last successful reads of both topics.
 ToldKnowledge tell(const Knowledge&, std::optional<TimePoint> readAt, TimePoint now);
 
+/// @return whether all operator records that the other router knows are known here, so that the age of its knowledge
+/// holds here as well. The age of a router that reports no offset says nothing of evacuations, and is of no use once
+/// one is known.
+bool knowsOperatorRecordsOf(const Knowledge&, const ToldKnowledge&);
+
 /// Adopts the freshness reported by another router, for each topic where the local data is as recent as its own.
 /// @return the topics where the other router has newer data, which has to be fetched first.
 Missing learn(Knowledge&, const ToldKnowledge&, TimePoint now);
--- a/src/edge/Peers.cpp
+++ b/src/edge/Peers.cpp
@@ -90,9 +90,10 @@
 
     constexpr unsigned lastScope = static_cast<unsigned>(HeartbeatScope::All);
 
-    // Wire format of a heartbeat. Ages and times are in microseconds; an unknown age is -1.
+    // Wire format of a heartbeat. Ages and times are in microseconds; an unknown age is -1. Fields that a former
+    // release doesn't send are last in their tuple and zero when absent; it ignores fields that it doesn't know.
     using WireKnowledge
-        = std::tuple<std::uint64_t, std::int64_t, std::uint64_t, std::int64_t, std::int64_t, std::int64_t>;
+        = std::tuple<std::uint64_t, std::int64_t, std::uint64_t, std::int64_t, std::int64_t, std::int64_t, LogOffset>;
     using WireUtilization = std::tuple<std::map<std::string, std::uint32_t>, std::map<std::string, std::uint32_t>>;
     using WireHead = std::tuple<std::string, Incarnation, std::string, std::string, std::string, bool, WireKnowledge,
         std::uint32_t, std::uint32_t, unsigned, std::int64_t, WireUtilization, std::string>;
@@ -125,7 +126,7 @@
         const news::ToldKnowledge& known = it.knowledge;
         return { it.vm.value, it.incarnation, it.callerAddress, it.controlAddress, it.zone.value, it.isReady,
             { known.configVersion, toWire(known.configAge), known.targetsNext, toWire(known.targetsAge),
-                toWire(known.readAge), toWire(known.targetsFromAge) },
+                toWire(known.readAge), toWire(known.targetsFromAge), known.operatorNext },
             it.capacity, it.utilizationPercent, static_cast<unsigned>(it.scope), it.sentAt.time_since_epoch().count(),
             { toWire(it.use.zones), toWire(it.use.busyRouters) }, it.load };
     }
@@ -142,7 +143,8 @@
         it.zone = { std::move(zone) };
         it.isReady = isReady;
         it.knowledge = { std::get<0>(known), ageFromWire(std::get<1>(known)), std::get<2>(known),
-            ageFromWire(std::get<3>(known)), ageFromWire(std::get<4>(known)), ageFromWire(std::get<5>(known)) };
+            ageFromWire(std::get<3>(known)), ageFromWire(std::get<4>(known)), ageFromWire(std::get<5>(known)),
+            std::get<6>(known) };
         it.capacity = capacity;
         it.utilizationPercent = use;
         it.scope = static_cast<HeartbeatScope>(std::min(scope, lastScope));
@@ -177,13 +179,13 @@
 nlohmann::json encodeKnowledge(const news::ToldKnowledge& told)
 {
     return json::array({ told.configVersion, encodeAge(told.configAge), told.targetsNext, encodeAge(told.targetsAge),
-        encodeAge(told.readAge), encodeAge(told.targetsFromAge) });
+        encodeAge(told.readAge), encodeAge(told.targetsFromAge), told.operatorNext });
 }
 
 news::ToldKnowledge decodeKnowledge(const json& item)
 {
     return { item.at(0).get<std::uint64_t>(), decodeAge(item.at(1)), item.at(2).get<LogOffset>(), decodeAge(item.at(3)),
-        decodeAge(item.at(4)), decodeAge(item.at(5)) };
+        decodeAge(item.at(4)), decodeAge(item.at(5)), item.size() > 6 ? item.at(6).get<LogOffset>() : 0 };
 }
 
 std::string encodeCommonPart(const Heartbeat& heartbeat)
--- /dev/null
+++ b/src/news/EvacuatedZones.cpp
@@ -0,0 +1,78 @@
+#include <sagechute/News.h>
+
+#include <algorithm>
+
+namespace sagechute::news {
+
+bool EvacuatedZones::apply(TimePoint now, const ZoneChange& change)
+{
+    const auto known = m_zones.find(change.zone);
+    const bool wasEvacuated = known != m_zones.end();
+    // A full list may contain records after its end, which are then read again along with older ones.
+    if (wasEvacuated && known->second.offset > change.offset)
+        return false;
+    if (!change.isEvacuated)
+        return m_zones.erase(change.zone) > 0;
+    Entry& entry = m_zones[change.zone];
+    entry.offset = change.offset;
+    if (!wasEvacuated)
+        entry.since = now;
+    return !wasEvacuated;
+}
+
+std::vector<ZoneChange> EvacuatedZones::applyAll(TimePoint now, const std::vector<ZoneChange>& changes, LogOffset next)
+{
+    // Only the last record of each zone counts: a zone that was evacuated and lifted while nothing was read must not be
+    // evacuated for a moment.
+    std::map<ZoneId, ZoneChange> last;
+    for (const ZoneChange& it : changes) {
+        if (it.offset >= m_next.value_or(0))
+            last[it.zone] = it;
+    }
+    std::vector<ZoneChange> changed;
+    for (const auto& [zone, change] : last) {
+        if (apply(now, change))
+            changed.push_back(change);
+    }
+    m_next = std::max(m_next.value_or(0), next);
+    m_revision += changed.size();
+    return changed;
+}
+
+std::vector<ZoneChange> EvacuatedZones::replace(TimePoint now, const std::vector<ZoneChange>& all, LogOffset end)
+{
+    if (m_next && end < *m_next)
+        return {};
+    std::vector<ZoneChange> changed;
+    std::set<ZoneId> listed;
+    for (const ZoneChange& it : all) {
+        if (!it.isEvacuated)
+            continue;
+        listed.insert(it.zone);
+        if (apply(now, it))
+            changed.push_back(it);
+    }
+    for (const auto& [zone, entry] : m_zones) {
+        // A zone whose record is later was evacuated after the list was made.
+        if (!listed.contains(zone) && entry.offset < end)
+            changed.push_back({ zone, false, end });
+    }
+    for (const ZoneChange& it : changed) {
+        if (!it.isEvacuated)
+            m_zones.erase(it.zone);
+    }
+    m_next = end;
+    m_revision += changed.size();
+    return changed;
+}
+
+std::vector<ZoneChange> EvacuatedZones::all() const
+{
+    std::vector<ZoneChange> result;
+    result.reserve(m_zones.size());
+    for (const auto& [zone, entry] : m_zones)
+        result.push_back({ zone, true, entry.offset });
+    return result;
+}
+
+} // namespace sagechute::news
--- a/src/news/Knowledge.cpp
+++ b/src/news/Knowledge.cpp
@@ -37,7 +37,7 @@
 ToldKnowledge tell(const Knowledge& known, std::optional<TimePoint> readAt, TimePoint now)
 {
     return { known.configVersion, ageOf(known.configUntil, now), known.targetsNext, ageOf(known.targetsUntil, now),
-        ageOf(readAt, now), ageOf(known.targetsFrom, now) };
+        ageOf(readAt, now), ageOf(known.targetsFrom, now), known.operatorNext };
 }
 
 Duration TransitMeter::delay(TimePoint sent, TimePoint received)
@@ -60,12 +60,19 @@
     return result;
 }
 
+bool knowsOperatorRecordsOf(const Knowledge& mine, const ToldKnowledge& told)
+{
+    const bool tellsOffset = told.operatorNext > 0 || mine.operatorNext == 0;
+    return tellsOffset && told.configVersion <= mine.configVersion && told.operatorNext <= mine.operatorNext;
+}
+
 Missing learn(Knowledge& mine, const ToldKnowledge& told, TimePoint now)
 {
     Missing missing;
-    missing.config = told.configAge && (told.configVersion > mine.configVersion || !mine.configUntil);
+    const bool isAhead = told.configVersion > mine.configVersion || told.operatorNext > mine.operatorNext;
+    missing.config = told.configAge && (isAhead || !mine.configUntil);
     missing.targets = told.targetsAge && (told.targetsNext > mine.targetsNext || !mine.targetsUntil);
-    if (told.configAge && !missing.config)
+    if (told.configAge && !missing.config && knowsOperatorRecordsOf(mine, told))
         advance(mine.configUntil, now - *told.configAge);
     if (told.targetsAge && !missing.targets)
         advance(mine.targetsUntil, now - *told.targetsAge);
--- a/tests/NewsStore.cpp
+++ b/tests/NewsStore.cpp
@@ -23,6 +23,7 @@
 
 NewsStore::NewsStore(TimePoint start, Duration stableTime)
     : m_stableTime(stableTime)
+    , m_operator { { start, std::nullopt } }
     , m_configAcknowledged { start }
 {
     for (std::size_t i = 0; i < targetCount; ++i)
@@ -52,6 +53,7 @@
         return;
     if (random.fraction() < configShare) {
         m_configAcknowledged.push_back(now);
+        m_operator.push_back({ now, std::nullopt });
         return;
     }
     const auto present = std::count_if(m_lives.begin(), m_lives.end(), [](const Life& it) { return !it.left; });
@@ -68,6 +70,41 @@
     write(oldest->id, false, now);
 }
 
+void NewsStore::changeZone(TimePoint now, const ZoneId& zone, bool isEvacuated)
+{
+    m_operator.push_back({ now, ZoneChange { zone, isEvacuated, operatorEnd() } });
+}
+
+std::vector<ZoneChange> NewsStore::zoneChanges(LogOffset from, LogOffset end) const
+{
+    std::vector<ZoneChange> changes;
+    for (LogOffset i = from; i < end; ++i) {
+        if (m_operator[i].zone)
+            changes.push_back(*m_operator[i].zone);
+    }
+    return changes;
+}
+
+std::vector<ZoneChange> NewsStore::zonesBefore(LogOffset end) const
+{
+    std::map<ZoneId, ZoneChange> newest;
+    for (const ZoneChange& it : zoneChanges(0, end))
+        newest[it.zone] = it;
+    std::vector<ZoneChange> present;
+    for (const auto& [zone, change] : newest) {
+        if (change.isEvacuated)
+            present.push_back(change);
+    }
+    return present;
+}
+
+std::uint64_t NewsStore::configVersionsBefore(LogOffset end) const { return end - zoneChanges(0, end).size(); }
+
+std::optional<TimePoint> NewsStore::operatorMissingSince(LogOffset next) const
+{
+    return next < m_operator.size() ? std::optional(m_operator[next].acknowledged) : std::nullopt;
+}
+
 void NewsStore::setBehavior(TimePoint now, StoreBehavior behavior, TimePoint until, SeededRandom& random)
 {
     const StoreBehavior before = this->behavior(now);
--- a/tests/NewsStore.h
+++ b/tests/NewsStore.h
@@ -29,6 +29,12 @@
     /// Changes the configuration, or adds or removes a target. Does nothing while the store is unavailable.
     void change(TimePoint now, SeededRandom&);
 
+    /// Evacuates a zone, or lifts its evacuation. The store must be serving.
+    void changeZone(TimePoint now, const ZoneId&, bool isEvacuated);
+
+    /// Discards the operator records written so far; only the present keys can be read from then on.
+    void truncateOperatorHistory() { m_operatorFirst = operatorEnd(); }
+
     /// Sets the behavior towards all routers. @param until when the store serves again.
     void setBehavior(TimePoint now, StoreBehavior, TimePoint until, SeededRandom&);
 
@@ -40,6 +46,21 @@
     TimePoint behaviorUntil() const { return m_behaviorUntil; }
 
     std::uint64_t configVersions() const { return m_configAcknowledged.size(); }
+    LogOffset operatorEnd() const { return m_operator.size(); }
+    LogOffset operatorFirst() const { return m_operatorFirst; }
+
+    /// @return the zone changes among the operator records in [from, end).
+    std::vector<ZoneChange> zoneChanges(LogOffset from, LogOffset end) const;
+
+    /// @return the zones that are evacuated by the operator records before @p end, each with its newest record.
+    std::vector<ZoneChange> zonesBefore(LogOffset end) const;
+
+    /// @return the number of configurations among the operator records before @p end.
+    std::uint64_t configVersionsBefore(LogOffset end) const;
+
+    /// @return when the first operator record at or after @p next was acknowledged; absent if there is none.
+    std::optional<TimePoint> operatorMissingSince(LogOffset next) const;
+
     LogOffset targetsEnd() const { return m_records.size(); }
 
     /// @return all target records at or after @p from.
@@ -73,7 +94,14 @@
     void addTarget(TimePoint now);
     void write(const TargetId&, bool isListed, std::optional<TimePoint> acknowledged);
 
+    struct OperatorRecord {
+        TimePoint acknowledged;
+        std::optional<ZoneChange> zone; ///< Absent: a configuration.
+    };
+
     const Duration m_stableTime;
+    std::vector<OperatorRecord> m_operator;
+    LogOffset m_operatorFirst = 0;
     std::vector<TimePoint> m_configAcknowledged;
     std::vector<TargetChange> m_records;
     std::vector<std::optional<TimePoint>>
--- a/tests/NewsTest.cpp
+++ b/tests/NewsTest.cpp
@@ -421,3 +421,167 @@
     CHECK(callsInAMinute(65, 3s) < 60 * (6 + 3));
     CHECK(callsInAMinute(295, 4s) < 60 * (4 + 3));
 }
+
+namespace {
+
+ZoneChange evacuation(const std::string& zone, LogOffset offset) { return { { zone }, true, offset }; }
+ZoneChange lifting(const std::string& zone, LogOffset offset) { return { { zone }, false, offset }; }
+
+} // namespace
+
+TEST_CASE("evacuations are applied in log order, and records that are known already change nothing")
+{
+    EvacuatedZones zones;
+    CHECK_FALSE(zones.next());
+    CHECK(zones.replace(start, { evacuation("a", 3) }, 10).size() == 1);
+    CHECK(zones.next() == LogOffset { 10 });
+    CHECK(zones.zones().at({ "a" }).since == start);
+    const std::uint64_t revision = zones.revision();
+    SECTION("a late response to an earlier read")
+    {
+        CHECK(zones.applyAll(start + 1s, { lifting("a", 4), evacuation("b", 9) }, 10).empty());
+        CHECK(zones.replace(start + 1s, { evacuation("b", 2) }, 9).empty());
+        CHECK(zones.next() == LogOffset { 10 });
+        CHECK(zones.all() == std::vector { evacuation("a", 3) });
+        CHECK(zones.revision() == revision);
+    }
+    SECTION("a second evacuation keeps the time of the first")
+    {
+        CHECK(zones.applyAll(start + 1s, { evacuation("a", 10) }, 11).empty());
+        CHECK(zones.zones().at({ "a" }).since == start);
+        CHECK(zones.all() == std::vector { evacuation("a", 10) });
+        CHECK(zones.revision() == revision);
+    }
+    SECTION("an evacuation that was lifted before it was read has no effect")
+    {
+        CHECK(zones.applyAll(start + 1s, { evacuation("b", 10), lifting("b", 11), lifting("a", 12) }, 13)
+            == std::vector { lifting("a", 12) });
+        CHECK(zones.zones().empty());
+        CHECK(zones.revision() > revision);
+    }
+}
+
+// Guards against a zone that is evacuated while the pages of a full read arrive and is lifted by an older record.
+TEST_CASE("a full list of evacuations may contain records after its end, which win over older ones read again")
+{
+    EvacuatedZones zones;
+    zones.replace(start, { evacuation("a", 12) }, 10);
+    CHECK(zones.next() == LogOffset { 10 });
+    CHECK(zones.applyAll(start, { evacuation("a", 10), lifting("a", 11) }, 12).empty());
+    CHECK(zones.all() == std::vector { evacuation("a", 12) });
+    // A list made before that record doesn't lift the zone; one made after it does.
+    CHECK(zones.replace(start, {}, 12).empty());
+    CHECK(zones.replace(start, {}, 13) == std::vector { lifting("a", 13) });
+}
+
+// Guards against a router that is told by its relay that its knowledge is fresh and misses an evacuation.
+TEST_CASE("the age of operator records is adopted only by a router that knows them up to the same offset")
+{
+    Knowledge mine { 7, start, 40, start, std::nullopt, 12 };
+    ToldKnowledge told = tell(mine, std::nullopt, start + 100ms);
+    CHECK(told.operatorNext == 12);
+    told.operatorNext = 13;
+    CHECK(learn(mine, told, start + 1s).config);
+    CHECK(mine.configUntil == start);
+    SECTION("a router of a release without the offset may not know of an evacuation")
+    {
+        told.operatorNext = 0;
+        CHECK_FALSE(learn(mine, told, start + 1s).any());
+        CHECK(mine.configUntil == start);
+    }
+    SECTION("one that knows less")
+    {
+        told.operatorNext = 11;
+        CHECK_FALSE(learn(mine, told, start + 1s).any());
+        CHECK(mine.configUntil == start + 900ms);
+    }
+}
+
+namespace {
+
+NewsWorldOptions faultlessWorld(std::size_t routers, Duration bound, std::uint64_t seed, DeliberateFault fault)
+{
+    NewsWorldOptions options { routers, bound, seed, fault, 0 };
+    options.isFirstStart = false;
+    return options;
+}
+
+void planEvacuations(NewsWorld& world)
+{
+    world.planZone(6s, { "a" }, true);
+    world.planZone(7s, { "b" }, true);
+    world.planZone(14s, { "a" }, false);
+    world.planZone(18s, { "b" }, false);
+}
+
+} // namespace
+
+// Guards against requests to an evacuated zone by a router that the fault kept from learning of the evacuation, and
+// against a zone that stays evacuated after it was lifted.
+TEST_CASE("evacuations that overlap are known to every router within the bound, whatever fails")
+{
+    const Duration bound = 2s;
+    const std::size_t routers = GENERATE(std::size_t { 3 }, std::size_t { 24 });
+    using Plan = void (*)(NewsWorld&);
+    struct Case {
+        const char* name;
+        Plan plan;
+    };
+    const Case it = GENERATE(Case { "none", [](NewsWorld&) {} },
+        Case { "store away from soon after the second evacuation until the first is lifted",
+            [](NewsWorld& world) { world.planStore(7300ms, StoreBehavior::Silent, 6500ms); } },
+        Case { "store refuses everyone, and routers restart meanwhile",
+            [](NewsWorld& world) {
+                world.planStore(7300ms, StoreBehavior::Busy, 6500ms);
+                world.plan({ 9s, FaultKind::Restarted, { 0, 2 }, 0s });
+            } },
+        Case { "the relay of a zone and another router are cut off and return",
+            [](NewsWorld& world) {
+                world.plan({ 5s, FaultKind::Partitioned, { world.relayOf(0), 1 }, 5s });
+                world.plan({ 13s, FaultKind::Partitioned, { 2 }, 2s });
+            } },
+        Case { "routers that the store refuses",
+            [](NewsWorld& world) {
+                world.plan({ 5s, FaultKind::Unanswered, { world.relayOf(0), 1 }, 10s });
+            } },
+        Case { "restart in the middle",
+            [](NewsWorld& world) {
+                world.plan({ 10s, FaultKind::Restarted, { 0, 1 }, 0s });
+            } },
+        Case { "history lost", [](NewsWorld& world) {
+                  world.plan({ 5s, FaultKind::Partitioned, { 0, 1 }, 4s });
+                  for (const Duration at : { 6500ms, 8000ms, 14500ms })
+                      world.planHistoryLoss(at);
+              } });
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(routers, it.name, seed);
+        NewsWorld world(faultlessWorld(routers, bound, seed, DeliberateFault::None));
+        planEvacuations(world);
+        it.plan(world);
+        const NewsReport report = world.run(24s);
+        CHECK(report.worstZoneAge <= bound);
+        CHECK(report.wrongZones == 0);
+    }
+}
+
+TEST_CASE("the check of evacuations detects each injected bug")
+{
+    // A new configuration makes routers fetch the evacuations as well, so that not every seed shows the first bug.
+    const auto worst = [](DeliberateFault fault) {
+        NewsReport worst;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            NewsWorld world(faultlessWorld(24, 2s, seed, fault));
+            planEvacuations(world);
+            world.plan({ 10s, FaultKind::Restarted, { 5, 6 }, 0s });
+            const NewsReport report = world.run(24s);
+            worst.worstZoneAge = std::max(worst.worstZoneAge, report.worstZoneAge);
+            worst.wrongZones += report.wrongZones;
+        }
+        return worst;
+    };
+    CHECK(worst(DeliberateFault::IgnoresOperatorOffset).worstZoneAge > 2s);
+    CHECK(worst(DeliberateFault::IgnoresPeersZones).wrongZones > 0);
+    const NewsReport sound = worst(DeliberateFault::None);
+    CHECK(sound.worstZoneAge <= 2s);
+    CHECK(sound.wrongZones == 0);
+}
--- a/tests/NewsWorld.cpp
+++ b/tests/NewsWorld.cpp
@@ -143,7 +143,7 @@
 Knowledge NewsWorld::knowledge(const Router& it)
 {
     return { it.configVersion, it.configUntil, it.roster.next().value_or(0), it.roster.knownUntil(),
-        it.roster.readSince() };
+        it.roster.readSince(), it.zones.next().value_or(0) };
 }
 
 std::optional<TimePoint> NewsWorld::knownUntil(const Router& it, std::size_t topic)
@@ -237,8 +237,8 @@
     if (m_options.fault == DeliberateFault::TrustsSilentSource) {
         for (const auto& [k, told] : self.heard) {
             const Knowledge mine = knowledge(self);
-            const bool knowsAsMuch
-                = told.first.configVersion <= mine.configVersion && told.first.targetsNext <= mine.targetsNext;
+            const bool knowsAsMuch = told.first.configVersion <= mine.configVersion
+                && told.first.targetsNext <= mine.targetsNext && told.first.operatorNext <= mine.operatorNext;
             if (told.first.configAge && knowsAsMuch && m_now - told.second < std::chrono::seconds(6)) {
                 self.configUntil = m_now;
                 self.roster.known(mine.targetsNext, m_now);
@@ -247,9 +247,12 @@
     }
 }
 
-void NewsWorld::hear(Router& self, const ToldKnowledge& told, std::size_t from)
+void NewsWorld::hear(Router& self, const ToldKnowledge& received, std::size_t from)
 {
     Knowledge mine = knowledge(self);
+    ToldKnowledge told = received;
+    if (m_options.fault == DeliberateFault::IgnoresOperatorOffset)
+        told.operatorNext = mine.operatorNext;
     const Missing missing = learn(mine, told, m_now);
     if (m_options.fault == DeliberateFault::AdoptsAgeWithoutData) {
         if (told.configAge)
@@ -326,6 +329,8 @@
     const Router& other = m_routers[fetch.from];
     const auto changes = fetch.targetsNext ? other.roster.changesSince(*fetch.targetsNext) : std::nullopt;
     fetch.answer->told = tell(knowledge(other), std::nullopt, m_now);
+    fetch.answer->configVersion = other.configVersion;
+    fetch.answer->zones = other.zones.all();
     fetch.answer->hasAllTargets = !changes;
     fetch.answer->targets = changes ? *changes : other.roster.all();
 }
@@ -347,8 +352,9 @@
 void NewsWorld::takeFrom(Router& self, const Fetch& fetch)
 {
     const ToldKnowledge& told = fetch.answer->told;
-    self.configVersion = std::max(self.configVersion, told.configVersion);
-    if (told.configAge && self.configVersion <= told.configVersion)
+    if (told.operatorNext > 0)
+        takeOperatorNews(self, *fetch.answer, told.operatorNext, true);
+    if (told.configAge && knowsOperatorRecordsOf(knowledge(self), told))
         self.configUntil = std::max(self.configUntil.value_or(TimePoint {}), fetch.sent - *told.configAge);
     if (told.targetsAge)
         takeTargets(self, *fetch.answer, told.targetsNext, *toldRead(told, fetch.sent, m_now));
@@ -362,8 +368,11 @@
     Call call { m_now, m_now + answerTime, wait };
     if (topic)
         call.from = self.roster.next();
-    else if (self.configUntil)
-        call.from = self.configVersion;
+    else {
+        if (const std::optional<LogOffset> known = self.zones.next())
+            self.cursors[topic].toldByPeer(*known);
+        call.from = self.cursors[topic].next();
+    }
     if (!call.from)
         call.wait = {};
     if (behavior == StoreBehavior::Busy)
@@ -380,6 +389,17 @@
     ++m_report.storeCalls;
 }
 
+void NewsWorld::takeOperatorNews(Router& self, const Answer& answer, LogOffset next, bool hasAllZones)
+{
+    if (hasAllZones && m_options.fault == DeliberateFault::IgnoresPeersZones && !self.zones.next())
+        self.zones.applyAll(m_now, {}, next);
+    else if (hasAllZones)
+        self.zones.replace(m_now, answer.zones, next);
+    else
+        self.zones.applyAll(m_now, answer.zones, next);
+    self.configVersion = std::max(self.configVersion, answer.configVersion);
+}
+
 void NewsWorld::takeTargets(Router& self, const Answer& answer, LogOffset next, ReadSpan read)
 {
     self.roster.known(next, read);
@@ -400,12 +420,17 @@
         call->willFail = true;
         call->end = call->sent + call->wait + answerTimeout;
     }
-    const std::uint64_t newest = topic ? m_store.targetsEnd() : m_store.configVersions();
+    const std::uint64_t newest = topic ? m_store.targetsEnd() : m_store.operatorEnd();
     const bool isOver = newest > call->from.value_or(0) || m_now - call->sent >= call->wait;
     if (m_now < call->end || (!call->willFail && !isOver))
         return;
     call->answer = Answer { m_now, call->willFail, newest };
     call->answer->hasAllTargets = !call->from;
+    if (!topic && !call->willFail) {
+        call->answer->isHistoryLost = call->from && *call->from < m_store.operatorFirst();
+        call->answer->configVersion = m_store.configVersionsBefore(newest);
+        call->answer->zones = call->from ? m_store.zoneChanges(*call->from, newest) : m_store.zonesBefore(newest);
+    }
     if (topic && !call->willFail)
         call->answer->targets = call->from ? m_store.targetsSince(*call->from) : m_store.targets();
 }
@@ -423,8 +448,11 @@
         if (!self.calls[topic] || !self.calls[topic]->answer)
             continue;
         const Call call = *std::exchange(self.calls[topic], std::nullopt);
-        if (call.answer->hasFailed) {
-            self.cursors[topic].readFailed(m_now);
+        if (call.answer->hasFailed || call.answer->isHistoryLost) {
+            if (call.answer->isHistoryLost)
+                self.cursors[topic].historyLost();
+            else
+                self.cursors[topic].readFailed(m_now);
             self.failedAt[topic] = call.sent;
             continue;
         }
@@ -437,7 +465,7 @@
         if (topic) {
             takeTargets(self, *call.answer, newest, { call.sent, until });
         } else {
-            self.configVersion = std::max(self.configVersion, newest);
+            takeOperatorNews(self, *call.answer, newest, !call.from);
             self.configUntil = std::max(self.configUntil.value_or(until), until);
         }
     }
@@ -495,6 +523,17 @@
         m_report.worstUseAfterRemoval = std::max(m_report.worstUseAfterRemoval, Duration(m_now - *self.leftFirst));
 }
 
+void NewsWorld::checkZones(const Router& self)
+{
+    const LogOffset next = self.zones.next().value_or(0);
+    const bool lacksRecords = self.configVersion > m_store.configVersionsBefore(next);
+    m_report.wrongZones += lacksRecords || self.zones.all() != m_store.zonesBefore(next) ? 1 : 0;
+    if (const auto since = m_store.operatorMissingSince(next)) {
+        const TimePoint due = std::max({ *since, self.disturbedUntil, self.startedAt });
+        m_report.worstZoneAge = std::max(m_report.worstZoneAge, Duration(m_now - due));
+    }
+}
+
 void NewsWorld::checkTargets(Router& self)
 {
     if (self.seenRevision == self.roster.revision() && self.seenEnd == m_store.targetsEnd())
@@ -533,6 +572,8 @@
     heartbeat(i);
     self.roster.expire(m_now);
     checkTargets(self);
+    if (!m_storePlan.empty())
+        checkZones(self);
     check(i);
 }
 
@@ -552,6 +593,10 @@
                     injectFault(i, it.kind, m_now + it.length);
             }
         }
+        for (const PlannedChange& it : m_storePlan) {
+            if (m_now - begin >= it.at && m_now - begin < it.at + tick)
+                it.apply();
+        }
         if (m_random.fraction() < changeShare)
             m_store.change(m_now, m_random);
         m_store.step(m_now);
--- a/tests/NewsWorld.h
+++ b/tests/NewsWorld.h
@@ -5,6 +5,8 @@
 
 #include "NewsStore.h"
 
+#include <functional>
+
 namespace sagechute::news::test {
 
 /// Bugs injected into the routers as negative controls; the check must detect each.
@@ -18,6 +20,8 @@
     AdoptsAgeWithoutData, ///< An age is adopted although the other router has newer data.
     IgnoresQueueingDelay, ///< Heartbeats that were queued while a router was paused count as just sent.
     IgnoresTransitTime, ///< The transit time of a message is ignored.
+    IgnoresOperatorOffset, ///< Only the configuration's version tells whether a peer knows more operator records.
+    IgnoresPeersZones, ///< A starting router takes a peer's configuration and offset, but not its evacuations.
     NeverAsksPeers, ///< A router whose sources are lost and that the store refuses waits for them.
 };
 
@@ -53,6 +57,10 @@
     Duration worstAge {}; ///< Longest time that a connected router lacked an acknowledged change.
     Duration worstUseAfterRemoval {}; ///< Longest time that a connected router used a target after its removal was
                                       ///< acknowledged.
+    Duration worstZoneAge {}; ///< Longest time that a router lacked an acknowledged operator record, since that record,
+                              ///< its start or the end of its last fault. Counts while the store is away, too.
+    std::size_t wrongZones = 0; ///< Steps in which a router had other zones evacuated than its offset implies, or a
+                                ///< configuration without all operator records before it.
     std::size_t lostTargets = 0; ///< Live targets that a connected router had dropped.
     std::uint64_t storeCalls = 0;
     std::uint64_t fetches = 0;
@@ -66,6 +74,25 @@
     /// Schedules a fault in addition to the random ones.
     void plan(PlannedFault it) { m_plan.push_back(std::move(it)); }
 
+    /// Schedules the evacuation of a zone, or its end.
+    void planZone(Duration at, const ZoneId& zone, bool isEvacuated)
+    {
+        m_storePlan.push_back({ at, [this, zone, isEvacuated] { m_store.changeZone(m_now, zone, isEvacuated); } });
+    }
+
+    /// Schedules a loss of the operator topic's history.
+    void planHistoryLoss(Duration at)
+    {
+        m_storePlan.push_back({ at, [this] { m_store.truncateOperatorHistory(); } });
+    }
+
+    /// Schedules a behavior of the store towards all routers.
+    void planStore(Duration at, StoreBehavior behavior, Duration length)
+    {
+        m_storePlan.push_back(
+            { at, [this, behavior, length] { m_store.setBehavior(m_now, behavior, m_now + length, m_random); } });
+    }
+
     /// @return the relay of a zone, which the zone's other routers listen to in a large fleet.
     std::size_t relayOf(std::size_t zone) const { return m_relays[zone]; }
 
@@ -84,6 +111,9 @@
         ToldKnowledge told; ///< From another router.
         bool hasAllTargets = false;
         std::vector<TargetChange> targets;
+        bool isHistoryLost = false;
+        std::uint64_t configVersion = 0; ///< Newest configuration of the operator records read.
+        std::vector<ZoneChange> zones; ///< Changes, or all zones of a full read or from another router.
     };
 
     struct Call {
@@ -117,6 +147,7 @@
         TimePoint startedAt;
         std::uint64_t configVersion = 0;
         std::optional<TimePoint> configUntil;
+        EvacuatedZones zones;
         TargetRoster roster { TargetRoster::entryLapseTime };
         std::array<ReadCursor, topics> cursors;
         std::array<std::optional<Call>, topics> calls;
@@ -168,6 +199,8 @@
     void takeFrom(Router&, const Fetch&);
     void check(std::size_t i);
     void checkTargets(Router&);
+    void checkZones(const Router&);
+    void takeOperatorNews(Router&, const Answer&, LogOffset next, bool hasAllZones);
     static Knowledge knowledge(const Router&);
     static std::optional<TimePoint> knownUntil(const Router&, std::size_t topic);
     void hear(Router&, const ToldKnowledge&, std::size_t from);
@@ -187,6 +220,12 @@
     std::vector<Router> m_routers;
     std::vector<std::size_t> m_relays;
     std::vector<PlannedFault> m_plan;
+
+    struct PlannedChange {
+        Duration at {};
+        std::function<void()> apply;
+    };
+    std::vector<PlannedChange> m_storePlan;
     TimePoint m_nextElection {};
     NewsStore m_store;
     NewsReport m_report;
