Decode evacuations of availability zones from the operator's topic

The key evacuate/ZONE is the request, so that a record whose value is not an object evacuates as well, and is reported as unreadable. A record without a zone name is reported and ignored.

--- a/tests/StoreTest.cpp
+++ b/tests/StoreTest.cpp
@@ -1,4 +1,4 @@
-// Tests how the client of the platform's store in platform/Store.cpp handles truncated responses.
+// Tests how the client of the platform's store in platform/Store.cpp decodes records and handles truncated responses.
 
 #include "NetFixtures.h"
 
@@ -19,10 +19,10 @@
     return text;
 }
 
-/// Encodes a tombstone for an entry of the list of targets.
-std::string recordOf(const std::string& key)
+/// Encodes a record. @param value empty for a tombstone.
+std::string recordOf(const std::string& key, const std::string& value = {})
 {
-    const std::string content = std::string(1, static_cast<char>(key.size())) + key;
+    const std::string content = std::string(1, static_cast<char>(key.size())) + key + value;
     return bigEndian(content.size(), 4) + content;
 }
 
@@ -76,3 +76,32 @@
         CHECK(platform::makeStore(*client, toString(server->endpoint()))->readTargets().ok() == (size == whole.size()));
     }
 }
+
+// Guards against an evacuation that is lost as its value is unreadable, and against one of no or of all zones.
+TEST_CASE("evacuations are decoded from the keys of the operator's records, whatever their values are")
+{
+    const std::string changes = bigEndian(9, 8) + bigEndian(0, 8) + recordOf("evacuate/a", "{}")
+        + recordOf("evacuate/b", "x") + recordOf("evacuate/", "{}") + recordOf("evacuate/a")
+        + recordOf("evacuated", "{}");
+    auto client = net::makeClient();
+    const auto changed = makeFixedResponseStore(changes, true);
+    const auto followed = platform::makeStore(*client, toString(changed->endpoint()))->followConfig(4, 0ms);
+    REQUIRE(followed.ok());
+    CHECK(followed->zones
+        == std::vector<news::ZoneChange> { { { "a" }, true, 4 }, { { "b" }, true, 5 }, { { "a" }, false, 7 } });
+    CHECK(followed->next == 9);
+    CHECK_FALSE(followed->newest);
+    REQUIRE(followed->unreadable.size() == 2);
+    CHECK(followed->unreadable[0].key == "evacuate/b");
+    CHECK(followed->unreadable[1].key == "evacuate/");
+    // The newest records: present keys only, so that an empty or garbled value evacuates as well.
+    const std::string entries = R"({"entries":[{"key":"evacuate/a","value":"e30=","offset":3},)"
+                                R"({"key":"evacuate/b","value":"","offset":5},{"key":"evacuate/c","value":"?"}],)"
+                                R"("hasMore":false,"end":6})";
+    const auto newest = makeFixedResponseStore(entries, true);
+    const auto all = platform::makeStore(*client, toString(newest->endpoint()))->readConfig();
+    REQUIRE(all.ok());
+    CHECK(all->zones
+        == std::vector<news::ZoneChange> { { { "a" }, true, 3 }, { { "b" }, true, 5 }, { { "c" }, true, 0 } });
+    CHECK(all->unreadable.size() == 2);
+}
