Put evacuations of availability zones in force at every router

Routers read evacuations with the configuration and exchange the whole list with the offset up to which it is complete. Zones, offset and configuration are applied under one lock, so that no router serves with a configuration but without the evacuations known with it, or tells others of records that it does not have. The topic is followed from a peer's offset instead of the offset after its configuration, which would replay evacuations that have been lifted.

The setting evacuation-bound-ms puts evacuations in force. A platform without that bound leaves it empty or writes the placeholder, which counts as 0.

--- a/apps/sagechute-edge/ConfigIntake.cpp
+++ b/apps/sagechute-edge/ConfigIntake.cpp
@@ -4,28 +4,49 @@
 
 #include <sagechute/Process.h>
 
+#include <algorithm>
+
 namespace sagechute::edge {
 
-void ConfigIntake::install(const news::ConfigRecord& record, const std::string& source)
+namespace {
+
+    void logInstalled(const news::ConfigRecord& record, const dispatch::FleetConfig& config, const std::string& source,
+        const std::string& formerAge)
+    {
+        process::log(process::LogLevel::Info, "configuration-in-force",
+            { { "version", std::to_string(record.version) }, { "offset", std::to_string(record.offset) },
+                { "source", source }, { "routes", std::to_string(config.routes.size()) },
+                { "customers", std::to_string(config.customers.size()) },
+                { "tokens-per-second", std::to_string(static_cast<std::uint64_t>(config.tokensPerSecond)) },
+                { "former-age-ms", formerAge } });
+    }
+
+} // namespace
+
+void ConfigIntake::install(OperatorNews news, const std::string& source)
 {
-    absl::StatusOr<dispatch::FleetConfig> config = m_store.decodeConfig(record.document);
-    if (!config.ok()) {
-        process::log(process::LogLevel::Error, "configuration-unreadable",
-            { { "version", std::to_string(record.version) }, { "reason", std::string(config.status().message()) } });
-        return;
+    std::optional<dispatch::FleetConfig> config;
+    if (news.config) {
+        absl::StatusOr<dispatch::FleetConfig> decoded = m_store.decodeConfig(news.config->document);
+        if (decoded.ok()) {
+            config = std::move(*decoded);
+        } else {
+            process::log(process::LogLevel::Error, "configuration-unreadable",
+                { { "version", std::to_string(news.config->version) },
+                    { "reason", std::string(decoded.status().message()) } });
+            // The record counts as unknown, so that it is read from the store.
+            news.next = std::min(news.next, news.config->offset);
+        }
     }
-    const std::size_t routes = config->routes.size();
-    const std::size_t customers = config->customers.size();
-    const auto tokensPerSecond = static_cast<std::uint64_t>(config->tokensPerSecond);
-    const std::optional<TimePoint> knownUntil = m_state.knowledge().configUntil;
-    if (!m_state.installConfig(record, std::move(*config)))
-        return;
-    m_nextOffset = record.offset + 1;
-    process::log(process::LogLevel::Info, "configuration-in-force",
-        { { "version", std::to_string(record.version) }, { "offset", std::to_string(record.offset) },
-            { "source", source }, { "routes", std::to_string(routes) }, { "customers", std::to_string(customers) },
-            { "tokens-per-second", std::to_string(tokensPerSecond) },
-            { "former-age-ms", formatAgeMs(knownUntil, unsuspendedNow()) } });
+    const TimePoint now = unsuspendedNow();
+    const std::string formerAge = formatAgeMs(m_state.knowledge().configUntil, now);
+    const OperatorChanges changes = m_state.installOperatorNews(now, news, config);
+    for (const news::ZoneChange& it : changes.zones)
+        process::log(process::LogLevel::Warning, it.isEvacuated ? "zone-evacuated" : "zone-returned",
+            { { "zone", it.zone.value }, { "offset", std::to_string(it.offset) }, { "source", source },
+                { "former-age-ms", formerAge }, { "in-force", m_state.appliesEvacuations ? "yes" : "no" } });
+    if (changes.isConfigInstalled)
+        logInstalled(*news.config, *config, source, formerAge);
 }
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/ConfigIntake.h
+++ b/apps/sagechute-edge/ConfigIntake.h
@@ -4,7 +4,7 @@
 
 namespace sagechute::edge {
 
-/// Decodes configurations from the store or from other routers and puts them in force. Thread-safe.
+/// Decodes operator records from the store or from other routers and puts them in force. Thread-safe.
 class ConfigIntake {
 public:
     ConfigIntake(EdgeState& state, const news::FleetStore& store)
@@ -13,17 +13,15 @@
     {
     }
 
-    /// Logs and ignores a record that cannot be decoded; ignores one that is not newer than the configuration in force.
-    /// @param source the router that sent the record, or "store".
-    void install(const news::ConfigRecord&, const std::string& source);
-
-    /// @return offset after the record of the configuration in force; zero before the first one.
-    LogOffset nextOffset() const { return m_nextOffset; }
+    /// Puts the evacuations in force together with the configuration, so that the configuration is never in force
+    /// without the evacuations that were known with it. Logs and ignores a configuration that cannot be decoded;
+    /// ignores one that is not newer than the configuration in force.
+    /// @param source the router that sent the records, or "store".
+    void install(OperatorNews, const std::string& source);
 
 private:
     EdgeState& m_state;
     const news::FleetStore& m_store;
-    std::atomic<LogOffset> m_nextOffset { 0 };
 };
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -35,6 +35,8 @@
     prometheus::Gauge& quarantinedRequests() { return m_quarantinedRequests; }
     prometheus::Gauge& quarantinedParts() { return m_quarantinedParts; }
 
+    prometheus::Gauge& evacuatedZones() { return m_evacuatedZones; }
+
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
 
@@ -56,6 +58,7 @@
     prometheus::Family<prometheus::Counter>& m_targetEnds;
     prometheus::Gauge& m_quarantinedRequests;
     prometheus::Gauge& m_quarantinedParts;
+    prometheus::Gauge& m_evacuatedZones;
     prometheus::Histogram& m_duration;
     prometheus::Histogram& m_firstEvent;
     prometheus::Histogram& m_predictionError;
--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -3,21 +3,39 @@
 namespace sagechute::edge {
 
 EdgeState::EdgeState(const dispatch::DispatchSettings& settings, const news::NewsTimes& times, VmId self, ZoneId zone,
-    std::uint64_t seed)
+    std::uint64_t seed, bool appliesEvacuations)
     : vm(std::move(self))
+    , appliesEvacuations(appliesEvacuations)
     , m_roster(times.storeBreak)
     , m_dispatcher(dispatch::Dispatcher::make(settings, std::move(zone), seed))
 {
 }
 
-bool EdgeState::installConfig(const news::ConfigRecord& record, dispatch::FleetConfig config)
+OperatorChanges EdgeState::installOperatorNews(
+    TimePoint now, const OperatorNews& news, const std::optional<dispatch::FleetConfig>& config)
 {
+    OperatorChanges changes;
     std::lock_guard lock(m_mutex);
+    if (news.next > 0)
+        changes.zones = news.hasAllZones ? m_evacuatedZones.replace(now, news.zones, news.next)
+                                         : m_evacuatedZones.applyAll(now, news.zones, news.next);
+    if (!changes.zones.empty() && appliesEvacuations) {
+        std::set<ZoneId> zones;
+        for (const auto& [zone, entry] : m_evacuatedZones.zones())
+            zones.insert(zone);
+        m_dispatcher->setEvacuatedZones(steadyNow(), zones);
+    }
+    changes.isConfigInstalled = news.config && config && installConfigLocked(*news.config, *config);
+    return changes;
+}
+
+bool EdgeState::installConfigLocked(const news::ConfigRecord& record, const dispatch::FleetConfig& config)
+{
     // The configuration never goes back to an older version, whatever an old record or a lagging router sends.
     if (m_configRecord && record.version <= m_configRecord->version)
         return false;
     m_configRecord = record;
-    auto table = dispatch::RoutingTable::make(std::move(config));
+    auto table = dispatch::RoutingTable::make(config);
     m_dispatcher->setConfig(table);
     m_table.store(std::move(table));
     m_configVersion.store(record.version);
@@ -34,15 +52,33 @@
 void EdgeState::extendConfigKnowledge(TimePoint until)
 {
     std::lock_guard lock(m_mutex);
+    extendConfigKnowledgeLocked(until);
+}
+
+void EdgeState::extendConfigKnowledge(const news::ToldKnowledge& told, TimePoint sent)
+{
+    std::lock_guard lock(m_mutex);
+    if (told.configAge && news::knowsOperatorRecordsOf(knowledgeLocked(), told))
+        extendConfigKnowledgeLocked(sent - *told.configAge);
+}
+
+void EdgeState::extendConfigKnowledgeLocked(TimePoint until)
+{
     if (!m_configKnownUntil || *m_configKnownUntil < until)
         m_configKnownUntil = until;
 }
 
+news::EvacuatedZones EdgeState::evacuatedZones() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_evacuatedZones;
+}
+
 news::Knowledge EdgeState::knowledgeLocked() const
 {
     // Targets count as known, even as an empty list, once the whole topic has been read.
     return { m_configVersion.load(), m_configKnownUntil, m_roster.next().value_or(0), m_roster.knownUntil(),
-        m_roster.readSince() };
+        m_roster.readSince(), m_evacuatedZones.next().value_or(0) };
 }
 
 news::Knowledge EdgeState::knowledge() const
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -10,33 +10,62 @@
 
 namespace sagechute::edge {
 
-/// The configuration, the targets and the dispatcher. Thread-safe.
+/// Operator records, as read from the store or received from another router.
+struct OperatorNews {
+    std::optional<news::ConfigRecord> config; ///< Absent: there is none, or no new one.
+    std::vector<news::ZoneChange> zones;
+    bool hasAllZones = false; ///< Whether the zones are the full list, not only changes.
+    LogOffset next = 0; ///< All records before this offset are included or known already; 0: unknown.
+};
+
+/// What changed by operator records.
+struct OperatorChanges {
+    bool isConfigInstalled = false;
+    std::vector<news::ZoneChange> zones; ///< Evacuated or lifted zones; see news::EvacuatedZones::applyAll().
+};
+
+/// The configuration, the evacuated zones, the targets and the dispatcher. Thread-safe.
 ///
 /// The routing table is read without a lock. All decisions are made under one mutex, which is held for some
 /// microseconds and never across I/O. There is no contention on it at the few hundred requests a second that a VM with
 /// a quarter of a core handles.
 class EdgeState {
 public:
-    EdgeState(const dispatch::DispatchSettings&, const news::NewsTimes&, VmId self, ZoneId zone, std::uint64_t seed);
+    /// @param appliesEvacuations see the member of this name.
+    EdgeState(const dispatch::DispatchSettings&, const news::NewsTimes&, VmId self, ZoneId zone, std::uint64_t seed,
+        bool appliesEvacuations);
 
     const VmId vm; ///< Name of this router's VM.
 
+    /// Whether targets in evacuated zones get no requests. If not, evacuations are only passed on to other routers.
+    const bool appliesEvacuations;
+
     /// @return the newest routing table, or null while no configuration is known.
     std::shared_ptr<const dispatch::RoutingTable> table() const { return m_table.load(); }
 
-    /// Puts a configuration in force unless the current one is as new or newer.
-    /// @return whether it was put in force.
-    bool installConfig(const news::ConfigRecord&, dispatch::FleetConfig);
+    /// Puts the evacuations in force, and the configuration unless the current one is as new or newer. Other threads
+    /// see all of it or nothing: a router that counts the records as known, and says so to others, has all of them.
+    /// @param now on the clock of unsuspendedNow().
+    /// @param config the decoded configuration of these records; absent if there is none or it is unreadable.
+    OperatorChanges installOperatorNews(
+        TimePoint now, const OperatorNews&, const std::optional<dispatch::FleetConfig>& config);
     std::optional<news::ConfigRecord> configRecord() const;
     std::uint64_t configVersion() const { return m_configVersion.load(); }
 
     /// @return when the configuration in force was put in force; zero: there is none.
     TimePoint configInstalledAt() const { return m_configInstalledAt.load(); }
 
-    /// Records that all configurations acknowledged by the store before @p until are known here.
+    /// Records that all operator records acknowledged by the store before @p until are known here.
     /// @param until on the clock of unsuspendedNow().
     void extendConfigKnowledge(TimePoint until);
 
+    /// As above, for the age that another router sent with its state, if all that it knew is known here.
+    /// @param sent when that state was requested, on the clock of unsuspendedNow().
+    void extendConfigKnowledge(const news::ToldKnowledge&, TimePoint sent);
+
+    /// @return the evacuated zones, in force or not.
+    news::EvacuatedZones evacuatedZones() const;
+
     /// Calls @p change with the list of targets and passes the list to the dispatcher if it changed.
     template <typename Change> void updateTargets(Change&& change)
     {
@@ -102,13 +131,16 @@
     }
 
     news::Knowledge knowledgeLocked() const;
+    void extendConfigKnowledgeLocked(TimePoint until);
+    bool installConfigLocked(const news::ConfigRecord&, const dispatch::FleetConfig&);
 
     std::atomic<std::shared_ptr<const dispatch::RoutingTable>> m_table;
     std::atomic<std::uint64_t> m_configVersion { 0 };
     std::atomic<TimePoint> m_configInstalledAt { TimePoint {} };
     mutable std::mutex m_mutex;
     std::optional<news::ConfigRecord> m_configRecord;
-    std::optional<TimePoint> m_configKnownUntil;
+    std::optional<TimePoint> m_configKnownUntil; ///< For all operator records.
+    news::EvacuatedZones m_evacuatedZones;
     news::TargetRoster m_roster;
     std::unique_ptr<dispatch::Dispatcher> m_dispatcher;
 };
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -47,6 +47,13 @@
         return age ? nlohmann::json(std::chrono::duration_cast<std::chrono::milliseconds>(*age).count()) : nullptr;
     }
 
+    /// @return the time of day in milliseconds since the epoch. @param at on the clock of unsuspendedNow().
+    std::int64_t wallClockMs(TimePoint at)
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - (unsuspendedNow() - at)).count();
+    }
+
     /// @param maxCallerConnections limit on the callers' listener; 0 for all other listeners.
     absl::StatusOr<std::unique_ptr<net::HttpServer>> listen(net::EventLoop& loop, const std::string& address,
         unsigned maxCallerConnections, net::HttpServer::Handler handler,
@@ -181,12 +188,18 @@
         peers.push_back({ { "vm", it.vm.value }, { "zone", it.zone.value }, { "ready", it.isReady },
             { "configVersion", it.knowledge.configVersion }, { "configAgeMs", ageMs(it.knowledge.configAge) },
             { "targetsAgeMs", ageMs(it.knowledge.targetsAge) }, { "readAgeMs", ageMs(it.knowledge.readAge) } });
+    nlohmann::json evacuatedZones = nlohmann::json::array();
+    const news::EvacuatedZones evacuated = m_context.state.evacuatedZones();
+    for (const auto& [zone, entry] : evacuated.zones())
+        evacuatedZones.push_back({ { "zone", zone.value }, { "offset", entry.offset },
+            { "sinceMs", wallClockMs(entry.since) }, { "inForce", m_context.state.appliesEvacuations } });
     const news::ToldKnowledge known = m_context.state.knowledgeForPeers();
     return { { "vm", m_context.state.vm.value }, { "configVersion", m_context.state.configVersion() },
         { "canServe", m_context.state.canServe() }, { "readyForLoad", m_readinessGate.isOpen() },
         { "usePercent", m_context.state.utilizationPercent.load() }, { "configAgeMs", ageMs(known.configAge) },
         { "targetsAgeMs", ageMs(known.targetsAge) }, { "readAgeMs", ageMs(known.readAge) },
         { "activeRequests", m_context.state.activeRequests.load() }, { "droppedLogLines", process::droppedLogLines() },
+        { "operatorNext", known.operatorNext }, { "evacuatedZones", std::move(evacuatedZones) },
         { "targets", std::move(targets) }, { "peers", std::move(peers) } };
 }
 
--- a/apps/sagechute-edge/Options.cpp
+++ b/apps/sagechute-edge/Options.cpp
@@ -33,6 +33,27 @@
             "for example --port-range 7400,7415");
     }
 
+    /// @param text of the setting evacuation-bound-ms. A platform that evacuates no zones has no such bound, and its
+    ///        settings file then has an empty value or the placeholder itself; the router has to start nevertheless.
+    /// @return the bound, zero if there is none; or BadRequest.
+    absl::StatusOr<std::uint64_t> parseEvacuationBound(std::string_view text)
+    {
+        // With a bound of a few milliseconds every router would read the store all the time.
+        constexpr std::uint64_t minBoundMs = 100;
+        constexpr std::uint64_t maxBoundMs = 600'000;
+        if (text.empty() || (text.starts_with("{{") && text.ends_with("}}")))
+            return 0;
+        std::uint64_t boundMs = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), boundMs);
+        const bool isNumber = ec == std::errc {} && end == text.data() + text.size();
+        if (isNumber && (boundMs == 0 || (boundMs >= minBoundMs && boundMs <= maxBoundMs)))
+            return boundMs;
+        return makeError(ErrorKind::BadRequest,
+            "--evacuation-bound-ms is " + std::string(text) + ", but must be 0 or in " + std::to_string(minBoundMs)
+                + ".." + std::to_string(maxBoundMs),
+            "for example --evacuation-bound-ms 5000, or 0 if availability zones are never evacuated");
+    }
+
 } // namespace
 
 void Options::declare(process::Settings& settings)
@@ -66,12 +87,17 @@
             "longest time from the store's acknowledgement of a configuration until it is in force here")
         .count("drain-bound-ms", drainBoundMs, 100, 600'000,
             "longest time from the store's acknowledgement that a target drains until it gets no new requests")
+        .text("evacuation-bound-ms", evacuationBound,
+            "longest time from the store's acknowledgement that an availability zone is evacuated until its targets "
+            "get "
+            "no new requests, and from the end of the evacuation until they may; 0: evacuations are not in force")
         .flag("first-start", isFirstStart,
             "the whole fleet starts for the first time: target caches are empty, and callers connect only later")
         .text("log-level", logLevel, "debug, info, warning or error")
         .count("log-lines-per-second", logLinesPerSecond, 1, 1000000,
             "lines beyond this rate are dropped and counted, so that a fault cannot flood the log")
-        .check([this] { return checkPorts(portRange); });
+        .check([this] { return checkPorts(portRange); })
+        .check([this] { return parseEvacuationBound(evacuationBound).status(); });
 }
 
 std::uint16_t Options::gossipPort() const { return *parsePort(portRange.front()); }
@@ -104,6 +130,8 @@
     return static_cast<unsigned>(std::max(leastConnections, std::min(byDescriptors, byMemory)));
 }
 
+bool Options::appliesEvacuations() const { return parseEvacuationBound(evacuationBound).value_or(0) > 0; }
+
 std::uint32_t Options::capacity() const
 {
     constexpr double thousandths = 1000;
@@ -120,7 +148,10 @@
 
 news::NewsTimes Options::newsTimes() const
 {
-    return news::NewsTimes::make(std::chrono::milliseconds(std::min(configBoundMs, drainBoundMs)), isFirstStart);
+    std::uint64_t boundMs = std::min(configBoundMs, drainBoundMs);
+    if (appliesEvacuations())
+        boundMs = std::min(boundMs, parseEvacuationBound(evacuationBound).value_or(boundMs));
+    return news::NewsTimes::make(std::chrono::milliseconds(boundMs), isFirstStart);
 }
 
 dispatch::DispatchSettings Options::dispatchSettings() const
--- a/apps/sagechute-edge/Options.h
+++ b/apps/sagechute-edge/Options.h
@@ -32,6 +32,7 @@
     std::uint64_t leastRouters = 8;
     std::uint64_t configBoundMs = 2000;
     std::uint64_t drainBoundMs = 2000;
+    std::string evacuationBound; ///< Milliseconds; 0 or empty: evacuations of availability zones are not in force.
     bool isFirstStart = false;
     std::string logLevel = "info";
     std::uint64_t logLinesPerSecond = 300;
@@ -62,7 +63,11 @@
     /// @return the log rate limit: the setting, or less where the cores cannot afford it.
     unsigned maxLogLinesPerSecond() const;
 
-    /// @return the schedule of store reads, derived from the tighter of the configuration and the drain bound.
+    /// @return whether targets in evacuated availability zones get no requests.
+    bool appliesEvacuations() const;
+
+    /// @return the schedule of store reads, derived from the tightest of the configuration, the drain and, if set, the
+    ///         evacuation bound.
     news::NewsTimes newsTimes() const;
 
     dispatch::DispatchSettings dispatchSettings() const;
--- a/apps/sagechute-edge/PeerFollower.cpp
+++ b/apps/sagechute-edge/PeerFollower.cpp
@@ -114,18 +114,18 @@
                 { "reason", result.detail } });
         return;
     }
-    const absl::StatusOr<PeerState> state = decodePeerState(response.http.body);
+    absl::StatusOr<PeerState> state = decodePeerState(response.http.body);
     if (!state.ok()) {
         process::log(process::LogLevel::Warning, "peer-state-unreadable",
             { { "peer", response.peer.vm.value }, { "reason", std::string(state.status().message()) } });
         return;
     }
-    if (state->config)
-        m_configIntake.install(*state->config, response.peer.vm.value);
-    // Ages count from when the request was sent, as the response's transit time is unknown.
     const news::ToldKnowledge& told = state->knowledge;
-    if (told.configAge && m_state.configVersion() >= told.configVersion)
-        m_state.extendConfigKnowledge(response.sentAt - *told.configAge);
+    m_configIntake.install(
+        { std::move(state->config), std::move(state->evacuatedZones), told.operatorNext > 0, told.operatorNext },
+        response.peer.vm.value);
+    // Ages count from when the request was sent, as the response's transit time is unknown.
+    m_state.extendConfigKnowledge(told, response.sentAt);
     if (told.targetsAge)
         applyTargets(*state, response);
 }
@@ -177,13 +177,15 @@
     const std::optional<TimePoint> until = news::knownUntil(known);
     const Duration age = now - until.value_or(m_startedAt);
     m_metrics.recordKnowledgeAge(age, m_times.bound);
+    m_metrics.evacuatedZones().Set(static_cast<double>(m_state.evacuatedZones().zones().size()));
     const bool isLate = age > m_times.bound;
     if (m_state.isKnowledgeStale.exchange(isLate) == isLate)
         return;
     const news::ReadStanding standing = m_fleet.readStanding(m_times);
     process::log(isLate ? process::LogLevel::Warning : process::LogLevel::Info,
         isLate ? "knowledge-late" : "knowledge-in-time",
-        { { "config", std::to_string(known.configVersion) }, { "config-age-ms", formatAgeMs(known.configUntil, now) },
+        { { "config", std::to_string(known.configVersion) }, { "operator-offset", std::to_string(known.operatorNext) },
+            { "config-age-ms", formatAgeMs(known.configUntil, now) },
             { "targets-offset", std::to_string(known.targetsNext) },
             { "targets-age-ms", formatAgeMs(known.targetsUntil, now) }, { "bound-ms", formatMs(m_times.bound) },
             { "reader", standing.isReader ? "yes" : "no" }, { "rank", std::to_string(standing.rank) },
--- a/apps/sagechute-edge/PeerState.cpp
+++ b/apps/sagechute-edge/PeerState.cpp
@@ -13,6 +13,9 @@
     constexpr const char* configField = "config";
     constexpr const char* targetsField = "targets";
 
+    /// Position of the evacuated zones in an encoded state. A release without them sends a shorter array.
+    constexpr std::size_t evacuatedZonesIndex = 4;
+
     std::optional<std::uint64_t> parseNumber(std::string_view text)
     {
         std::uint64_t number = 0;
@@ -70,6 +73,7 @@
     PeerState answer;
     // The knowledge is taken first, so that the data read after it is at least as new as claimed.
     answer.knowledge = state.knowledgeForPeers();
+    answer.evacuatedZones = state.evacuatedZones().all();
     std::optional<news::ConfigRecord> config = state.configRecord();
     if (config && config->version > request.configVersion)
         answer.config = std::move(config);
@@ -91,8 +95,11 @@
     json targets = json::array();
     for (const news::TargetChange& it : state.targets)
         targets.push_back(encodeChange(it));
-    return encodeCbor(
-        json::array({ encodeKnowledge(state.knowledge), std::move(config), state.hasAllTargets, std::move(targets) }));
+    json zones = json::array();
+    for (const news::ZoneChange& it : state.evacuatedZones)
+        zones.push_back(json::array({ it.zone.value, it.offset }));
+    return encodeCbor(json::array({ encodeKnowledge(state.knowledge), std::move(config), state.hasAllTargets,
+        std::move(targets), std::move(zones) }));
 }
 
 absl::StatusOr<PeerState> decodePeerState(std::string_view bytes)
@@ -108,6 +115,10 @@
         state.hasAllTargets = document->at(2).get<bool>();
         for (const json& it : document->at(3))
             state.targets.push_back(decodeChange(it));
+        if (document->size() > evacuatedZonesIndex) {
+            for (const json& it : document->at(evacuatedZonesIndex))
+                state.evacuatedZones.push_back({ { it.at(0).get<std::string>() }, true, it.at(1).get<LogOffset>() });
+        }
         return state;
     } catch (const json::exception& problem) {
         return makeError(ErrorKind::BadRequest, std::string("cannot decode another router's state: ") + problem.what(),
--- a/apps/sagechute-edge/PeerState.h
+++ b/apps/sagechute-edge/PeerState.h
@@ -18,6 +18,10 @@
     std::optional<news::ConfigRecord> config; ///< Absent: the requesting router has the newest.
     bool hasAllTargets = false; ///< Whether this is the full list, not only changes.
     std::vector<news::TargetChange> targets;
+
+    /// All evacuated zones; complete up to the operatorNext of the knowledge. Empty from a release without evacuations,
+    /// whose operatorNext is 0.
+    std::vector<news::ZoneChange> evacuatedZones;
 };
 
 /// Path of the state on a router's control listener.
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -117,18 +117,17 @@
 
 bool StoreFollower::readConfig(Topic& topic, Duration wait)
 {
-    if (const LogOffset known = m_configIntake.nextOffset())
-        topic.cursor.toldByPeer(known);
+    if (const std::optional<LogOffset> known = m_state.evacuatedZones().next())
+        topic.cursor.toldByPeer(*known);
     const std::optional<LogOffset> from = topic.cursor.next();
     const TimePoint sent = unsuspendedNow();
-    const absl::StatusOr<news::ConfigNews> found
+    absl::StatusOr<news::ConfigNews> found
         = from ? m_store.followConfig(*from, toMilliseconds(wait)) : m_store.readConfig();
     if (!recordRead(topic, found.status(), found.ok() ? found->next : 0))
         return false;
     reportUnreadable(topic.name, found->unreadable);
-    if (found->newest)
-        m_configIntake.install(*found->newest, "store");
     const bool isEmpty = from && found->next == *from;
+    m_configIntake.install({ std::move(found->newest), std::move(found->zones), !from, found->next }, "store");
     m_state.extendConfigKnowledge(news::knownByRead(sent, unsuspendedNow(), wait, isEmpty));
     return true;
 }
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -41,8 +41,8 @@
     int serve(
         const Options& options, Incarnation incarnation, SettingsWatcher& settingsWatcher, process::StopSignal& stop)
     {
-        EdgeState state(
-            options.dispatchSettings(), options.newsTimes(), { options.vm }, { options.zone }, std::random_device {}());
+        EdgeState state(options.dispatchSettings(), options.newsTimes(), { options.vm }, { options.zone },
+            std::random_device {}(), options.appliesEvacuations());
         process::Metrics metrics;
         EdgeMetrics edgeMetrics(metrics);
         TimerQueue timers;
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -1,8 +1,9 @@
 // Tests of heartbeats, addresses for callers, planned stops and denials: src/edge.
 
-#include <sagechute/Edge.h>
+#include "../apps/sagechute-edge/PeerState.h"
 
 #include <catch2/catch.hpp>
+#include <msgpack.hpp>
 #include <nlohmann/json.hpp>
 #include <rapidcheck/catch.h>
 
@@ -19,7 +20,7 @@
 TEST_CASE("a heartbeat survives encoding and decoding, and malformed datagrams are rejected")
 {
     const Heartbeat sent { { { "vm" }, 5, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true,
-                               { 9, 1500ms, 77, 250ms, std::nullopt, 90s }, 500, 70, HeartbeatScope::Zone },
+                               { 9, 1500ms, 77, 250ms, std::nullopt, 90s, 31 }, 500, 70, HeartbeatScope::Zone },
         start, { { { { "z" }, 55 } }, { { { "vm" }, 70 } } }, std::string("\0\xFF", 2), 41 };
     const auto read = decodeHeartbeat(encode(sent));
     REQUIRE(read.ok());
@@ -31,6 +32,7 @@
     CHECK(read->knowledge.targetsAge == Duration(250ms));
     CHECK_FALSE(read->knowledge.readAge);
     CHECK(read->knowledge.targetsFromAge == Duration(90s));
+    CHECK(read->knowledge.operatorNext == 31);
     CHECK(read->sentAt == start);
     CHECK(read->includedSerial == 41);
     CHECK(read->scope == HeartbeatScope::Zone);
@@ -46,6 +48,117 @@
     CHECK_FALSE(decodeHeartbeat(encodeCbor(nlohmann::json { 1 })).ok());
 }
 
+// Guards against routers of two releases that can't decode each other's heartbeats during an upgrade.
+TEST_CASE("knowledge from a release without the offset of the operator records is decoded")
+{
+    using FormerKnowledge
+        = std::tuple<std::uint64_t, std::int64_t, std::uint64_t, std::int64_t, std::int64_t, std::int64_t>;
+    using Percents = std::map<std::string, std::uint32_t>;
+    const std::tuple<std::string, Incarnation, std::string, std::string, std::string, bool, FormerKnowledge,
+        std::uint32_t, std::uint32_t, unsigned, std::int64_t, std::tuple<Percents, Percents>, std::string>
+        former { "vm", 5, "127.0.0.1:1", "127.0.0.1:2", "z", true, { 9, 1500, 77, 250, -1, 90 }, 500, 70, 0, 7, {},
+            "load" };
+    msgpack::sbuffer bytes;
+    msgpack::pack(bytes, former);
+    const auto read = decodeHeartbeat(withIncludedSerial(41, { bytes.data(), bytes.size() }));
+    REQUIRE(read.ok());
+    CHECK(read->knowledge.configVersion == 9);
+    CHECK(read->knowledge.targetsFromAge == Duration(90us));
+    CHECK(read->knowledge.operatorNext == 0);
+    CHECK(read->load == "load");
+    nlohmann::json item = encodeKnowledge({ 9, 1500ms, 77, 250ms, std::nullopt, 90s, 31 });
+    CHECK(decodeKnowledge(item).operatorNext == 31);
+    item.erase(item.size() - 1);
+    CHECK(decodeKnowledge(item).operatorNext == 0);
+    CHECK(decodeKnowledge(item).targetsFromAge == Duration(90s));
+}
+
+TEST_CASE("the state for another router carries its evacuated zones; that of a former release has none")
+{
+    PeerState state;
+    state.knowledge = { 9, 1500ms, 77, 250ms, std::nullopt, 90s, 31 };
+    state.evacuatedZones = { { { "a" }, true, 12 }, { { "b" }, true, 30 } };
+    const auto read = decodePeerState(encode(state));
+    REQUIRE(read.ok());
+    CHECK(read->evacuatedZones == state.evacuatedZones);
+    CHECK(read->knowledge.operatorNext == 31);
+    nlohmann::json former = *decodeCbor(encode(state));
+    former.erase(former.size() - 1);
+    const auto formerRead = decodePeerState(encodeCbor(former));
+    REQUIRE(formerRead.ok());
+    CHECK(formerRead->evacuatedZones.empty());
+}
+
+namespace {
+
+dispatch::FleetConfig configOf(std::uint64_t version)
+{
+    dispatch::FleetConfig config;
+    config.version = version;
+    config.services = { { { "app" }, 100, std::nullopt } };
+    return config;
+}
+
+EdgeState makeEdgeState(bool appliesEvacuations)
+{
+    return { {}, news::NewsTimes::make(2s, false), { "vm" }, { "a" }, 1, appliesEvacuations };
+}
+
+const dispatch::Target targetInZoneA { { "t" }, { "app" }, "127.0.0.1:1", { "a" }, 8, false };
+
+void list(EdgeState& state, const dispatch::Target& target)
+{
+    state.updateTargets([&](news::TargetRoster& it) { it.apply(start, { target.id, target, 1 }); });
+}
+
+bool maySend(EdgeState& state, const dispatch::Target& target)
+{
+    return state.withDispatcher(
+        [&](const dispatch::Dispatcher& it) { return it.maySend(steadyNow(), target.incarnation()); });
+}
+
+} // namespace
+
+// Guards against a starting router that follows the topic from its configuration, or from too far on: a record between
+// the two would be applied again or never.
+TEST_CASE("after a peer's answer the operator topic is followed from the offset up to which the peer knows it")
+{
+    EdgeState state = makeEdgeState(true);
+    list(state, targetInZoneA);
+    CHECK(maySend(state, targetInZoneA));
+    const OperatorNews peer { news::ConfigRecord { 2, 3, "" }, { { { "a" }, true, 5 } }, true, 8 };
+    const OperatorChanges changes = state.installOperatorNews(start, peer, configOf(2));
+    CHECK(changes.isConfigInstalled);
+    CHECK(changes.zones.size() == 1);
+    CHECK_FALSE(maySend(state, targetInZoneA));
+    CHECK(state.knowledge().operatorNext == 8);
+    CHECK(state.evacuatedZones().next() == LogOffset { 8 });
+    SECTION("the end of the evacuation is in the next record")
+    {
+        state.installOperatorNews(start, { std::nullopt, { { { "a" }, false, 8 } }, false, 9 }, std::nullopt);
+        CHECK(maySend(state, targetInZoneA));
+    }
+    SECTION("a router that tells no offset changes nothing but the configuration")
+    {
+        CHECK(state.installOperatorNews(start, { news::ConfigRecord { 3, 9, "" }, {}, false, 0 }, configOf(3))
+                  .isConfigInstalled);
+        CHECK_FALSE(maySend(state, targetInZoneA));
+        CHECK(state.knowledge().operatorNext == 8);
+        // Its age says nothing of evacuations.
+        state.extendConfigKnowledge({ 3, 0ms, 0, std::nullopt, std::nullopt, std::nullopt, 0 }, start);
+        CHECK_FALSE(state.knowledge().configUntil);
+    }
+}
+
+TEST_CASE("without a bound for evacuations they are passed on, but not in force")
+{
+    EdgeState state = makeEdgeState(false);
+    list(state, targetInZoneA);
+    state.installOperatorNews(start, { std::nullopt, { { { "a" }, true, 5 } }, true, 8 }, std::nullopt);
+    CHECK(maySend(state, targetInZoneA));
+    CHECK(state.evacuatedZones().all().size() == 1);
+}
+
 TEST_CASE("a router without heartbeats is no longer offered to callers")
 {
     PeerTable peers;
