Decode cold times and rates, and read the bound of cold targets

Entries carry coldLeftMs, responses X-Sagechute-Cold-Ms, services coldS and coldPerS. Values that are negative, not integers or above ten minutes make an entry unreadable; in a response they are ignored. The settings cold-overage and cold-slack come from the platform's template. A deployment without these bounds gets empty values, which were errors at start; now they leave the defaults in force.

--- a/apps/sagechute-edge/Options.cpp
+++ b/apps/sagechute-edge/Options.cpp
@@ -66,6 +66,11 @@
             "longest time from the store's acknowledgement of a configuration until it is in force here")
         .count("drain-bound-ms", drainBoundMs, 100, 600'000,
             "longest time from the store's acknowledgement that a target drains until it gets no new requests")
+        .real("cold-overage", coldOverage, 0, 1000,
+            "all routers together may send a cold target this times its rate in one second, and cold-slack more")
+        .emptyIsDefault()
+        .real("cold-slack", coldSlack, 0, 1e6, "requests that a cold target may get beyond that in one second")
+        .emptyIsDefault()
         .flag("first-start", isFirstStart,
             "the whole fleet starts for the first time: target caches are empty, and callers connect only later")
         .text("log-level", logLevel, "debug, info, warning or error")
@@ -130,6 +135,9 @@
     settings.retryRatio = retryRatio;
     settings.retrySlack = retrySlack;
     settings.retryWindow = fromSeconds(retryWindowSeconds);
+    settings.self = { vm };
+    settings.coldOverage = coldOverage;
+    settings.coldSlack = coldSlack;
     settings.leastRouters = static_cast<unsigned>(leastRouters);
     settings.warmStartDuration = isFirstStart ? Duration::zero() : affinityWarmUpAfterRestart;
     return settings;
--- a/apps/sagechute-edge/Options.h
+++ b/apps/sagechute-edge/Options.h
@@ -32,6 +32,8 @@
     std::uint64_t leastRouters = 8;
     std::uint64_t configBoundMs = 2000;
     std::uint64_t drainBoundMs = 2000;
+    double coldOverage = 1.5;
+    double coldSlack = 5;
     bool isFirstStart = false;
     std::string logLevel = "info";
     std::uint64_t logLinesPerSecond = 300;
--- a/include/sagechute/Process.h
+++ b/include/sagechute/Process.h
@@ -49,6 +49,10 @@
         std::string_view name, std::vector<std::string>& out, std::string_view help); ///< Comma-separated or repeated.
     Settings& positional(std::string_view name, std::vector<std::string>& out, std::string_view help);
 
+    /// An empty value of the last declared setting in the settings file leaves its default in force. For settings that
+    /// a template fills in and that some deployments don't have.
+    Settings& emptyIsDefault();
+
     /// Names the variable that holds the path of a settings file, with lines "NAME=VALUE" of the same names as the
     /// flags. Flags and other variables go before it. A secret may not stand in it.
     Settings& fileVariable(std::string_view variable);
--- a/src/process/SettingValue.h
+++ b/src/process/SettingValue.h
@@ -19,6 +19,7 @@
     SettingRole role = SettingRole::Single;
     bool required = false;
     bool given = false;
+    bool emptyIsDefault = false; ///< An empty value in the settings file counts as not given.
 
     /// Reads the texts into the bound variable; its error says what is wrong with the value, without the setting's
     /// name.
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -213,7 +213,7 @@
     });
     if (equals == std::string_view::npos || it == values.end())
         return badSetting(place + ": unknown setting " + name, "see " + program + " --help for those there are");
-    if (it->given)
+    if (it->given || (it->emptyIsDefault && equals + 1 == line.size()))
         return absl::OkStatus();
     if (const absl::Status status = it->assign({ std::string(line.substr(equals + 1)) }); !status.ok())
         return badSetting(place + ": " + name + ": " + std::string(status.message()), errorRemedy(status));
@@ -318,6 +318,12 @@
     return *this;
 }
 
+Settings& Settings::emptyIsDefault()
+{
+    m_impl->values.back().emptyIsDefault = true;
+    return *this;
+}
+
 Settings& Settings::positional(std::string_view name, std::vector<std::string>& out, std::string_view help)
 {
     m_impl->add(positionalValue(name, out, help));
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -72,6 +72,40 @@
     CHECK(config->customers.front().keys.size() == 2);
 }
 
+// Guards against targets that are never limited, or always, because of a value that does not conform.
+TEST_CASE("cold times and rates are decoded, and values out of range rejected")
+{
+    const auto decodeEntry = [](const std::string& coldLeftMs) {
+        return platform::decodeTarget({ "t" },
+            R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready","coldLeftMs":)" + coldLeftMs + "}");
+    };
+    CHECK(decodeEntry("45000")->coldLeft == 45s);
+    CHECK(decodeEntry("600000")->coldLeft == 10min);
+    for (const char* it : { "-1", "1.5", "600001", "\"9\"", "null" })
+        CHECK_FALSE(decodeEntry(it).ok());
+    const auto decodeService = [](const std::string& fields) {
+        return platform::decodeConfig(R"({"version":1,"routes":[],"services":[{"name":"s")" + fields + "}]}");
+    };
+    CHECK(decodeService("")->services.front().coldRate == 0);
+    CHECK(decodeService(R"(,"coldS":45,"coldPerS":8.4)")->services.front().coldRate == 8.4);
+    CHECK(decodeService(R"(,"coldS":45.5,"coldPerS":8.4)")->services.front().coldTime == 45500ms);
+    for (const char* it : { "-1", "1e999", "\"9\"", "null" }) {
+        CHECK_FALSE(decodeService(std::string(R"(,"coldS":)") + it).ok());
+        CHECK_FALSE(decodeService(std::string(R"(,"coldPerS":)") + it).ok());
+    }
+    const auto protocol = platform::makeTargetProtocol();
+    const auto decodeHeader = [&](int status, const std::string& text) {
+        return protocol->decodeHead(status, { { "X-Sagechute-Cold-Ms", text } }).signals;
+    };
+    CHECK(decodeHeader(200, "1500").coldLeft == 1500ms);
+    CHECK(decodeHeader(503, "1500").any());
+    CHECK_FALSE(decodeHeader(200, "0").any());
+    // The response of another target at the address says nothing about the addressed one.
+    CHECK_FALSE(decodeHeader(421, "1500").coldLeft);
+    for (const char* it : { "", "-1", "1.5", "600001", "9 s" })
+        CHECK_FALSE(decodeHeader(200, it).coldLeft);
+}
+
 TEST_CASE("a malformed document is an error, never a crash")
 {
     CHECK_FALSE(platform::decodeConfig("").ok());
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -4,8 +4,12 @@
 #include <rapidcheck.h>
 
 #include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <sstream>
 
+#include <unistd.h>
+
 using namespace sagechute;
 using namespace sagechute::process;
 using namespace std::chrono_literals;
@@ -124,6 +128,31 @@
     CHECK_THAT(program.err.str(), Contains("--vm-id VALUE") && Contains("SAGECHUTE_VM_ID"));
 }
 
+// Guards against a router that does not start in a deployment which lacks one of the values of the settings template.
+TEST_CASE("an empty value in the settings file leaves the default of a setting that permits it")
+{
+    const std::string path = "SettingsTest." + std::to_string(getpid()) + ".settings";
+    double share = 0.5;
+    std::uint64_t slots = 4;
+    const auto read = [&](const std::string& lines) {
+        std::ofstream(path) << lines;
+        Settings settings("program", "does something");
+        settings.real("share", share, 0, 1, "share").emptyIsDefault().count("slots", slots, 1, 100, "slots");
+        settings.fileVariable("SAGECHUTE_SETTINGS_FILE");
+        std::ostringstream out;
+        const auto code = settings.read({}, { "SAGECHUTE_SETTINGS_FILE=" + path }, out, out);
+        std::remove(path.c_str());
+        return code;
+    };
+    CHECK_FALSE(read("share=\nslots=5\n"));
+    CHECK(share == 0.5);
+    CHECK(slots == 5);
+    CHECK_FALSE(read("share=0.25\n"));
+    CHECK(share == 0.25);
+    CHECK(read("slots=\n") == exitUsage);
+    CHECK(read("share\n") == exitUsage);
+}
+
 TEST_CASE("a secret is neither taken as a flag nor printed")
 {
     // Symptom: another user of the VM reads a key in the list of processes, or in a log.
