Keep the cold time of targets in the list of targets

The list counts the cold time from the first arrival of the target's newest record. The same record from a full read or another router does not restart it, and a change of only the cold time reaches the dispatcher without a new life of the target. Routers send each other the time left, rounded up, so that a receiver's value is never smaller than the true one.

--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -98,7 +98,7 @@
         const std::uint64_t before = m_roster.revision();
         change(m_roster);
         if (m_roster.revision() != before)
-            m_dispatcher->setTargets(steadyNow(), m_roster.targets());
+            m_dispatcher->setTargets(steadyNow(), m_roster.targets(unsuspendedNow()));
     }
 
     news::Knowledge knowledgeLocked() const;
--- a/apps/sagechute-edge/PeerState.cpp
+++ b/apps/sagechute-edge/PeerState.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace sagechute::edge {
@@ -13,6 +14,9 @@
     constexpr const char* configField = "config";
     constexpr const char* targetsField = "targets";
 
+    /// Upper bound on a target's remaining cold time, as for the platform's own entries.
+    constexpr Duration maxColdLeft = std::chrono::minutes(10);
+
     std::optional<std::uint64_t> parseNumber(std::string_view text)
     {
         std::uint64_t number = 0;
@@ -27,7 +31,8 @@
             return item;
         const dispatch::Target& target = *change.target;
         for (json field : { json(target.service.value), json(target.address), json(target.zone.value),
-                 json(target.slots), json(target.draining), json(target.startedAtMs) })
+                 json(target.slots), json(target.draining), json(target.startedAtMs),
+                 json(std::chrono::ceil<std::chrono::milliseconds>(target.coldLeft).count()) })
             item.push_back(std::move(field));
         return item;
     }
@@ -40,6 +45,10 @@
         change.target = dispatch::Target { change.id, { item.at(2).get<std::string>() }, item.at(3).get<std::string>(),
             { item.at(4).get<std::string>() }, item.at(5).get<unsigned>(), item.at(6).get<bool>(),
             item.at(7).get<std::int64_t>() };
+        // A router of a release without this field knows no cold targets.
+        if (item.size() > 8)
+            change.target->coldLeft
+                = std::min<Duration>(std::chrono::milliseconds(item.at(8).get<std::uint32_t>()), maxColdLeft);
         return change;
     }
 
@@ -74,11 +83,13 @@
     if (config && config->version > request.configVersion)
         answer.config = std::move(config);
     state.withTargets([&](const news::TargetRoster& roster) {
+        // Read under the lock: an earlier time would make the cold times sent longer than they are.
+        const TimePoint now = unsuspendedNow();
         std::optional<std::vector<news::TargetChange>> changes;
         if (request.targetsNext)
-            changes = roster.changesSince(*request.targetsNext);
+            changes = roster.changesSince(*request.targetsNext, now);
         answer.hasAllTargets = !changes;
-        answer.targets = changes ? std::move(*changes) : roster.all();
+        answer.targets = changes ? std::move(*changes) : roster.all(now);
     });
     return answer;
 }
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -168,17 +168,20 @@
     /// Replaces everything by a full list. @param end entries missing from the list were removed before this record.
     void replace(TimePoint now, const std::vector<TargetChange>& all, LogOffset end);
 
+    /// @param now if given, the targets' coldLeft is the time left then; otherwise as their records say.
     /// @return the last change of each target whose record is at or after @p from; absent if some may have been
     /// discarded, in which case all() has to be sent.
-    std::optional<std::vector<TargetChange>> changesSince(LogOffset from) const;
+    std::optional<std::vector<TargetChange>> changesSince(
+        LogOffset from, std::optional<TimePoint> now = std::nullopt) const;
 
-    /// @return the present entries, each as a change that sets it.
-    std::vector<TargetChange> all() const;
+    /// @param now see changesSince(). @return the present entries, each as a change that sets it.
+    std::vector<TargetChange> all(std::optional<TimePoint> now = std::nullopt) const;
 
     /// @return whether an entry expired since the last call.
     bool expire(TimePoint now);
 
-    std::vector<dispatch::Target> targets() const;
+    /// @param now see changesSince().
+    std::vector<dispatch::Target> targets(std::optional<TimePoint> now = std::nullopt) const;
 
     /// @return the end of the grace period during which missing entries are retained, as they may have expired; absent
     /// if there is none.
@@ -198,10 +201,15 @@
     /// consecutive failures remove an entry.
     static constexpr Duration entryLapseTime = std::chrono::milliseconds(2000);
 
+    /// Records that renew an entry say the remaining cold time in milliseconds and take different times to arrive. An
+    /// end of the cold time that is earlier than known by no more than this is not a change of the list.
+    static constexpr Duration coldEndTolerance = std::chrono::milliseconds(250);
+
 private:
     struct Entry {
         dispatch::Target target;
         LogOffset offset = 0;
+        TimePoint coldUntil; ///< As of the target's newest record; zero: it said that the target is warm.
         bool isMissing = false; ///< May have expired; retained for the grace period.
     };
 
@@ -221,6 +229,12 @@
     };
 
     void set(TimePoint now, const TargetChange&);
+
+    /// @return until when the target is cold according to a change that is about to replace @p known.
+    static TimePoint coldUntil(TimePoint now, const TargetChange&, const Entry& known);
+
+    /// @return the entry's target. @param now see changesSince().
+    static dispatch::Target targetAt(const Entry&, std::optional<TimePoint> now);
     void remove(TimePoint now, const TargetId&, LogOffset);
     void removeExpiredLives(TimePoint now);
 
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -137,12 +137,35 @@
     life.offset = change.offset;
     life.isGone = false;
     Entry& entry = m_entries[change.id];
-    const bool isSame = entry.target == *change.target;
-    entry = { *change.target, change.offset };
+    const TimePoint coldUntil = TargetRoster::coldUntil(now, change, entry);
+    const bool isSameColdTime = coldUntil == entry.coldUntil || std::max(coldUntil, entry.coldUntil) <= now;
+    entry.target.coldLeft = change.target->coldLeft;
+    const bool isSame = entry.target == *change.target && isSameColdTime;
+    entry = { *change.target, change.offset, coldUntil };
     if (!isSame)
         ++m_revision;
 }
 
+TimePoint TargetRoster::coldUntil(TimePoint now, const TargetChange& change, const Entry& known)
+{
+    const dispatch::Target& target = *change.target;
+    const TimePoint told = target.coldLeft > Duration::zero() ? now + target.coldLeft : TimePoint {};
+    if (known.target.incarnation() != target.incarnation())
+        return told;
+    // The same record again, from a full read or another router: what was said first was said with less delay.
+    if (change.offset == known.offset)
+        return std::min(told, known.coldUntil);
+    return told < known.coldUntil && known.coldUntil - told <= coldEndTolerance ? known.coldUntil : told;
+}
+
+dispatch::Target TargetRoster::targetAt(const Entry& entry, std::optional<TimePoint> now)
+{
+    dispatch::Target target = entry.target;
+    if (now)
+        target.coldLeft = std::max(Duration::zero(), entry.coldUntil - *now);
+    return target;
+}
+
 void TargetRoster::applyAll(TimePoint now, const std::vector<TargetChange>& changes)
 {
     std::map<TargetId, TargetChange> last;
@@ -192,7 +215,7 @@
     m_completeFrom = std::max(m_completeFrom, end);
 }
 
-std::optional<std::vector<TargetChange>> TargetRoster::changesSince(LogOffset from) const
+std::optional<std::vector<TargetChange>> TargetRoster::changesSince(LogOffset from, std::optional<TimePoint> now) const
 {
     if (from < m_completeFrom)
         return std::nullopt;
@@ -204,18 +227,18 @@
         if (life.isGone)
             changes.push_back({ id, std::nullopt, life.offset });
         else if (it != m_entries.end())
-            changes.push_back({ id, it->second.target, life.offset });
+            changes.push_back({ id, targetAt(it->second, now), life.offset });
     }
     return changes;
 }
 
-std::vector<TargetChange> TargetRoster::all() const
+std::vector<TargetChange> TargetRoster::all(std::optional<TimePoint> now) const
 {
     std::vector<TargetChange> result;
     result.reserve(m_entries.size());
     for (const auto& [id, entry] : m_entries) {
         if (!entry.isMissing)
-            result.push_back({ id, entry.target, entry.offset });
+            result.push_back({ id, targetAt(entry, now), entry.offset });
     }
     return result;
 }
@@ -239,11 +262,11 @@
     return n > 0;
 }
 
-std::vector<dispatch::Target> TargetRoster::targets() const
+std::vector<dispatch::Target> TargetRoster::targets(std::optional<TimePoint> now) const
 {
     std::vector<dispatch::Target> result;
     for (const auto& [id, entry] : m_entries)
-        result.push_back(entry.target);
+        result.push_back(targetAt(entry, now));
     return result;
 }
 
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -22,6 +22,56 @@
 
 } // namespace
 
+// Guards against cold targets that the dispatcher takes for warm, and warm ones that are limited again and again
+// because their record arrives a second time.
+TEST_CASE("a target's cold time is that of its newest record, counted from its first arrival")
+{
+    TargetRoster roster;
+    const auto cold = [](Duration left, LogOffset offset, std::int64_t startedAtMs = 1) {
+        TargetChange change = entry("t", false, startedAtMs, offset);
+        change.target->coldLeft = left;
+        return change;
+    };
+    const auto left = [&](TimePoint now) { return roster.targets(now).front().coldLeft; };
+    roster.apply(start, cold(30s, 5));
+    CHECK(left(start + 10s) == 20s);
+    CHECK(roster.all(start + 10s).front().target->coldLeft == 20s);
+    CHECK(roster.changesSince(5, start + 10s)->front().target->coldLeft == 20s);
+    const std::uint64_t revision = roster.revision();
+    SECTION("the same record from a full read or another router changes nothing")
+    {
+        roster.replace(start + 10s, { cold(30s, 5) }, 6);
+        CHECK(left(start + 10s) == 20s);
+        roster.applyAll(start + 40s, { cold(25s, 5) });
+        CHECK(left(start + 40s) == 0s);
+        CHECK(roster.revision() == revision);
+    }
+    SECTION("a renewal that arrives a little earlier or later is no change of the list")
+    {
+        roster.apply(start + 1s, cold(28900ms, 6));
+        CHECK(left(start + 1s) == 29s);
+        CHECK(roster.revision() == revision);
+    }
+    SECTION("a newer record without cold time makes it warm, and an older one doesn't make it cold again")
+    {
+        roster.apply(start + 1s, cold(0s, 6));
+        CHECK(left(start + 1s) == 0s);
+        CHECK(roster.revision() == revision + 1);
+        roster.applyAll(start + 2s, { cold(30s, 5) });
+        roster.replace(start + 2s, { cold(30s, 5) }, 6);
+        CHECK(left(start + 2s) == 0s);
+        roster.apply(start + 3s, cold(0s, 7));
+        CHECK(roster.revision() == revision + 1);
+    }
+    SECTION("a change of only the cold time is a change of the list, in the same life")
+    {
+        roster.apply(start + 40s, cold(20s, 6));
+        CHECK(left(start + 40s) == 20s);
+        CHECK(roster.revision() == revision + 1);
+        CHECK(roster.targets().front().incarnation() == entry("t", false, 1).target->incarnation());
+    }
+}
+
 TEST_CASE("a target that was seen draining stays draining")
 {
     TargetRoster roster;
