Divide cold targets among the routers that gossip believes alive

The fleet tells the dispatcher on each change of the membership and once a second which routers are alive and which left in order. A router that has seeds but has never heard from another one tells nothing, as several routers that start while they are cut off would each use all slots.

--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -35,6 +35,9 @@
     prometheus::Gauge& quarantinedRequests() { return m_quarantinedRequests; }
     prometheus::Gauge& quarantinedParts() { return m_quarantinedParts; }
 
+    prometheus::Gauge& coldTargets() { return m_coldTargets; }
+    prometheus::Counter& coldPlacements() { return m_coldPlacements; }
+
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
 
@@ -56,6 +59,8 @@
     prometheus::Family<prometheus::Counter>& m_targetEnds;
     prometheus::Gauge& m_quarantinedRequests;
     prometheus::Gauge& m_quarantinedParts;
+    prometheus::Gauge& m_coldTargets;
+    prometheus::Counter& m_coldPlacements;
     prometheus::Histogram& m_duration;
     prometheus::Histogram& m_firstEvent;
     prometheus::Histogram& m_predictionError;
--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -36,6 +36,9 @@
     constexpr unsigned randomBits = 16;
     constexpr Incarnation randomMask = (1U << randomBits) - 1;
 
+    /// The dispatcher counts for how long it has not heard of a router, in units of a minute.
+    constexpr Duration routerUpdateInterval = std::chrono::seconds(1);
+
     /// Limit on the names in one log line; when a fleet starts, hundreds of routers join within a second.
     constexpr std::size_t maxListedChanges = 5;
 
@@ -132,6 +135,33 @@
     sendGossip(m_gossip->tick(now));
     sendHeartbeats(now);
     logMembershipChanges();
+    updateRouters(now);
+}
+
+void Fleet::updateRouters(TimePoint now)
+{
+    const membership::MembershipView& view = m_gossip->view();
+    if (view.version == m_toldViewVersion && now < m_nextRouterUpdate)
+        return;
+    m_toldViewVersion = view.version;
+    m_nextRouterUpdate = now + routerUpdateInterval;
+    std::vector<VmId> heard;
+    std::vector<VmId> left;
+    for (const membership::Member& it : view.members) {
+        const VmId& vm = it.summary.life.vm;
+        if (vm.value == m_options.vm)
+            continue;
+        if (it.state == membership::MemberState::Alive)
+            heard.push_back(vm);
+        else if (it.state == membership::MemberState::Left)
+            left.push_back(vm);
+    }
+    m_hasHeardRouters = m_hasHeardRouters || !heard.empty();
+    // A router that starts while it is cut off knows of no other. Were it to take itself for the whole fleet, several
+    // such routers would together send cold targets more than these tolerate.
+    if (!m_hasHeardRouters && !m_options.gossipSeeds().empty())
+        return;
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.setRouters(now, heard, left); });
 }
 
 void Fleet::sendGossip(const std::vector<membership::Datagram>& datagrams)
--- a/apps/sagechute-edge/Fleet.h
+++ b/apps/sagechute-edge/Fleet.h
@@ -77,6 +77,9 @@
     void sendGossip(const std::vector<membership::Datagram>&);
     void sendHeartbeats(TimePoint now);
     void logMembershipChanges();
+
+    /// Tells the dispatcher about the routers that are alive, on each change and about once a second.
+    void updateRouters(TimePoint now);
     void logLateReports(TimePoint now);
 
     EdgeState& m_state;
@@ -100,6 +103,9 @@
     std::set<std::string> m_lateReports; ///< As last logged; see LoadReportAggregator::late().
     SentReports m_ownReports;
     std::uint64_t m_loggedViewVersion = 0;
+    std::uint64_t m_toldViewVersion = 0; ///< See updateRouters().
+    TimePoint m_nextRouterUpdate {};
+    bool m_hasHeardRouters = false;
     std::map<VmId, membership::MemberState> m_loggedMemberStates;
     TimePoint m_nextHeartbeat {};
     TimePoint m_lastHeartbeat {};
--- a/apps/sagechute-edge/Housekeeping.cpp
+++ b/apps/sagechute-edge/Housekeeping.cpp
@@ -50,11 +50,12 @@
 }
 
 Housekeeping::Housekeeping(EdgeState& state, Fleet& fleet, Listeners& listeners, ShareMonitor& shareMonitor,
-    CrashMonitor& crashMonitor, TimerQueue& timers, SettingsWatcher& settingsWatcher)
+    ColdMonitor& coldMonitor, CrashMonitor& crashMonitor, TimerQueue& timers, SettingsWatcher& settingsWatcher)
     : m_state(state)
     , m_fleet(fleet)
     , m_listeners(listeners)
     , m_shareMonitor(shareMonitor)
+    , m_coldMonitor(coldMonitor)
     , m_crashMonitor(crashMonitor)
     , m_timers(timers)
     , m_settingsWatcher(settingsWatcher)
@@ -79,6 +80,7 @@
             continue;
         nextSettingsCheck = now + settingsCheckInterval;
         m_shareMonitor.update(now);
+        m_coldMonitor.update(now);
         if (isReloadRequested)
             process::log(process::LogLevel::Info, "reload-asked", { { "by", "SIGHUP" } });
         if (m_settingsWatcher.hasChanged())
--- a/apps/sagechute-edge/Housekeeping.h
+++ b/apps/sagechute-edge/Housekeeping.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ColdMonitor.h"
 #include "CrashMonitor.h"
 #include "Fleet.h"
 #include "Listeners.h"
@@ -33,7 +34,8 @@
 /// control, and the reload of settings.
 class Housekeeping {
 public:
-    Housekeeping(EdgeState&, Fleet&, Listeners&, ShareMonitor&, CrashMonitor&, TimerQueue&, SettingsWatcher&);
+    Housekeeping(
+        EdgeState&, Fleet&, Listeners&, ShareMonitor&, ColdMonitor&, CrashMonitor&, TimerQueue&, SettingsWatcher&);
     void run(process::StopSignal&);
 
 private:
@@ -43,6 +45,7 @@
     Fleet& m_fleet;
     Listeners& m_listeners;
     ShareMonitor& m_shareMonitor;
+    ColdMonitor& m_coldMonitor;
     CrashMonitor& m_crashMonitor;
     TimerQueue& m_timers;
     SettingsWatcher& m_settingsWatcher;
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -176,6 +176,12 @@
     for (const dispatch::Target& it : m_context.state.withTargets([](const auto& it) { return it.targets(); }))
         targets.push_back({ { "id", it.id.value }, { "service", it.service.value }, { "address", it.address },
             { "born", it.startedAtMs }, { "zone", it.zone.value }, { "draining", it.draining } });
+    nlohmann::json coldTargets = nlohmann::json::array();
+    const TimePoint now = steadyNow();
+    for (const dispatch::ColdTarget& it :
+        m_context.state.withDispatcher([&](dispatch::Dispatcher& it) { return it.coldTargets(now); }))
+        coldTargets.push_back({ { "id", it.target.id.value }, { "born", it.target.startedAtMs },
+            { "leftMs", ageMs(it.left) }, { "slots", it.slots }, { "sent", it.sent } });
     nlohmann::json peers = nlohmann::json::array();
     for (const Peer& it : m_context.fleet.peers(steadyNow()))
         peers.push_back({ { "vm", it.vm.value }, { "zone", it.zone.value }, { "ready", it.isReady },
@@ -187,7 +193,7 @@
         { "usePercent", m_context.state.utilizationPercent.load() }, { "configAgeMs", ageMs(known.configAge) },
         { "targetsAgeMs", ageMs(known.targetsAge) }, { "readAgeMs", ageMs(known.readAge) },
         { "activeRequests", m_context.state.activeRequests.load() }, { "droppedLogLines", process::droppedLogLines() },
-        { "targets", std::move(targets) }, { "peers", std::move(peers) } };
+        { "targets", std::move(targets) }, { "coldTargets", std::move(coldTargets) }, { "peers", std::move(peers) } };
 }
 
 void Listeners::handleQuarantine(net::ServerExchange& exchange)
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -91,8 +91,10 @@
                 { "version", std::string(process::version()) } });
 
         ShareMonitor shareMonitor(state, edgeMetrics);
+        ColdMonitor coldMonitor(state, edgeMetrics);
         CrashMonitor crashMonitor(state, **targetClient, crashJournal, edgeMetrics);
-        Housekeeping(state, **fleet, **listeners, shareMonitor, crashMonitor, timers, settingsWatcher).run(stop);
+        Housekeeping(state, **fleet, **listeners, shareMonitor, coldMonitor, crashMonitor, timers, settingsWatcher)
+            .run(stop);
         drainAndStop(state, **fleet, **listeners, crashMonitor, timers, options);
         process::log(
             process::LogLevel::Info, "stopped", { { "cut-off", std::to_string(state.activeRequests.load()) } });
