--- /dev/null
+++ b/tests/PeerTargetsTest.cpp
@@ -0,0 +1,60 @@
+// Tests the list of targets that routers exchange (apps/sagechute-edge/PeerState.h).
+
+#include "../apps/sagechute-edge/PeerState.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace sagechute;
+using namespace sagechute::edge;
+using namespace std::chrono_literals;
+
+namespace {
+
+news::TargetChange cold(Duration left)
+{
+    dispatch::Target target { { "t" }, { "s" }, "127.0.0.1:1", { "z" }, 4, false, 7 };
+    target.coldLeft = left;
+    return { target.id, target, 3 };
+}
+
+} // namespace
+
+// Guards against a receiver that takes a cold target for warm too early, or for cold for days.
+TEST_CASE("the remaining cold time is sent rounded up and bounded by the receiver")
+{
+    const auto exchanged = [](Duration left) {
+        PeerState state;
+        state.targets = { cold(left) };
+        return decodePeerState(encode(state))->targets.front().target->coldLeft;
+    };
+    CHECK(exchanged(1500us) == 2ms);
+    CHECK(exchanged(0us) == 0ms);
+    CHECK(exchanged(24h) == 10min);
+    CHECK(decodePeerState(encode(PeerState { {}, {}, true, { cold(1s) } }))->targets.front().target->startedAtMs == 7);
+}
+
+// Guards against a router that sends the cold time as of when it received it, which restarts it at each hop.
+TEST_CASE("a router sends the cold time that is left")
+{
+    EdgeState state({}, news::NewsTimes::make(2s, false), { "vm" }, { "z" }, 1);
+    state.updateTargets([](news::TargetRoster& it) { it.apply(unsuspendedNow() - 20s, cold(30s)); });
+    const PeerState sent = makePeerState(state, {});
+    REQUIRE(sent.targets.size() == 1);
+    CHECK(sent.targets.front().target->coldLeft <= 10s);
+    CHECK(sent.targets.front().target->coldLeft > 5s);
+}
+
+// Guards against a list of a release without cold times that cannot be decoded while routers are replaced.
+TEST_CASE("a list without cold times is decoded, and its targets are warm")
+{
+    PeerState state;
+    state.targets = { cold(5s) };
+    auto document = *decodeCbor(encode(state));
+    document[3][0].erase(8);
+    const auto decoded = decodePeerState(encodeCbor(document));
+    REQUIRE(decoded.ok());
+    CHECK(decoded->targets.front().target->coldLeft == 0s);
+    document[3][0].push_back("soon");
+    CHECK_FALSE(decodePeerState(encodeCbor(document)).ok());
+}
