--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -36,6 +36,8 @@
     prometheus::Gauge& quarantinedParts() { return m_quarantinedParts; }
 
     prometheus::Gauge& evacuatedZones() { return m_evacuatedZones; }
+    prometheus::Gauge& coldTargets() { return m_coldTargets; }
+    prometheus::Counter& coldPlacements() { return m_coldPlacements; }
 
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
@@ -59,6 +61,8 @@
     prometheus::Gauge& m_quarantinedRequests;
     prometheus::Gauge& m_quarantinedParts;
     prometheus::Gauge& m_evacuatedZones;
+    prometheus::Gauge& m_coldTargets;
+    prometheus::Counter& m_coldPlacements;
     prometheus::Histogram& m_duration;
     prometheus::Histogram& m_firstEvent;
     prometheus::Histogram& m_predictionError;
--- a/apps/sagechute-edge/Options.h
+++ b/apps/sagechute-edge/Options.h
@@ -32,7 +32,9 @@
     std::uint64_t leastRouters = 8;
     std::uint64_t configBoundMs = 2000;
     std::uint64_t drainBoundMs = 2000;
-    std::string evacuationBound; ///< Milliseconds; 0 or empty: evacuations of availability zones are not in force.
+    std::uint64_t evacuationBoundMs = 0; ///< 0: evacuations of availability zones are not in force.
+    double coldOverage = 1.5;
+    double coldSlack = 5;
     bool isFirstStart = false;
     std::string logLevel = "info";
     std::uint64_t logLinesPerSecond = 300;
