Take a target for cold from a failed connection on

Only the first response after failed connections made it cold. Until that response arrived, every router could send it any number of requests at its return, far more than a cold target tolerates.

--- a/src/dispatch/ColdTargets.cpp
+++ b/src/dispatch/ColdTargets.cpp
@@ -25,19 +25,19 @@
 
 void ColdTargets::zoneReturned(TimePoint now, const ZoneId& zone) { m_zoneReturns[zone] = now; }
 
-void ColdTargets::unreachable(const TargetIncarnation& target)
+void ColdTargets::unreachable(TimePoint now, const TargetIncarnation& target)
 {
     const auto it = m_entries.find(target);
     if (it != m_entries.end())
-        it->second.isUnreachable = true;
+        it->second.unreachableAt = now;
 }
 
 void ColdTargets::responded(TimePoint now, const TargetIncarnation& target)
 {
     const auto it = m_entries.find(target);
-    if (it == m_entries.end() || !it->second.isUnreachable)
+    if (it == m_entries.end() || !it->second.unreachableAt)
         return;
-    it->second.isUnreachable = false;
+    it->second.unreachableAt.reset();
     it->second.returnedAt = now;
 }
 
@@ -53,6 +53,9 @@
     if (const auto it = m_entries.find(target.incarnation()); it != m_entries.end()) {
         extend(it->second.byRecord);
         extend(it->second.byResponses);
+        // A router without slots tries again after this time: it would otherwise never learn of the target's return.
+        if (it->second.unreachableAt)
+            extend(*it->second.unreachableAt + service->coldTime);
         if (it->second.returnedAt)
             extend(*it->second.returnedAt + service->coldTime);
     }
--- a/src/dispatch/ColdTargets.h
+++ b/src/dispatch/ColdTargets.h
@@ -24,8 +24,9 @@
     /// The zone's evacuation ended.
     void zoneReturned(TimePoint now, const ZoneId&);
 
-    /// A connection to the target was refused or not established.
-    void unreachable(const TargetIncarnation&);
+    /// A connection to the target was refused or not established. From now on it counts as cold, as all routers would
+    /// send it requests at its return before the first of these is answered.
+    void unreachable(TimePoint now, const TargetIncarnation&);
 
     /// The target responded. After unreachable() it has been away, and may have lost its warm state.
     void responded(TimePoint now, const TargetIncarnation&);
@@ -40,7 +41,7 @@
     struct Entry {
         TimePoint byRecord;
         TimePoint byResponses;
-        bool isUnreachable = false;
+        std::optional<TimePoint> unreachableAt; ///< Last failed connection, if there was no response since.
         std::optional<TimePoint> returnedAt; ///< First response after a failed connection.
         TimePoint listedAt;
     };
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -677,7 +677,7 @@
     m_attempts.erase(it);
     TargetModel* model = find(attempt.target);
     if (end == AttemptEnd::Unreachable)
-        m_coldTargets.unreachable(attempt.target);
+        m_coldTargets.unreachable(now, attempt.target);
     else if (end == AttemptEnd::Answered || end == AttemptEnd::Failed || end == AttemptEnd::NotRun)
         m_coldTargets.responded(now, attempt.target);
     recordEndForCrashGuard(now, id, attempt, model != nullptr && !model->target().draining, end);
--- a/tests/ColdPlacementTest.cpp
+++ b/tests/ColdPlacementTest.cpp
@@ -187,14 +187,18 @@
     CHECK(world.isCold(settled + 5s));
 }
 
-// Guards against full load on a target that was away and has lost its warm state without a new incarnation.
-TEST_CASE("a target that responds again after failed connections is cold from the first response on")
+// Guards against full load on a target that was away and has lost its warm state without a new incarnation, and against
+// a burst of all routers before it has answered its first request.
+TEST_CASE("a target is cold from a failed connection until some time after its first response")
 {
     World world(1, 0s);
     const Decision failing = world.place(settled);
     world.dispatcher->ended(settled, std::get<Placement>(failing).attempt, AttemptEnd::Unreachable);
-    CHECK_FALSE(world.isCold(settled));
+    CHECK(world.isCold(settled));
     const Decision probe = world.place(settled + 5s);
+    for (int i = 0; i < 3; ++i)
+        CHECK(std::holds_alternative<Placement>(world.place(settled + 5s)));
+    CHECK(world.reasonAt(settled + 5s) == RefusalReason::ColdTargets);
     world.dispatcher->firstAnswer(settled + 6s, std::get<Placement>(probe).attempt);
     world.dispatcher->ended(settled + 7s, std::get<Placement>(probe).attempt, AttemptEnd::Answered);
     CHECK(world.isCold(settled + 35s));
