--- a/apps/sagechute-edge/PeerState.cpp
+++ b/apps/sagechute-edge/PeerState.cpp
@@ -14,9 +14,6 @@
     constexpr const char* configField = "config";
     constexpr const char* targetsField = "targets";
 
-    /// Upper bound on a target's remaining cold time, as for the platform's own entries.
-    constexpr Duration maxColdLeft = std::chrono::minutes(10);
-
     std::optional<std::uint64_t> parseNumber(std::string_view text)
     {
         std::uint64_t number = 0;
@@ -48,7 +45,7 @@
         // A router of a release without this field knows no cold targets.
         if (item.size() > 8)
             change.target->coldLeft
-                = std::min<Duration>(std::chrono::milliseconds(item.at(8).get<std::uint32_t>()), maxColdLeft);
+                = std::min<Duration>(std::chrono::milliseconds(item.at(8).get<std::uint32_t>()), dispatch::maxColdLeft);
         return change;
     }
 
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -99,6 +99,9 @@
 /// @return "NAME", or "NAME@STARTED_AT_MS" if the start time is known.
 std::string toString(const TargetIncarnation&);
 
+/// Upper bound on the remaining cold time that a target reports; a longer one is not plausible.
+inline constexpr Duration maxColdLeft = std::chrono::minutes(10);
+
 /// A process that answers requests of one service.
 struct Target {
     TargetId id; ///< Name; unchanged across restarts.
