--- a/apps/sagechute-edge/PeerState.cpp
+++ b/apps/sagechute-edge/PeerState.cpp
@@ -16,8 +16,6 @@
 
     /// Position of the evacuated zones in an encoded state. A release without them sends a shorter array.
     constexpr std::size_t evacuatedZonesIndex = 4;
-    /// Upper bound on a target's remaining cold time, as for the platform's own entries.
-    constexpr Duration maxColdLeft = std::chrono::minutes(10);
 
     std::optional<std::uint64_t> parseNumber(std::string_view text)
     {
@@ -50,7 +48,7 @@
         // A router of a release without this field knows no cold targets.
         if (item.size() > 8)
             change.target->coldLeft
-                = std::min<Duration>(std::chrono::milliseconds(item.at(8).get<std::uint32_t>()), maxColdLeft);
+                = std::min<Duration>(std::chrono::milliseconds(item.at(8).get<std::uint32_t>()), dispatch::maxColdLeft);
         return change;
     }
 
