Evacuate availability zones in the soak and the conformance run

Workers of both runs are in several zones, and a check finds requests that reach a target of an evacuated zone later than the bound. The store's faults, silent targets and stopped routers are excused only for as long as they can delay what is checked.

--- a/tools/conformance.py
+++ b/tools/conformance.py
@@ -85,6 +85,8 @@
                        for router, target, late in self.signals.after_draining()]
         self.found += [f"BUDGET {target} got {n} requests of {router} in a pause"
                        for router, target, n in self.signals.in_backoff()]
+        self.found += [f"EVAC {target} got a request of {router} {late} s after its zone was evacuated"
+                       for router, target, late in self.signals.after_evacuating()]
         if not any(it.breaks for it in self.faults) and sum(it.seconds for it in self.faults) <= HELD_UP_SECONDS:
             self.found += self._lost(background)
         return len(background)
@@ -122,7 +124,7 @@
 
     def __init__(self, build):
         self.proxies = {"targets": [], "store": []}
-        self.fleet = Fleet(build, routers=ROUTERS, engines=ENGINES, applications=APPLICATIONS, proxy=self._proxied,
+        self.fleet = Fleet(build, routers=ROUTERS, engines=ENGINES, applications=APPLICATIONS, zones=("a", "b"), proxy=self._proxied,
                            worker_arguments=("--crash-part", CRASHING_PART))
         self.fleet.wait_ready()
 
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -18,6 +18,8 @@
 HOST = "callers.example"
 KEY = "key-of-teller"
 FIRST_PORT = 12000
+ROUTER_ZONE = "routers"
+EVACUATION_BOUND_MS = 2000
 READY_SECONDS = 20
 STOP_SECONDS = 15
 
@@ -107,11 +109,15 @@
 class Fleet:
     """A store, workers and edge routers. Ends all of them by id when it is closed."""
 
-    def __init__(self, build, routers=2, engines=2, applications=2, proxy=None, worker_arguments=(), others=None):
+    def __init__(self, build, routers=2, engines=2, applications=2, proxy=None, worker_arguments=(), others=None,
+                 zones=("a",)):
         """proxy: given an address, returns the one by which routers reach it; absent: they reach it directly.
 
         others: the services of further workers, by name; engines if the service begins with llm.
+        zones: availability zones of the workers, in turn for each service. The routers are in the first if it is the
+        only one, and else in another, so that all workers are equally far.
         """
+        self.zones = zones
         self.build = build
         self.worker_arguments = list(worker_arguments)
         self.proxy = proxy or (lambda address: address)
@@ -125,9 +131,9 @@
         self.store_process = self._start("store", ["sagechute-standin-store", "--listen", self.store])
         self.workers = {}
         for i in range(engines):
-            self._add_worker(f"engine-{i}", next(ports), ["--engine", "--service", "llm"])
+            self._add_worker(f"engine-{i}", next(ports), ["--engine", "--service", "llm"], zones[i % len(zones)])
         for i in range(applications):
-            self._add_worker(f"app-{i}", next(ports), ["--service", "app"])
+            self._add_worker(f"app-{i}", next(ports), ["--service", "app"], zones[i % len(zones)])
         for name, service in others.items():
             self._add_worker(name, next(ports), ["--service", service] + (["--engine"] if service.startswith("llm") else []))
         layouts = [[next(ports) for _ in range(8)] for _ in range(routers)]
@@ -146,19 +152,19 @@
         self.processes.append(process)
         return process
 
-    def _add_worker(self, name, port, arguments):
+    def _add_worker(self, name, port, arguments, zone="a"):
         address = f"127.0.0.1:{port}"
         command = ["sagechute-standin-worker", "--listen", address, "--advertise", self.proxy(address), "--id", name,
-                   "--store", self.store]
-        self.workers[name] = {"address": address, "process": self._start(name, command + arguments + self.worker_arguments)}
+                   "--store", self.store, "--zone", zone]
+        self.workers[name] = {"address": address, "zone": zone, "process": self._start(name, command + arguments + self.worker_arguments)}
 
     def _add_router(self, index, ports, seeds):
         settings = {
-            "vm-id": f"router-{index}", "zone": "a", "callers-listen": f"127.0.0.1:{ports[0]}",
+            "vm-id": f"router-{index}", "zone": self.zones[0] if len(self.zones) == 1 else ROUTER_ZONE, "callers-listen": f"127.0.0.1:{ports[0]}",
             "readiness-listen": f"127.0.0.1:{ports[1]}", "control-listen": f"127.0.0.1:{ports[2]}",
             "locate-listen": f"127.0.0.1:{ports[3]}", "address": "127.0.0.1",
             "port-range": f"{ports[4]},{ports[5]}", "seeds": seeds, "store": self.proxy(self.store),
-            "stop-grace-seconds": "4",
+            "stop-grace-seconds": "4", "evacuation-bound-ms": str(EVACUATION_BOUND_MS),
         }
         path = os.path.join(self.directory, f"router-{index}.settings")
         if ports[5] < ports[4]:
@@ -211,6 +217,19 @@
         status, _, body = call(router["control"], "GET", "/v1/status")
         return {target["id"] for target in json.loads(body)["targets"]} if status == 200 else set()
 
+    def evacuated_for(self, router):
+        """The zones that a router takes for evacuated."""
+        status, _, body = call(router["control"], "GET", "/v1/status")
+        return {it["zone"] for it in json.loads(body)["evacuatedZones"]} if status == 200 else set()
+
+    def evacuate(self, zone):
+        """Returns when the store had acknowledged it."""
+        self.command(self.store, f"/standin/put?topic=keyed.op&key=evacuate/{zone}", "{}")
+        return time.monotonic()
+
+    def lift_evacuation(self, zone):
+        self.command(self.store, f"/standin/drop?topic=keyed.op&key=evacuate/{zone}")
+
     def configure(self, keys=(KEY,), extra_routes=(), change=lambda document: None, timeout_ms=3000, **limits):
         """Writes the next version of the configuration.
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,7 +26,7 @@
 from promises import DEADLINE_SLACK_SECONDS, FAILED, Caller, Ledgers, Request, check_arrivals, findings_of
 from soak_proxy import Proxy
 from target_signals import SignalCheck, overlaps
-from trial_faults import ALWAYS, CRASHING_PART, FAULTS, SILENCE_SECONDS, Stage, draw_changes, send_crashing
+from trial_faults import ALWAYS, CRASHING_PART, FAULTS, SILENCE_SECONDS, Stage, draw_changes, lift, send_crashing
 
 SIZES = {"routers": 3, "engines": 3, "applications": 2, "callers": 6}
 CALLERS_PAUSE_SECONDS = 0.06
@@ -42,7 +42,9 @@
 MOST_LATE_CRASHES = 3
 CRASHING_INTERVALS_SECONDS = (0.3, 0.9)
 DOWN_SECONDS = (1.0, 3.0)  # Of a target that crashed.
-EXTRAS = ("signals", "answers", "silences", "parts")  # What came to the soak later; each has chances of its own.
+EVACUATED_SECONDS = (3.0, 6.0)  # More than the bound within which an evacuation is in force.
+ZONES = ("a", "b", "c")
+EXTRAS = ("signals", "answers", "silences", "parts", "zones")  # What came to the soak later; each has chances of its own.
 HERE = os.path.dirname(os.path.abspath(__file__))
 SEEDS_FILE = os.path.join(HERE, "..", "tests", "soak-seeds.txt")
 
@@ -74,8 +76,10 @@
         self._store_away = []  # Spans in which routers may not learn of changes.
         self._revoked = None  # When the extra key's removal was acknowledged; None while it is there.
         self._revocations = []
+        self._evacuations = 0
         self._fleet = Fleet(build, self._sizes["routers"], self._sizes["engines"], self._sizes["applications"],
-                            proxy=self._proxied, worker_arguments=("--crash-part", CRASHING_PART))
+                            proxy=self._proxied, worker_arguments=("--crash-part", CRASHING_PART),
+                            zones=ZONES if "zones" in extras else ZONES[:1])
         self._threads = []
 
     def _proxied(self, address):
@@ -119,7 +123,8 @@
 
     def _disturb(self):
         end = time.monotonic() + self._seconds
-        beside = {"signals": self._signal, "answers": self._spoil_answers, "silences": self._silence}
+        beside = {"signals": self._signal, "answers": self._spoil_answers, "silences": self._silence,
+                  "zones": self._evacuate}
         pending = [threading.Thread(target=beside[it], args=(end,), daemon=True) for it in beside
                    if it in self._extras]
         for thread in pending:
@@ -159,6 +164,23 @@
             stop()
             time.sleep(rng.uniform(0.0, 0.5))
 
+    def _evacuate(self, end):
+        """Beside the other faults, as _signal: one availability zone, or two whose evacuations overlap."""
+        rng = random.Random(f"zones of {self.seed}")
+        while time.monotonic() < end:
+            zones = rng.sample(ZONES, rng.choice((1, 1, 2)))
+            begun = []
+            for zone in zones:
+                begun.append((zone, self._fleet.evacuate(zone)))
+                time.sleep(rng.uniform(0.2, 1.0))
+            lasts = rng.uniform(*EVACUATED_SECONDS)
+            self._history.append(f"evacuation of {', '.join(zones)} for {lasts:.1f} s")
+            time.sleep(lasts)
+            for zone, acknowledged in begun:
+                lift(self._stage, zone, acknowledged)
+                time.sleep(rng.uniform(0.2, 1.0))
+            self._evacuations += len(zones)
+
     def _disturb_by_plan(self):
         """Silences with nothing beside them but what may break no request."""
         for proxy in self._proxies:
@@ -251,6 +273,7 @@
         for process in processes:
             process.send(signal.SIGCONT)
         self._silences.append((begun, time.monotonic()))
+        self.signals.note_held(*self._silences[-1])
 
     def _leave_and_return(self, name, lasts):
         worker = self._fleet.workers[name]
@@ -333,6 +356,7 @@
         proxy.set_mode(self._rng.choice(("delay", "reset", "silence", "cut-up", "cut-down")))
         time.sleep(lasts)
         proxy.set_mode("pass")
+        self.signals.note_held(begun, time.monotonic())
         self.signals.note_cut(begun, time.monotonic() + CUT_LASTS_SECONDS)
 
     def _harm_store(self, lasts):
@@ -342,6 +366,7 @@
         self._fleet.command(self._fleet.store, f"/standin/fault?kind={kind}")
         time.sleep(lasts)
         self._fleet.command(self._fleet.store, "/standin/fault?kind=none")
+        self.signals.note_store_away(now, time.monotonic())
 
     def _forget_history(self, _lasts):
         topic = self._rng.choice(("keyed.op", "keyed.servers"))
@@ -422,9 +447,11 @@
             self.breaches.append(f"{target} got a request {seconds} s after {router} had passed on that it leaves")
         for router, target, count in self.signals.in_backoff():
             self.breaches.append(f"{target} got {count} requests of {router} in the pause that it had asked for")
+        for router, target, seconds in self.signals.after_evacuating():
+            self.breaches.append(f"EVAC {target} got a request of {router} {seconds} s after its zone was evacuated")
         served = sum(it.status == 200 and it.is_whole for it in requests)
         print(f"seed {self.seed}: {len(requests)} requests, {served} served, {len(self._history)} faults, "
-              f"{len(self.signals.told)} times told of a leaving target, "
+              f"{len(self.signals.told)} times told of a leaving target, {self._evacuations} evacuations, "
               f"{len(self.breaches)} promises broken", flush=True)
 
     def _check_request(self, request):
--- a/tools/target_signals.py
+++ b/tools/target_signals.py
@@ -1,4 +1,4 @@
-"""Checks what routers make of targets that say in their answers that they leave or ask for a pause.
+"""Checks what routers make of targets that say in their answers that they leave or ask for a pause, and of evacuations.
 
 Used by tests/target_signals_test.py and tools/soak.py. Times are those of the machine's monotonic clock, which the
 stand-ins use, too.
@@ -7,9 +7,14 @@
 import bisect
 import collections
 
+from platform_fleet import EVACUATION_BOUND_MS
+
 DRAIN_SECONDS = 2.0  # A request sent later than that after a router passed the word on may not reach the target.
 BACKOFF_GRACE_SECONDS = 0.5  # What is on its way when the target asks for a pause may still reach it.
 MOST_IN_BACKOFF = 2
+EVACUATION_SECONDS = EVACUATION_BOUND_MS / 1000  # From the acknowledgement until an evacuation is in force.
+STORE_READ_SECONDS = 1.0  # Half of the bound: a store that serves for so long has been read by some router.
+HELD_SECONDS = 0.5  # Until what was held up has been read.
 SIGNER = "signed-by."
 ROUTER_HEADER = "X-Trial-Router"  # Callers name in it the router that they send to; stand-ins write it down.
 
@@ -22,6 +27,9 @@
         self.told = collections.defaultdict(dict)  # By router and target: requests whose answer said that it leaves, and when.
         self.stops = collections.defaultdict(list)  # By router: spans in which it was restarted or paused.
         self.cuts = []  # Spans in which answers of targets may not have come to the routers.
+        self.evacuations = []  # (targets, when acknowledged, when the end was requested)
+        self.held = []  # Spans in which what was sent to targets may not have come to them, or may not have been read.
+        self.store_away = []  # Spans in which no router may have been answered by the store.
         self.arrivals = collections.defaultdict(list)  # By router and target's life: what came there.
 
     def note_send(self, request_id, sent_at):
@@ -38,6 +46,15 @@
     def note_cut(self, begin, end):
         self.cuts.append((begin, end))
 
+    def note_held(self, begin, end):
+        self.held.append((begin, end))
+
+    def note_store_away(self, begin, end):
+        self.store_away.append((begin, end))
+
+    def note_evacuation(self, targets, acknowledged, ended):
+        self.evacuations.append((frozenset(targets), acknowledged, ended))
+
     def note_ledger(self, target, arrivals):
         """To be called once for each life of a target."""
         by_router = collections.defaultdict(list)
@@ -62,6 +79,27 @@
                         found.append((router, target, round(late, 2)))
         return found
 
+    def after_evacuating(self):
+        """(router, target, seconds) of requests that came to a target of an evacuated zone later than the bound allows."""
+        found = []
+        for targets, acknowledged, ended in self.evacuations:
+            in_force = self._readable_since(acknowledged) + EVACUATION_SECONDS
+            for (router, target), lives in self.arrivals.items():
+                if target not in targets:
+                    continue
+                found += [(router, target, round(it["at"] - acknowledged, 2)) for life in lives for it in life
+                          if in_force < it["at"] < ended
+                          and not overlaps(self.stops[router], it["at"] - EVACUATION_SECONDS, it["at"])
+                          and not overlaps(self.held, it["at"] - HELD_SECONDS, it["at"])]
+        return found
+
+    def _readable_since(self, acknowledged):
+        since = acknowledged
+        for begin, end in sorted(self.store_away):
+            if begin < since + STORE_READ_SECONDS and end > since:
+                since = end
+        return since
+
     def in_backoff(self):
         """(router, target, requests) for each pause in which a router sent the target more than it may."""
         found = []
--- a/tools/trial_faults.py
+++ b/tools/trial_faults.py
@@ -10,7 +10,7 @@
 import time
 
 from platform_fleet import KEY, call
-from target_signals import DRAIN_SECONDS
+from target_signals import DRAIN_SECONDS, EVACUATION_SECONDS
 
 ALWAYS = 1_000_000  # Requests that a worker treats so until it is told otherwise.
 STORE_DELAY_MS = 250
@@ -20,6 +20,7 @@
 LOWER_QUOTA = 2000  # Tokens per second: less than callers ask for.
 OTHER_TIMEOUTS_MS = (2500, 4000)
 OTHER_KEY = "another-key"
+EVACUATED_SECONDS = 0.8  # After the bound: a request that comes then is a finding.
 CRASHING_PART = "bad0000bad0000ba"
 CRASHING_REQUESTS, CRASHING_INTERVAL_SECONDS = 3, 0.25
 
@@ -209,11 +210,39 @@
 
 def store(kind, topic="", delay=0):
     def begin(stage):
+        begun = time.monotonic()
         stage.fleet.command(stage.fleet.store, f"/standin/fault?kind={kind}&topic={topic}&delayMs={delay}")
-        return lambda: stage.fleet.command(stage.fleet.store, "/standin/fault?kind=none")
+
+        def end():
+            stage.fleet.command(stage.fleet.store, "/standin/fault?kind=none")
+            stage.signals.note_store_away(begun, time.monotonic())
+        return end
     return begin
 
 
+def evacuated(*zones):
+    """The operator evacuates availability zones, all before the first is lifted."""
+    def begin(stage):
+        evacuations = [(zone, stage.fleet.evacuate(zone)) for zone in zones]
+
+        def end():
+            time.sleep(EVACUATION_SECONDS + EVACUATED_SECONDS)
+            for zone, acknowledged in evacuations:
+                lift(stage, zone, acknowledged)
+            for router in stage.fleet.routers:
+                stage.fleet.wait_until("an evacuation is lifted", lambda it=router: not stage.fleet.evacuated_for(it),
+                                       EVACUATION_SECONDS)
+        return end
+    return begin
+
+
+def lift(stage, zone, acknowledged):
+    """Ends an evacuation, and notes for the checks which targets it held for."""
+    targets = [name for name, worker in stage.fleet.workers.items() if worker["zone"] == zone]
+    stage.signals.note_evacuation(targets, acknowledged, time.monotonic())
+    stage.fleet.lift_evacuation(zone)
+
+
 def forgotten(topic):
     def begin(stage):
         stage.fleet.command(stage.fleet.store, f"/standin/forget?topic={topic}")
@@ -305,6 +334,7 @@
 
         def end():
             proxy.set_mode("pass")
+            stage.signals.note_held(begun, time.monotonic())
             stage.signals.note_cut(begun, time.monotonic() + 4)
         return end
     return begin
@@ -370,6 +400,8 @@
         Fault("store slow", "store", "DRAIN CONFIG", store("none", delay=STORE_DELAY_MS), breaks=False),
         Fault("store forgets targets", "store", "LOST ROUTE", forgotten("keyed.servers"), breaks=False),
         Fault("store forgets configurations", "store", "CONFIG", forgotten("keyed.op"), breaks=False),
+        Fault("zone evacuated", "store", "EVAC LOST", evacuated("b"), breaks=False),
+        Fault("all zones evacuated", "store", "EVAC REFUSED", evacuated("a", "b"), breaks=False),
         Fault("configuration that can't be read", "store", "CONFIG DENIED", unreadable_configuration, breaks=False),
         Fault("other keys", "store", "CONFIG DENIED", other_keys, breaks=False),
         Fault("200 more routes", "store", "CONFIG", configured(extra_routes=extra_routes(200)), breaks=False),
