Answer an operator's release only once the store holds it

A release was applied in the router's memory and answered with 200, and its records were written up to 50 ms later, or a second later where the store failed. If all routers were killed before, the release was lost, and the request was quarantined again.

The release is now written first, in one call with the pending records of that router, and applied and answered with 200 once the store has accepted it. If the store hasn't within 3.5 s, the answer is 503 release-not-stored; until then and after it the subject stays quarantined, as it does in the store. A write that succeeds after the 503 is applied, too. The exchange waits without its thread, and a repeated release writes the same records and gets 200. Writes of one router follow each other, so that a quarantine decided before a release is not written after it.

The test kills all routers right after the 200, with the store silent towards the crash records at first.

--- a/apps/sagechute-edge/CrashJournal.cpp
+++ b/apps/sagechute-edge/CrashJournal.cpp
@@ -17,6 +17,12 @@
 
     constexpr std::size_t maxPendingRecords = 1024;
 
+    /// From the operator's call to its answer. Long enough for a hung write (1.2 s), the retry delay and another write.
+    constexpr std::chrono::milliseconds releaseTimeout { 3500 };
+
+    /// Releases by hand are rare; more at a time are rejected.
+    constexpr std::size_t maxPendingReleases = 64;
+
 } // namespace
 
 CrashJournal::CrashJournal(EdgeState& state, Fleet& fleet, news::FleetStore& store, const Options& options)
@@ -78,6 +84,50 @@
     m_parts.add(parts);
 }
 
+bool CrashJournal::release(SubjectKind kind, quarantine::SubjectKey subject, ReleaseHandler onEnd)
+{
+    Release release { kind, {}, steadyNow() + releaseTimeout, std::move(onEnd) };
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) {
+        release.records = kind == SubjectKind::Part ? it.crashes().parts().releaseRecords(subject)
+                                                    : it.crashes().releaseRecords(subject);
+    });
+    if (release.records.empty())
+        return false;
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_releases.size() < maxPendingReleases) {
+            m_releases.emplace(++m_lastReleaseId, std::move(release));
+            return true;
+        }
+    }
+    release.onEnd(makeError(ErrorKind::LogUnavailable,
+        "release-not-stored: " + std::to_string(maxPendingReleases)
+            + " releases, the limit, already wait for the store; nothing was released",
+        "repeat it once the store accepts records"));
+    return true;
+}
+
+void CrashJournal::tick(TimePoint now)
+{
+    std::vector<Release> failed;
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto it = m_releases.begin(); it != m_releases.end();) {
+            if (now < it->second.deadline) {
+                ++it;
+                continue;
+            }
+            failed.push_back(std::move(it->second));
+            it = m_releases.erase(it);
+        }
+    }
+    for (const Release& it : failed)
+        it.onEnd(makeError(ErrorKind::LogUnavailable,
+            "release-not-stored: the store did not confirm the release within " + std::to_string(releaseTimeout.count())
+                + " ms; it is in force only if the store has accepted the last attempt all the same",
+            "repeat it once the store accepts records"));
+}
+
 void CrashJournal::runWriter()
 {
     Duration delay = writeInterval;
@@ -89,22 +139,61 @@
 {
     Records requests;
     Records parts;
+    Releases releases;
+    std::lock_guard writeLock(m_storeWriteMutex);
     {
         std::lock_guard lock(m_mutex);
         requests = m_requests.pending();
         parts = m_parts.pending();
+        releases = m_releases;
+    }
+    // Releases come last, since a later record replaces an earlier one of the same target.
+    for (const auto& [id, release] : releases) {
+        Records& records = release.kind == SubjectKind::Part ? parts : requests;
+        records.insert(records.end(), release.records.begin(), release.records.end());
     }
     if (requests.empty() && parts.empty())
         return true;
     // Writes are idempotent, so that a call without an answer can be repeated.
     if (!m_store.writeCrashes(requests, parts).ok())
         return false;
-    std::lock_guard lock(m_mutex);
-    m_requests.markWritten(requests);
-    m_parts.markWritten(parts);
+    applyReleases(releases);
+    {
+        std::lock_guard lock(m_mutex);
+        m_requests.markWritten(requests);
+        m_parts.markWritten(parts);
+    }
+    endReleases(releases);
     return true;
 }
 
+void CrashJournal::applyReleases(const Releases& releases)
+{
+    const TimePoint now = steadyNow();
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) {
+        for (const auto& [id, release] : releases) {
+            if (release.kind == SubjectKind::Part)
+                it.crashes().parts().release(now, release.records);
+            else
+                it.crashes().release(now, release.records);
+        }
+    });
+}
+
+void CrashJournal::endReleases(const Releases& written)
+{
+    std::vector<ReleaseHandler> handlers;
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto& [id, release] : written) {
+            if (m_releases.erase(id))
+                handlers.push_back(release.onEnd);
+        }
+    }
+    for (const ReleaseHandler& it : handlers)
+        it(absl::OkStatus());
+}
+
 void CrashJournal::runReader()
 {
     Duration delay {};
@@ -160,6 +249,7 @@
 {
     Cases requests;
     Cases parts;
+    std::lock_guard writeLock(m_storeWriteMutex);
     m_state.withDispatcher([&](dispatch::Dispatcher& it) {
         requests = it.crashes().cases();
         parts = it.crashes().parts().cases();
--- a/apps/sagechute-edge/CrashMonitor.cpp
+++ b/apps/sagechute-edge/CrashMonitor.cpp
@@ -78,6 +78,7 @@
     report(events);
     if (!events.ownRecords.empty() || !events.parts.ownRecords.empty())
         m_journal.write(events.ownRecords, events.parts.ownRecords);
+    m_journal.tick(now);
 }
 
 void CrashMonitor::probe(const quarantine::TargetCheck& check)
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -19,6 +19,9 @@
     constexpr std::string_view quarantinePath = "/v1/quarantine";
     constexpr std::string_view partsPath = "/parts"; ///< Below quarantinePath.
 
+    /// After a release that the store has not accepted.
+    constexpr std::chrono::seconds releaseRetryTime { 2 };
+
     /// Callers' idle connections stay open for longer than callers reuse them, 15 s in the deployments: a request that
     /// is sent while the router closes its connection fails.
     constexpr std::chrono::seconds callerIdleTimeout { 75 };
@@ -41,6 +44,17 @@
         return { status, { { "Content-Type", "text/plain" } }, std::move(body) };
     }
 
+    /// @param status whether the store holds an operator's release.
+    net::ServerResponse releaseResponse(const absl::Status& status)
+    {
+        if (status.ok())
+            return textResponse(okStatus);
+        net::ServerResponse response
+            = textResponse(unavailable, std::string(status.message()) + "; " + errorRemedy(status) + "\n");
+        response.headers.push_back({ "Retry-After", std::to_string(releaseRetryTime.count()) });
+        return response;
+    }
+
     /// @return the age in milliseconds, or null if unknown.
     nlohmann::json ageMs(std::optional<Duration> age)
     {
@@ -89,11 +103,11 @@
         { m_callers, options.callersListen,
             [this](const ExchangePointer& it) { m_context.requestHandler.handle(it); } },
         { m_readiness, options.readinessListen, [this](const ExchangePointer& it) { handleReadiness(*it); } },
-        { m_control, options.controlListen, [this](const ExchangePointer& it) { handleControl(*it); } },
+        { m_control, options.controlListen, [this](const ExchangePointer& it) { handleControl(it); } },
         { m_locate, options.locateListen,
             [this, cacheTime](const ExchangePointer& it) { handleLocate(*it, cacheTime); } },
         { m_metrics, options.endpointFor(options.metricsPort()),
-            [this](const ExchangePointer& it) { handleControl(*it); } },
+            [this](const ExchangePointer& it) { handleControl(it); } },
     };
     for (const Listener& it : all) {
         const bool isForCallers = &it.server == &m_callers;
@@ -190,21 +204,21 @@
         { "targets", std::move(targets) }, { "peers", std::move(peers) } };
 }
 
-void Listeners::handleQuarantine(net::ServerExchange& exchange)
+void Listeners::handleQuarantine(const ExchangePointer& exchange)
 {
-    const std::string_view name = std::string_view(exchange.request().path).substr(quarantinePath.size());
-    if (exchange.request().method == "GET" && name.empty()) {
-        exchange.respond(net::jsonResponse(okStatus, crashCasesJson()));
+    const std::string_view name = std::string_view(exchange->request().path).substr(quarantinePath.size());
+    const std::string& method = exchange->request().method;
+    if (method == "GET" && name.empty()) {
+        exchange->respond(net::jsonResponse(okStatus, crashCasesJson()));
         return;
     }
     const bool isPart = name.starts_with(partsPath);
     const std::string_view path = isPart ? name.substr(partsPath.size()) : name;
     const auto key = path.starts_with('/') ? quarantine::requestKeyFromHex(path.substr(1)) : std::nullopt;
-    const bool isReleased
-        = key && exchange.request().method == "DELETE" && m_context.state.withDispatcher([&](dispatch::Dispatcher& it) {
-              return isPart ? it.crashes().parts().release(*key) : it.crashes().release(*key);
-          });
-    exchange.respond(textResponse(isReleased ? okStatus : notFound));
+    const auto kind = isPart ? CrashJournal::SubjectKind::Part : CrashJournal::SubjectKind::Request;
+    const auto onEnd = [exchange](const absl::Status& status) { exchange->respond(releaseResponse(status)); };
+    if (!key || method != "DELETE" || !m_context.crashJournal.release(kind, *key, onEnd))
+        exchange->respond(textResponse(notFound));
 }
 
 nlohmann::json Listeners::crashCasesJson() const
@@ -223,24 +237,24 @@
     return { { "requests", std::move(requests) }, { "parts", std::move(parts) } };
 }
 
-void Listeners::handleControl(net::ServerExchange& exchange)
+void Listeners::handleControl(const ExchangePointer& exchange)
 {
-    const std::string& path = exchange.request().path;
+    const std::string& path = exchange->request().path;
     if (path == peerStatePath) {
-        const PeerState state = makePeerState(m_context.state, decodePeerStateRequest(exchange.request().query));
-        exchange.respond({ okStatus, { { "Content-Type", "application/cbor" } }, encode(state) });
+        const PeerState state = makePeerState(m_context.state, decodePeerStateRequest(exchange->request().query));
+        exchange->respond({ okStatus, { { "Content-Type", "application/cbor" } }, encode(state) });
     } else if (path == "/metrics") {
-        exchange.respond(textResponse(okStatus, m_context.metrics.exposition()));
+        exchange->respond(textResponse(okStatus, m_context.metrics.exposition()));
     } else if (path == "/v1/status") {
-        exchange.respond(net::jsonResponse(okStatus, statusJson()));
+        exchange->respond(net::jsonResponse(okStatus, statusJson()));
     } else if (path.starts_with(quarantinePath)) {
         handleQuarantine(exchange);
     } else if (path == "/healthz") {
-        exchange.respond(textResponse(okStatus));
+        exchange->respond(textResponse(okStatus));
     } else if (path == "/readyz") {
-        exchange.respond(textResponse(m_context.state.canServe() ? okStatus : unavailable));
+        exchange->respond(textResponse(m_context.state.canServe() ? okStatus : unavailable));
     } else {
-        exchange.respond(textResponse(notFound));
+        exchange->respond(textResponse(notFound));
     }
 }
 
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashJournal.h"
 #include "Fleet.h"
 #include "RequestHandler.h"
 
@@ -11,6 +12,7 @@
     EdgeState& state;
     Fleet& fleet;
     RequestHandler& requestHandler;
+    CrashJournal& crashJournal;
     AdaptiveRateLimiter& overloadMeter;
     const EntryProtocol& entryProtocol;
     const CallerProtocol& callerProtocol;
@@ -44,10 +46,11 @@
     void reportClosed(const net::ClosedConnection&) const;
     void handleReadiness(net::ServerExchange&);
     void handleLocate(net::ServerExchange&, std::chrono::seconds cacheTime);
-    void handleControl(net::ServerExchange&);
+    void handleControl(const std::shared_ptr<net::ServerExchange>&);
 
-    /// Lists the requests during which targets ended, or releases one from quarantine.
-    void handleQuarantine(net::ServerExchange&);
+    /// Lists the requests during which targets ended, or releases one from quarantine. A release is answered once the
+    /// store holds it, or has not accepted it in time.
+    void handleQuarantine(const std::shared_ptr<net::ServerExchange>&);
     nlohmann::json crashCasesJson() const;
     nlohmann::json statusJson() const;
 
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -72,9 +72,10 @@
         AdaptiveRateLimiter overloadMeter(options.cores(), options.maxCallerConnections());
         RequestHandler requestHandler(
             { state, **targetClient, *callerProtocol, *targetProtocol, timers, edgeMetrics }, overloadMeter);
+        CrashJournal crashJournal(state, **fleet, *store, options);
         auto listeners = Listeners::make(options,
-            { state, **fleet, requestHandler, overloadMeter, *entryProtocol, *callerProtocol, metrics, edgeMetrics,
-                **loop });
+            { state, **fleet, requestHandler, crashJournal, overloadMeter, *entryProtocol, *callerProtocol, metrics,
+                edgeMetrics, **loop });
         if (!listeners.ok())
             return failStart(listeners.status());
         ConfigIntake configIntake(state, *store);
@@ -84,7 +85,6 @@
         storeFollower.start();
         peerFollower.start();
         discovery.start();
-        CrashJournal crashJournal(state, **fleet, *store, options);
         crashJournal.start();
         process::log(process::LogLevel::Info, "started",
             { { "callers", options.callersListen }, { "gossip", (*fleet)->gossipAddress() }, { "store", options.store },
--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -209,6 +209,10 @@
     /// @return the records of the subject that were not cleared.
     std::vector<CrashRecord> unclearedRecords(SubjectKey) const;
 
+    /// @return the records that release the subject wherever they are merged: all of its records, as cleared. Empty if
+    /// the subject is unknown. Already cleared ones are included, so that an operator can repeat a release.
+    std::vector<CrashRecord> releaseRecords(SubjectKey) const;
+
     /// @return the records to send next: new ones, and in rotation all that a router which has just started needs.
     std::vector<CrashRecord> recordsToSend();
 
@@ -304,8 +308,11 @@
             merge(now, it, forwardedRecordTransmissions);
     }
 
-    /// Releases a part, for an operator. @return whether there was anything to clear.
-    bool release(PartKey part) { return clear(part, TimePoint::max()); }
+    /// @return the records that release a part, for an operator; see CrashRecordSet::releaseRecords().
+    std::vector<CrashRecord> releaseRecords(PartKey part) const { return m_records.releaseRecords(part); }
+
+    /// Applies the records of a release, which are in the store. @param records see releaseRecords().
+    void release(TimePoint now, const std::vector<CrashRecord>& records);
 
     /// @return all parts under which targets exited, in descending order of exits.
     std::vector<CrashCase> cases() const { return m_records.cases(); }
@@ -325,7 +332,7 @@
     using SurvivalsOfOthers = unsigned;
 
     void merge(TimePoint now, const CrashRecord&, unsigned transmissions);
-    bool clear(PartKey, TimePoint learnedUntil);
+    void clear(PartKey, TimePoint learnedUntil);
     void recordSurvival(Trial&);
 
     /// Adds the part to the suspects, or removes it, by the exits under it that were not cleared.
@@ -383,9 +390,13 @@
             merge(now, it, forwardedRecordTransmissions);
     }
 
-    /// Releases a request from quarantine, or clears its records before it is quarantined, for an operator. @return
-    /// whether there was anything to clear.
-    bool release(RequestKey request) { return clear(request); }
+    /// @return the records that release a request from quarantine, or clear its exits before it is quarantined, for an
+    /// operator; see CrashRecordSet::releaseRecords().
+    std::vector<CrashRecord> releaseRecords(RequestKey request) const { return m_records.releaseRecords(request); }
+
+    /// Applies the records of a release, which are in the store. Applying them earlier would lose the release if this
+    /// router ends before they are written. @param records see releaseRecords().
+    void release(TimePoint now, const std::vector<CrashRecord>& records);
 
     std::vector<CrashCase> cases() const { return m_records.cases(); }
 
@@ -398,7 +409,7 @@
 private:
     void takeExits(TimePoint now);
     void merge(TimePoint now, const CrashRecord&, unsigned transmissions);
-    bool clear(RequestKey);
+    void clear(RequestKey);
 
     TargetExitDetector m_detector;
     CrashRecordSet m_records;
--- a/src/quarantine/CrashGuard.cpp
+++ b/src/quarantine/CrashGuard.cpp
@@ -69,13 +69,18 @@
     m_update.quarantined.push_back(m_records.find(record.subject));
 }
 
-bool CrashGuard::clear(RequestKey request)
+void CrashGuard::release(TimePoint now, const std::vector<CrashRecord>& records)
+{
+    for (const CrashRecord& it : records)
+        merge(now, it, ownRecordTransmissions);
+}
+
+void CrashGuard::clear(RequestKey request)
 {
     if (m_records.exitCount(request) >= quarantineThreshold)
         m_update.released.push_back(request);
     const std::vector<CrashRecord> cleared = m_records.clear(request);
     m_update.ownRecords.insert(m_update.ownRecords.end(), cleared.begin(), cleared.end());
-    return !cleared.empty();
 }
 
 QuarantineUpdate CrashGuard::takeUpdate()
--- a/src/quarantine/CrashRecordSet.cpp
+++ b/src/quarantine/CrashRecordSet.cpp
@@ -153,6 +153,19 @@
     return found;
 }
 
+std::vector<CrashRecord> CrashRecordSet::releaseRecords(SubjectKey subject) const
+{
+    std::vector<CrashRecord> records;
+    const auto it = m_entries.find(subject);
+    if (it == m_entries.end())
+        return records;
+    for (const auto& [target, exit] : it->second.exits) {
+        records.push_back(exit.record);
+        records.back().isCleared = true;
+    }
+    return records;
+}
+
 std::vector<CrashRecord> CrashRecordSet::recordsToSend()
 {
     std::set<CrashRecord> told;
--- a/src/quarantine/PartGuard.cpp
+++ b/src/quarantine/PartGuard.cpp
@@ -169,18 +169,23 @@
         m_changes.quarantined.push_back(after);
 }
 
-bool PartGuard::clear(PartKey part, TimePoint learnedUntil)
+void PartGuard::release(TimePoint now, const std::vector<CrashRecord>& records)
+{
+    for (const CrashRecord& it : records)
+        merge(now, it, ownRecordTransmissions);
+}
+
+void PartGuard::clear(PartKey part, TimePoint learnedUntil)
 {
     const CrashCase before = m_records.find(part);
     const std::vector<CrashRecord> cleared = m_records.clear(part, learnedUntil);
     if (cleared.empty())
-        return false;
+        return;
     updateSuspect(part, true);
     if (before.isPartQuarantined() && !m_records.find(part).isPartQuarantined())
         m_changes.released.push_back(part);
     if (before.targets.size() >= suspectThreshold)
         append(m_changes.ownRecords, cleared);
-    return true;
 }
 
 void PartGuard::updateSuspect(PartKey part, bool hasClearing)
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -316,7 +316,11 @@
     for (const TargetKey it : { first, second, third })
         a.crash(it, crashing);
     sendRecords(a, b);
-    REQUIRE(a.guard.release(crashing));
+    const std::vector<CrashRecord> release = a.guard.releaseRecords(crashing);
+    REQUIRE(release.size() == 3);
+    // The store doesn't hold the release yet.
+    CHECK(a.standing(crashing) == Standing::Quarantined);
+    a.guard.release(a.now, release);
     a.now += 1min;
     for (unsigned i = 0; i < ownRecordTransmissions; ++i)
         a.guard.recordsToSend();
@@ -326,7 +330,12 @@
     sendRecords(a, b);
     CHECK(b.standing(crashing) == Standing::Clear);
     CHECK(b.guard.takeUpdate().released == std::vector<RequestKey> { crashing });
-    CHECK_FALSE(a.guard.release(crashing));
+    // A repeated release writes the same records again and changes nothing.
+    CHECK(a.guard.releaseRecords(crashing) == release);
+    a.guard.takeUpdate();
+    a.guard.release(a.now, release);
+    CHECK(a.guard.takeUpdate().released.empty());
+    CHECK(a.guard.releaseRecords(crashing + 1).empty());
 }
 
 TEST_CASE("a flood of requests with one exit each does not evict a quarantined request")
--- a/tests/crashing_request_test.py
+++ b/tests/crashing_request_test.py
@@ -17,6 +17,7 @@
 
 BUILD = "build"
 MARKER = "this-crashes-the-target"
+CRASH_TOPIC = "keyed.sagechute-crashes"
 ROUTERS = 3
 ENGINES = 5
 DOWN_SECONDS = 2.0
@@ -228,6 +229,49 @@
         time.sleep(2)
         self.assertFalse(self.quarantined(0))
 
+    def test_all_routers_are_killed_right_after_a_release_was_answered(self):
+        """Guards against a release that was answered with 200 before the store held it, and is lost with the routers."""
+        self.repeat_until_third()
+        self.fleet.wait_until("it is quarantined", lambda: self.quarantined(2))
+        path = f"/v1/quarantine/{self.quarantined(2)[0]}"
+        self.fleet.wait_until("the store holds the quarantine", lambda: b"quarantined/" in self.stored())
+        control = self.fleet.routers[0]["control"]
+        self.fleet.command(self.fleet.store, f"/standin/fault?kind=silent&topic={CRASH_TOPIC}")
+        answers = []
+        release = threading.Thread(target=lambda: answers.append(call(control, "DELETE", path)))
+        release.start()
+        slowest = 0.0
+        while release.is_alive():
+            begun = time.monotonic()
+            self.assertEqual(call(control, "GET", "/healthz")[0], 200)
+            slowest = max(slowest, time.monotonic() - begun)
+            time.sleep(0.05)
+        status, fields, body = answers[0]
+        if status != 200:
+            self.assertEqual(status, 503)
+            self.assertIn(b"release-not-stored", body)
+            self.assertGreater(int(fields["retry-after"]), 0)
+            self.assertLess(slowest, 1.0, "a release that waits for the store delays other requests")
+            self.assertEqual([bool(self.quarantined(it)) for it in range(ROUTERS)], [True] * ROUTERS)
+            self.fleet.command(self.fleet.store, "/standin/fault?kind=none")
+            self.assertEqual(call(control, "DELETE", path)[0], 200)
+        for it in self.fleet.routers:
+            it["process"].end()
+        self.fleet.command(self.fleet.store, "/standin/fault?kind=none")
+        # A quarantine of another request shows when the routers have read the records.
+        other = "00000000000000aa"
+        self.fleet.command(self.fleet.store, f"/standin/put?topic={CRASH_TOPIC}&key=quarantined/{other}",
+                           json.dumps({"request": other, "targets": [1, 2, 3], "cleared": False}))
+        self.restart(self.fleet.routers)
+        for router in range(ROUTERS):
+            self.fleet.wait_until("it has read the records", lambda it=router: other in self.quarantined(it))
+        time.sleep(1)
+        self.assertEqual([self.quarantined(it) for it in range(ROUTERS)], [[other]] * ROUTERS, f"answered {status}")
+        self.assertEqual(call(control, "DELETE", path)[0], 200, "a release can be repeated")
+
+    def stored(self):
+        return call(self.fleet.store, "GET", f"/sagechute/log-newest?topic={CRASH_TOPIC}&part=0")[2]
+
     def quarantined(self, router):
         status, _, body = call(self.fleet.routers[router]["control"], "GET", "/v1/quarantine")
         self.assertEqual(status, 200)
