Decode the load that targets report with their answers

X-Sagechute-Instance-Load was ignored, so a router learned of a full application only by its rejections. TargetSignals now carries the running and waiting requests, the slots and, if reported, the pace of the target's VM; values that are malformed or out of bounds are ignored. A rejection for lack of slots is told from other rejections and named in the request's log line.

--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -228,15 +228,31 @@
     Progress progress = Progress::NotRun;
 };
 
+/// Load of a target as of when it sent an answer.
+struct InstanceLoad {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0; ///< Not 0.
+    /// How long work takes on the target's VM, in per cent of the usual time; not 0. Absent: not reported.
+    std::optional<std::uint32_t> pacePercent;
+
+    /// @return whether a request has to wait for another one to end.
+    bool isFull() const { return running >= slots; }
+
+    bool operator==(const InstanceLoad&) const = default;
+};
+
 /// Target state that an answer carries in addition to its result, whichever request it answers.
 struct TargetSignals {
     bool isDraining = false; ///< The target is about to leave: it finishes running requests and takes no new ones.
     std::optional<Duration> backoff; ///< The target wants no request from this router for this time.
+    std::optional<InstanceLoad> load;
+    bool isRejectedAsFull = false; ///< The request was not run because all slots are in use.
 
-    bool any() const { return isDraining || backoff; }
+    bool any() const { return isDraining || backoff || load; }
 };
 
-/// @return "+draining" and "+backoff:MILLISECONDS", each if it is set.
+/// @return "+draining", "+backoff:MILLISECONDS" and "+full:RUNNING/WAITING/SLOTS", each if it is set.
 std::string toString(const TargetSignals&);
 
 /// Identifies a placed attempt until it ends.
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -35,6 +35,9 @@
     if (signals.backoff)
         text += "+backoff:"
             + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*signals.backoff).count());
+    if (signals.isRejectedAsFull && signals.load)
+        text += "+full:" + std::to_string(signals.load->running) + "/" + std::to_string(signals.load->waiting) + "/"
+            + std::to_string(signals.load->slots);
     return text;
 }
 
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -322,6 +322,39 @@
     CHECK_FALSE(signalsOf(429, { { "Retry-After", "3" } }).backoff);
 }
 
+// Guards against a reading made of a malformed header: a wrong load would draw requests to a full target.
+TEST_CASE("the load header is decoded with and without a pace, and ignored if it is malformed")
+{
+    const auto protocol = platform::makeTargetProtocol();
+    const auto loadOf = [&](const char* text) {
+        return protocol->decodeHead(200, { { "x-sagechute-instance-load", text } }).signals.load;
+    };
+    CHECK(loadOf("6,2,6") == dispatch::InstanceLoad { 6, 2, 6, {} });
+    CHECK(loadOf("0,0,64,250") == dispatch::InstanceLoad { 0, 0, 64, 250 });
+    for (const char* text : { "", ",", "6", "6,2", "6,2,", "6,2,6,", "6,2,6,100,", "6,2,6,100,1", "6,2,0", "6,2,6,0",
+             "6,2,6,10001", "-1,2,6", "6,2,6,1.5", "6, 2,6", "6,2,6 ", "99999999999,0,6", "1000001,0,6", "a,b,c" })
+        CHECK_FALSE(loadOf(text));
+    CHECK_FALSE(protocol->decodeHead(421, { { "X-Sagechute-Instance-Load", "6,2,6" } }).signals.any());
+}
+
+// Guards against counting a refusal for another reason as one for lack of slots.
+TEST_CASE("a rejection for lack of slots is told from other answers")
+{
+    const auto protocol = platform::makeTargetProtocol();
+    const auto signalsOf = [&](int status, const char* load, bool hasRun) {
+        std::vector<net::Field> fields { { "X-Sagechute-Instance-Load", load } };
+        if (!hasRun)
+            fields.push_back({ "X-Sagechute-Not-Executed", "1" });
+        return protocol->decodeHead(status, fields).signals;
+    };
+    CHECK(signalsOf(503, "6,4,6", false).isRejectedAsFull);
+    CHECK(dispatch::toString(signalsOf(503, "6,4,6", false)) == "+full:6/4/6");
+    CHECK_FALSE(signalsOf(503, "5,0,6", false).isRejectedAsFull);
+    CHECK_FALSE(signalsOf(503, "6,4,6", true).isRejectedAsFull);
+    CHECK_FALSE(signalsOf(200, "6,4,6", true).isRejectedAsFull);
+    CHECK(dispatch::toString(signalsOf(200, "6,4,6", true)).empty());
+}
+
 TEST_CASE("a response from another target at the address carries no signals for the intended one")
 {
     const auto head
