Place requests of applications by the load that they report

LoadReadings keeps the newest reading of each target, weighted by its age and combined with the reported requests in flight. An application with a recent reading is drawn at random, in proportion to slots / pace and less often the fuller it is known to be; one that could not start the request in time is replaced by the one that answers first. Services without the header are placed as before, and their load reports have the same bytes.

The applications of the replay queue 8 requests.

--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -351,6 +351,12 @@
 using quarantine::TargetKey;
 TargetKey keyOf(const TargetIncarnation&);
 
+/// Load that a target reported to one router.
+struct ReportedReading {
+    InstanceLoad load;
+    Duration age {}; ///< When the load report was sent.
+};
+
 /// Prompts that were recently placed on a target.
 struct PlacedPrompts {
     std::map<std::uint64_t, std::uint32_t> shared; ///< Prefixes that others may share, with PrefixKey::tokens.
@@ -369,12 +375,15 @@
     std::map<TargetKey, PlacedPrompts> placed; ///< Since the report before the last; each placement is sent twice.
     std::set<quarantine::CrashRecord> crashes; ///< Of requests; see quarantine::CrashGuard::recordsToSend().
     std::set<quarantine::CrashRecord> partCrashes; ///< See quarantine::PartGuard::recordsToSend().
+    std::map<TargetKey, ReportedReading> readings; ///< Newest of each application.
 };
 
 /// Adds the report of another router, or an aggregate of several.
-void add(LoadReport& sum, const LoadReport&);
+/// @param delay time since the report was received, by which its readings are older.
+void add(LoadReport& sum, const LoadReport&, Duration delay = Duration::zero());
 
-/// Removes one router's contribution from an aggregate made by add(), except for prompts, which are reported once.
+/// Removes one router's contribution from an aggregate made by add(), except for prompts, which are reported once, and
+/// readings, which are the same for all routers.
 void subtract(LoadReport& sum, const LoadReport&);
 
 /// @return the report as a compact binary record.
@@ -410,6 +419,13 @@
 /// @return the next step; never one by which a request of kind Once could run twice.
 NextStep nextStep(const AttemptFacts&);
 
+/// Newest load reading of a target.
+struct TargetReading {
+    TargetIncarnation target;
+    InstanceLoad load;
+    Duration age {};
+};
+
 /// Places the requests of one router. Not thread-safe.
 class Dispatcher {
 public:
@@ -435,6 +451,12 @@
     /// @return whether the target was not already in a pause.
     virtual bool backOff(TimePoint now, const TargetIncarnation&, Duration) = 0;
 
+    /// A target reported its load. Has no effect on services whose targets don't report theirs.
+    virtual void observeLoad(TimePoint now, const TargetIncarnation&, const InstanceLoad&) = 0;
+
+    /// @return the newest reading of each target that has one.
+    virtual std::vector<TargetReading> loadReadings(TimePoint now) const = 0;
+
     /// Replaces the set of evacuated availability zones. Their targets get no new request; requests that run there end
     /// normally.
     virtual void setEvacuatedZones(TimePoint now, const std::set<ZoneId>&) = 0;
--- a/src/dispatch/LoadReport.cpp
+++ b/src/dispatch/LoadReport.cpp
@@ -23,6 +23,11 @@
     constexpr std::size_t crashesIndex = std::tuple_size_v<Record>;
     constexpr std::size_t partCrashesIndex = crashesIndex + 1;
 
+    /// Key, running, waiting, slots, pace in per cent (0: not reported) and age in ms. Sent only if there are any,
+    /// which leaves the reports of fleets without readings as they were.
+    using ReadingRow = std::tuple<TargetKey, std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t>;
+    constexpr std::size_t readingsIndex = partCrashesIndex + 1;
+
     using WireAge = std::chrono::duration<std::uint32_t, std::milli>;
 
     absl::Status malformedReport()
@@ -42,7 +47,7 @@
     return static_cast<TargetKey>(stableHash(incarnation.id.value, incarnation.startedAtMs));
 }
 
-void add(LoadReport& sum, const LoadReport& part)
+void add(LoadReport& sum, const LoadReport& part, Duration delay)
 {
     sum.age = std::max(sum.age, part.age);
     for (const auto& [key, use] : part.targets) {
@@ -64,6 +69,11 @@
     }
     sum.crashes.insert(part.crashes.begin(), part.crashes.end());
     sum.partCrashes.insert(part.partCrashes.begin(), part.partCrashes.end());
+    for (const auto& [key, reading] : part.readings) {
+        const auto [it, isNew] = sum.readings.try_emplace(key, reading.load, reading.age + delay);
+        if (!isNew && reading.age + delay < it->second.age)
+            it->second = { reading.load, reading.age + delay };
+    }
 }
 
 void subtract(LoadReport& sum, const LoadReport& part)
@@ -90,7 +100,8 @@
 {
     msgpack::sbuffer bytes;
     msgpack::packer<msgpack::sbuffer> out(bytes);
-    out.pack_array(partCrashesIndex + 1);
+    const bool hasReadings = !report.readings.empty();
+    out.pack_array(readingsIndex + (hasReadings ? 1 : 0));
     out.pack(report.serial);
     out.pack(std::chrono::duration_cast<WireAge>(report.age).count());
     out.pack_array(static_cast<std::uint32_t>(report.targets.size()));
@@ -109,6 +120,11 @@
     out.pack_array(static_cast<std::uint32_t>(report.partCrashes.size()));
     for (const quarantine::CrashRecord& it : report.partCrashes)
         out.pack(PartCrashRow { it.subject, it.target, it.isCleared, it.isConfirmed, it.isRepeated });
+    if (hasReadings)
+        out.pack_array(static_cast<std::uint32_t>(report.readings.size()));
+    for (const auto& [key, it] : report.readings)
+        out.pack(ReadingRow { key, it.load.running, it.load.waiting, it.load.slots, it.load.pacePercent.value_or(0),
+            std::chrono::duration_cast<WireAge>(it.age).count() });
     return { bytes.data(), bytes.size() };
 }
 
@@ -141,6 +157,15 @@
                 handle->via.array.ptr[partCrashesIndex].as<std::vector<PartCrashRow>>())
                 report.partCrashes.insert({ part, target, isCleared, isConfirmed, isRepeated });
         }
+        if (handle->via.array.size > readingsIndex) {
+            for (const auto& [target, running, waiting, slots, pace, age] :
+                handle->via.array.ptr[readingsIndex].as<std::vector<ReadingRow>>()) {
+                if (slots == 0)
+                    return malformedReport();
+                report.readings[target]
+                    = { { running, waiting, slots, pace ? std::optional(pace) : std::nullopt }, WireAge(age) };
+            }
+        }
         return report;
     } catch (const msgpack::unpack_error&) {
         return malformedReport();
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace sagechute::dispatch {
 
@@ -68,6 +69,8 @@
     /// A quarantine lasts until an operator ends it.
     constexpr Duration quarantinedRetryAfter = std::chrono::hours(1);
 
+    Duration fromMs(double ms) { return std::chrono::duration_cast<Duration>(Milliseconds(ms)); }
+
     double tokensOf(const PromptSize& prompt)
     {
         return prompt.inputTokens + outputTokenWeight * prompt.maxOutputTokens;
@@ -278,6 +281,9 @@
     // The second pass includes targets that were tried or are avoided, as a doubtful target is better than none.
     for (const bool isFirstPass : { true, false }) {
         const std::vector<TargetModel*> usable = usableTargets(now, request, isFirstPass);
+        best = chooseByReadings(now, request, usable);
+        if (best)
+            break;
         const HomeOrder homeOrder(usable, prefixes);
         for (TargetModel* model : usable) {
             const std::optional<unsigned> homeRank = homeOrder.rankOf(*model);
@@ -294,6 +300,54 @@
     return best;
 }
 
+std::optional<LocalDispatcher::Candidate> LocalDispatcher::chooseByReadings(
+    TimePoint now, const PlacementRequest& request, const std::vector<TargetModel*>& usable)
+{
+    const bool hasReadings = std::any_of(
+        usable.begin(), usable.end(), [&](const TargetModel* it) { return it->hasReadingsForSelection(now); });
+    if (!hasReadings)
+        return std::nullopt;
+    std::vector<LoadEstimate> estimates;
+    estimates.reserve(usable.size());
+    double occupancy = 0;
+    double slots = 0;
+    for (const TargetModel* it : usable) {
+        estimates.push_back(it->estimateLoad(now));
+        occupancy += estimates.back().occupancy;
+        slots += estimates.back().slots;
+    }
+    std::vector<double> extraMs;
+    extraMs.reserve(usable.size());
+    for (const TargetModel* it : usable)
+        extraMs.push_back(
+            failureCostMs * it->failureRate() + (it->target().zone != m_ownZone ? zoneCostMs(request) : 0));
+    const double leastExtraMs = *std::min_element(extraMs.begin(), extraMs.end());
+    std::vector<double> weights;
+    weights.reserve(usable.size());
+    std::size_t first = 0;
+    const auto delayOf = [&](std::size_t i) { return usable[i]->predictAnswerDelay(estimates[i]); };
+    for (std::size_t i = 0; i < usable.size(); ++i) {
+        weights.push_back(selectionWeight(
+            estimates[i], fromMs(usable[i]->speed().answerMs), fromMs(extraMs[i] - leastExtraMs), occupancy / slots));
+        if (delayOf(i) < delayOf(first))
+            first = i;
+    }
+    const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+    double point = m_random.fraction() * sum;
+    std::size_t i = 0;
+    for (; i + 1 < weights.size() && point >= weights[i]; ++i)
+        point -= weights[i];
+    // Rather than refused for a target that can't start it in time, a request goes to the one that answers first.
+    const Duration goal = request.route->goal;
+    const Duration ownDelay = usable[i]->ownDelay(now, 0);
+    const Duration allowed = std::max(goal - ownDelay, fromMs(minWaitGoalFraction * Milliseconds(goal).count()));
+    if (goal > Duration::zero() && delayOf(i) - ownDelay > allowed)
+        i = first;
+    Candidate candidate { usable[i] };
+    candidate.predictedFirstEventDelay = delayOf(i);
+    return candidate;
+}
+
 std::vector<TargetModel*> LocalDispatcher::usableTargets(
     TimePoint now, const PlacementRequest& request, bool isFirstPass) const
 {
@@ -332,7 +386,7 @@
         candidate.prefillTokens = unshared + static_cast<std::uint32_t>((1 - assumedCachedFraction) * shared);
     }
     const TargetLoad inFlight = model.totalLoad(now);
-    candidate.predictedFirstEventDelay = model.predictFirstEventDelay(inFlight, candidate.prefillTokens);
+    candidate.predictedFirstEventDelay = model.predictFirstEventDelay(now, inFlight, candidate.prefillTokens);
     double cost = Milliseconds(candidate.predictedFirstEventDelay).count();
     cost += (m_settings.prefillWeight - 1) * candidate.prefillTokens / m_settings.prefillTokensPerMs;
     cost += failureCostMs * model.failureRate();
@@ -404,7 +458,7 @@
         return refuse(RefusalReason::OverShare, noTargetRetryAfter, admission);
     // The wait leaves the request's own time out: an application that paused would seem too slow for any request, and
     // without requests that estimate would never change.
-    const Duration ownDelay = best.model->ownDelay(best.prefillTokens);
+    const Duration ownDelay = best.model->ownDelay(now, best.prefillTokens);
     admission.wait = best.predictedFirstEventDelay - ownDelay;
     const double tokens = tokensOf(request.prompt);
     SizeBalance& sizes = m_sizeBalances[{ request.route->name, share > 1 }];
@@ -423,7 +477,7 @@
     TimePoint now, const PlacementRequest& request, AttemptKind kind, Candidate& best)
 {
     Admission& admission = best.admission;
-    admission.wait = best.predictedFirstEventDelay - best.model->ownDelay(best.prefillTokens);
+    admission.wait = best.predictedFirstEventDelay - best.model->ownDelay(now, best.prefillTokens);
     // A begun answer that goes on late is better than one that is cut. With a hedge it may go on without.
     const bool isHedge = kind == AttemptKind::Hedge;
     const bool isCutOtherwise = request.progress == Progress::Begun && !isHedge;
@@ -509,6 +563,22 @@
     return m_backoffs.recordBackoff(now, incarnation, pause);
 }
 
+void LocalDispatcher::observeLoad(TimePoint now, const TargetIncarnation& incarnation, const InstanceLoad& load)
+{
+    if (TargetModel* model = find(incarnation))
+        model->observeLoad(now, load);
+}
+
+std::vector<TargetReading> LocalDispatcher::loadReadings(TimePoint now) const
+{
+    std::vector<TargetReading> readings;
+    for (const auto& [incarnation, model] : m_targets) {
+        if (const std::optional<InstanceLoad>& load = model->readings().load())
+            readings.push_back({ incarnation, *load, now - model->readings().takenAt() });
+    }
+    return readings;
+}
+
 void LocalDispatcher::setEvacuatedZones(TimePoint, const std::set<ZoneId>& zones) { m_evacuatedZones = zones; }
 
 void LocalDispatcher::setRouters(TimePoint, const std::vector<VmId>&) { }
@@ -620,6 +690,8 @@
     for (const auto& [incarnation, model] : m_targets) {
         if (model->localLoad().active)
             report.targets[model->key()] = model->localLoad();
+        if (const std::optional<ReportedReading> reading = model->readingToReport(now))
+            report.readings[model->key()] = *reading;
     }
     report.customers = m_shares.localUsage(now);
     const std::vector<quarantine::CrashRecord> crashes = m_crashes.recordsToSend();
@@ -644,9 +716,11 @@
 {
     for (auto& [incarnation, model] : m_targets) {
         const auto use = report.targets.find(model->key());
-        model->setPeerLoad(now, peer, use == report.targets.end() ? TargetLoad {} : use->second);
+        model->setPeerLoad(now, peer, use == report.targets.end() ? TargetLoad {} : use->second, report.age);
         if (const auto placed = report.placed.find(model->key()); placed != report.placed.end())
             model->recordPeerPlacements(placed->second);
+        if (const auto reading = report.readings.find(model->key()); reading != report.readings.end())
+            model->observePeerReading(now - reading->second.age, reading->second.load);
     }
     m_shares.setPeerUsage(now, peer, report.customers, report.age);
     m_crashes.learn(now, report.crashes);
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -24,6 +24,8 @@
     void firstAnswer(TimePoint now, AttemptId) override;
     void ended(TimePoint now, AttemptId, AttemptEnd) override;
     bool backOff(TimePoint now, const TargetIncarnation&, Duration) override;
+    void observeLoad(TimePoint now, const TargetIncarnation&, const InstanceLoad&) override;
+    std::vector<TargetReading> loadReadings(TimePoint now) const override;
     void setEvacuatedZones(TimePoint now, const std::set<ZoneId>&) override;
     void setRouters(TimePoint now, const std::vector<VmId>& heard) override;
     bool maySend(TimePoint now, const TargetIncarnation&) const override;
@@ -75,6 +77,11 @@
         std::optional<unsigned> homeRank, double sampleProbability);
     std::optional<Candidate> choose(
         TimePoint now, const PlacementRequest&, const std::vector<PrefixKey>&, bool isHedge);
+
+    /// Chooses at random by selectionWeight(), for services whose targets report their load.
+    /// @return absent if no usable target of an application has a recent reading.
+    std::optional<Candidate> chooseByReadings(
+        TimePoint now, const PlacementRequest&, const std::vector<TargetModel*>& usable);
     Candidate score(TimePoint now, TargetModel&, const PlacementRequest&, const std::vector<PrefixKey>&,
         std::optional<unsigned> homeRank) const;
     /// Admits or refuses the request and fills in the candidate's admission.
--- a/src/dispatch/TargetModel.cpp
+++ b/src/dispatch/TargetModel.cpp
@@ -32,6 +32,9 @@
     constexpr int overdueFactor = 2;
     constexpr Duration overdueMargin = std::chrono::milliseconds(700);
 
+    /// Older readings aren't reported to other routers; their pace has lost two thirds of its weight.
+    constexpr Duration maxReportedReadingAge = std::chrono::milliseconds(500);
+
     Duration fromMs(double ms) { return Duration(static_cast<Duration::rep>(ms * 1000)); }
 
 } // namespace
@@ -79,20 +82,23 @@
     return prompt.inputTokens > cached ? prompt.inputTokens - cached : 0;
 }
 
-Duration TargetModel::prefillTime(std::uint32_t tokens) const
+Duration TargetModel::prefillTime(TimePoint now, std::uint32_t tokens) const
 {
-    return m_engine ? fromMs(tokens / m_settings.prefillTokensPerMs * m_speed.slowness) : Duration::zero();
+    if (!m_engine)
+        return Duration::zero();
+    return fromMs(tokens / m_settings.prefillTokensPerMs * m_speed.slowness * m_readings.enginePace(now));
 }
 
-Duration TargetModel::ownDelay(std::uint32_t prefillTokens) const
+Duration TargetModel::ownDelay(TimePoint now, std::uint32_t prefillTokens) const
 {
-    return m_engine ? prefillTime(prefillTokens) : fromMs(m_speed.answerMs);
+    return m_engine ? prefillTime(now, prefillTokens) : fromMs(m_speed.answerMs * m_readings.pace(now));
 }
 
-Duration TargetModel::predictFirstEventDelay(const TargetLoad& inFlight, std::uint32_t prefillTokens) const
+Duration TargetModel::predictFirstEventDelay(
+    TimePoint now, const TargetLoad& inFlight, std::uint32_t prefillTokens) const
 {
     if (m_engine) {
-        return m_settings.firstEventOverhead + prefillTime(inFlight.prefillTokens + prefillTokens);
+        return m_settings.firstEventOverhead + prefillTime(now, inFlight.prefillTokens + prefillTokens);
     }
     const double slots = std::max(1U, m_target.slots);
     const double queued = std::max(0.0, inFlight.active + 1 - slots);
@@ -122,6 +128,7 @@
     m_firstEventDeadlines.emplace(now, now + overdueFactor * predictedFirstEventDelay + overdueMargin);
     m_localLoad.prefillTokens += prefillTokens;
     m_localLoad.active += 1;
+    m_readings.placed();
     m_localLoad.reservedTokens += reservedTokens;
     m_prefixCache.touch(prefixes);
     // After a failure a single request probes the target; others avoid it until the probe has ended.
@@ -173,7 +180,7 @@
                 = now + m_settings.avoidAfterFailure * (1 << std::min(m_consecutiveFailures - 1, maxAvoidDoublings));
     }
     if (isAnswer && !m_engine)
-        m_speed.answerMs += learningRate * (Milliseconds(elapsed).count() - m_speed.answerMs);
+        m_speed.answerMs += learningRate * (Milliseconds(elapsed).count() / m_readings.pace(now) - m_speed.answerMs);
 }
 
 void TargetModel::recordPeerPlacements(const PlacedPrompts& placed)
@@ -184,14 +191,55 @@
         m_prefixCache.touch({ { key, tokens } });
 }
 
-void TargetModel::setPeerLoad(TimePoint now, const VmId& peer, const TargetLoad& load)
+void TargetModel::observeLoad(TimePoint now, const InstanceLoad& load)
+{
+    m_ownReading = load;
+    m_ownReadingAt = now;
+    m_readings.observe(now, load);
+}
+
+void TargetModel::observePeerReading(TimePoint takenAt, const InstanceLoad& load)
+{
+    if (!m_engine)
+        m_readings.observe(takenAt, load);
+}
+
+std::optional<ReportedReading> TargetModel::readingToReport(TimePoint now) const
+{
+    if (m_engine || !m_ownReading || now - m_ownReadingAt > maxReportedReadingAge)
+        return std::nullopt;
+    return ReportedReading { *m_ownReading, now - m_ownReadingAt };
+}
+
+LoadEstimate TargetModel::estimateLoad(TimePoint now) const
+{
+    ReportedOccupancy reported { static_cast<double>(totalLoad(now).active), std::nullopt };
+    // A router without peers knows all requests.
+    if (m_peers.empty())
+        reported.age = Duration::zero();
+    for (const PeerLoad& it : m_peers) {
+        const Duration age = now - it.at + it.age;
+        if (now - it.at <= m_settings.peerReportTtl)
+            reported.age = std::max(reported.age.value_or(age), age);
+    }
+    return m_readings.estimate(now, reported, m_target.slots);
+}
+
+Duration TargetModel::predictAnswerDelay(const LoadEstimate& estimate) const
+{
+    // An old queue has changed: counted in full, routers would all turn from a slow target to the others at once.
+    const double queued = estimate.confidence * std::max(0.0, estimate.occupancy + 1 - estimate.slots);
+    return fromMs(m_speed.answerMs * estimate.pace * (1 + queued / estimate.slots));
+}
+
+void TargetModel::setPeerLoad(TimePoint now, const VmId& peer, const TargetLoad& load, Duration age)
 {
     const auto it
         = std::find_if(m_peers.begin(), m_peers.end(), [&](const PeerLoad& part) { return part.peer == peer; });
     if (it == m_peers.end())
-        m_peers.push_back({ peer, load, now });
+        m_peers.push_back({ peer, load, now, age });
     else
-        *it = { peer, load, now };
+        *it = { peer, load, now, age };
 }
 
 } // namespace sagechute::dispatch
--- a/src/dispatch/TargetModel.h
+++ b/src/dispatch/TargetModel.h
@@ -3,6 +3,7 @@
 /// @file
 /// Model of one target: its load, speed, prefix cache and reachability.
 
+#include "dispatch/LoadReadings.h"
 #include "dispatch/PrefixMemory.h"
 
 namespace sagechute::dispatch {
@@ -35,15 +36,15 @@
     std::uint32_t prefillTokens(const PromptSize&, const std::vector<PrefixKey>&) const;
 
     /// @return time to prefill the tokens.
-    Duration prefillTime(std::uint32_t tokens) const;
+    Duration prefillTime(TimePoint now, std::uint32_t tokens) const;
 
     /// @return the part of predictFirstEventDelay() that isn't queueing: the time to prefill the tokens or, for an
     /// application, to answer.
-    Duration ownDelay(std::uint32_t prefillTokens) const;
+    Duration ownDelay(TimePoint now, std::uint32_t prefillTokens) const;
 
     /// @param inFlight see totalLoad(); computed once per request and target.
     /// @return predicted delay of the first event or, for an application, of the whole answer.
-    Duration predictFirstEventDelay(const TargetLoad& inFlight, std::uint32_t prefillTokens) const;
+    Duration predictFirstEventDelay(TimePoint now, const TargetLoad& inFlight, std::uint32_t prefillTokens) const;
 
     /// @return whether a request of this size fits beside those in flight without preempting one.
     bool hasRoom(const TargetLoad& inFlight, std::uint32_t reservedTokens) const;
@@ -71,7 +72,27 @@
     /// Updates failure rate, avoidance and speed after a request. @param elapsed time since its placement.
     void recordOutcome(TimePoint now, AttemptEnd, Duration elapsed);
 
-    void setPeerLoad(TimePoint now, const VmId& peer, const TargetLoad&);
+    /// @param age of the report when it was sent.
+    void setPeerLoad(TimePoint now, const VmId& peer, const TargetLoad&, Duration age);
+
+    /// The target reported its load to this router.
+    void observeLoad(TimePoint now, const InstanceLoad&);
+
+    /// The target reported its load to another router. Has no effect on engines.
+    void observePeerReading(TimePoint takenAt, const InstanceLoad&);
+
+    /// @return the newest reading of an application by this router, for the others; absent if it is too old.
+    std::optional<ReportedReading> readingToReport(TimePoint now) const;
+    const LoadReadings& readings() const { return m_readings; }
+
+    /// @return whether it is an application with a recent reading.
+    bool hasReadingsForSelection(TimePoint now) const { return !m_engine && m_readings.isUsable(now); }
+
+    /// @return the application's state from its reading and the load reports.
+    LoadEstimate estimateLoad(TimePoint now) const;
+
+    /// @return predicted delay of an application's answer.
+    Duration predictAnswerDelay(const LoadEstimate&) const;
     void recordPeerPlacements(const PlacedPrompts&);
     const TargetLoad& localLoad() const { return m_localLoad; }
 
@@ -80,6 +101,7 @@
         VmId peer;
         TargetLoad load;
         TimePoint at;
+        Duration age {}; ///< When it was sent.
     };
 
     void setService(const Service*);
@@ -90,6 +112,9 @@
     std::optional<EngineProfile> m_engine;
     TargetLoad m_localLoad;
     std::vector<PeerLoad> m_peers;
+    LoadReadings m_readings;
+    std::optional<InstanceLoad> m_ownReading;
+    TimePoint m_ownReadingAt {};
     PrefixMemory m_prefixCache;
     TargetSpeed m_speed;
     double m_failureRate = 0;
--- a/src/edge/ReportPlan.cpp
+++ b/src/edge/ReportPlan.cpp
@@ -84,7 +84,7 @@
 void LoadReportAggregator::addReport(TimePoint now, dispatch::LoadReport& sum, const TimedReport& timedReport)
 {
     const Duration age = timedReport.report.age + (now - timedReport.at);
-    add(sum, timedReport.report);
+    add(sum, timedReport.report, now - timedReport.at);
     sum.age = std::max(sum.age, age);
 }
 
--- a/tests/DispatchReplayTest.cpp
+++ b/tests/DispatchReplayTest.cpp
@@ -31,6 +31,22 @@
     return it;
 }
 
+/// @return four applications of six slots behind many routers, with demand that rises to 0.9 of what they can do.
+LoadPattern smallService(unsigned routers, unsigned slowApplications)
+{
+    LoadPattern pattern;
+    pattern.routers = routers;
+    pattern.isRelayed = routers > 12;
+    pattern.engines = 0;
+    pattern.applications = 4;
+    pattern.goal = std::chrono::milliseconds(150);
+    pattern.slowApplications = slowApplications;
+    const double speeds = pattern.applications - slowApplications * (1 - 100.0 / pattern.slowPacePercent);
+    const double perSlot = 1 / std::chrono::duration<double>(pattern.work).count();
+    pattern.requestsPerSecond = 0.9 * speeds * pattern.applicationSlots * perSlot;
+    return pattern;
+}
+
 } // namespace
 
 TEST_CASE("a normal load is served on time")
@@ -208,3 +224,34 @@
     CHECK(retrying.onTimeShare() < waiting.onTimeShare() + 0.05);
     CHECK(retrying.late < retrying.requested / 5);
 }
+
+// Guards against routers that all send to the application that was idle in the last reports: with 81 routers a third of
+// the requests were rejected as full at a third of the load. Load pattern: waves up to 0.9 of the capacity, at an even
+// pace and with one application, a sixth rounded up, slow by a factor of 2.5, another one every 600 ms.
+TEST_CASE("few requests are rejected as full by a small service behind many routers")
+{
+    const unsigned routers = GENERATE(6U, 67U, 81U);
+    const unsigned slow = GENERATE(0U, 1U);
+    LoadPattern pattern = smallService(routers, slow);
+    const std::string name = std::to_string(routers) + " routers, slow " + std::to_string(slow);
+    const Outcome product = run(name.c_str(), pattern);
+    pattern.sendsLoad = false;
+    const Outcome withoutReadings = run((name + ", no readings").c_str(), pattern);
+    std::cout << "  rejected as full " << product.rejectedAsFull << ", without readings "
+              << withoutReadings.rejectedAsFull << "\n";
+    CHECK(product.rejectedAsFull * 50 < product.requested);
+    CHECK(product.onTime >= withoutReadings.onTime);
+}
+
+// Guards against all routers sending to the one application that they all hear of as quick. It can do 45 in 100 of what
+// the four can do together; the quick one of four may get somewhat more while others have no free slot, but not most.
+TEST_CASE("routers that all hear of one quick application leave requests to the slow ones")
+{
+    LoadPattern pattern = smallService(81, 3);
+    pattern.slowInterval = pattern.totalDuration;
+    const Outcome it = run("one quick application", pattern);
+    std::cout << "  rejected as full " << it.rejectedAsFull << ", sent to the quick one " << it.sentToBusiest << " of "
+              << it.sentToApplications << "\n";
+    CHECK(it.sentToBusiest * 10 < it.sentToApplications * 6);
+    CHECK(it.rejectedAsFull * 50 < it.requested);
+}
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -164,6 +164,8 @@
     report.targets[7] = { 1, 2, 3 };
     report.customers[{ "c" }] = { 10, 7 };
     report.placed[0xFFFF'FFFF] = { { { 0xFFFF'FFFF'FFFF'FFFF, 9 } }, 1'000'000'000'000 };
+    report.readings[7] = { { 6, 2, 6, 250 }, 45ms };
+    report.readings[8] = { { 1, 0, 6, {} }, 0ms };
     const auto read = decodeLoadReport(encode(report));
     REQUIRE(read.ok());
     CHECK(read->serial == 5);
@@ -171,6 +173,9 @@
     CHECK(read->targets.at(7).reservedTokens == 3);
     CHECK(read->customers.at({ "c" }).granted == 7);
     CHECK(read->placed == report.placed);
+    CHECK(read->readings.at(7).load == report.readings.at(7).load);
+    CHECK(read->readings.at(7).age == 45ms);
+    CHECK(read->readings.at(8).load == report.readings.at(8).load);
     CHECK_FALSE(decodeLoadReport(encode(report) + "x").ok());
     CHECK_FALSE(decodeLoadReport(encode(report).substr(1)).ok());
     CHECK_FALSE(decodeLoadReport("nonsense").ok());
@@ -182,6 +187,22 @@
     CHECK_FALSE(decodeLoadReport("\xDB\xFF\xFF\xFF\xFF").ok());
 }
 
+// Guards against a relay that passes on readings as newer than they are, or that replaces a newer one.
+TEST_CASE("the sum of load reports has the newest reading of each target, older by the delay")
+{
+    LoadReport older;
+    older.readings[7] = { { 6, 2, 6, {} }, 50ms };
+    LoadReport newer;
+    newer.readings[7] = { { 1, 0, 6, {} }, 10ms };
+    LoadReport sum;
+    add(sum, older);
+    add(sum, newer, 20ms);
+    CHECK(sum.readings.at(7).load.running == 1);
+    CHECK(sum.readings.at(7).age == 30ms);
+    add(sum, newer, 40ms);
+    CHECK(sum.readings.at(7).age == 30ms);
+}
+
 TEST_CASE("any bytes are either a load report or an error")
 {
     rc::prop("decodeLoadReport() neither throws nor crashes", [](const std::string& bytes) {
--- a/tests/DispatchWorld.cpp
+++ b/tests/DispatchWorld.cpp
@@ -1,5 +1,8 @@
 #include "DispatchWorld.h"
 
+#include <cmath>
+#include <numbers>
+
 namespace sagechute::dispatch {
 
 namespace {
@@ -8,6 +11,8 @@
 
     constexpr TimePoint start { 1000s };
     constexpr Duration stepDuration = 5ms;
+    constexpr Duration applicationStep = 1ms;
+    constexpr Duration wavePeriod = 2s;
     constexpr Duration reportInterval = 60ms;
     constexpr Duration firstEventOverhead = 55ms;
     constexpr Duration streamTime = 800ms;
@@ -43,12 +48,16 @@
     sum.smallKindRefused += other.smallKindRefused;
     sum.requestedAfterRestart += other.requestedAfterRestart;
     sum.onTimeAfterRestart += other.onTimeAfterRestart;
+    sum.rejectedAsFull += other.rejectedAsFull;
+    sum.sentToApplications += other.sentToApplications;
+    sum.sentToBusiest += other.sentToBusiest;
 }
 
 DispatchWorld::DispatchWorld(const LoadPattern& pattern, const Policy& policy, std::uint64_t seed)
     : m_pattern(pattern)
     , m_policy(policy)
     , m_random(seed)
+    , m_arrivalRandom(seed)
 {
     FleetConfig config;
     config.version = 1;
@@ -64,6 +73,7 @@
     small.name = "small";
     small.goal = pattern.smallGoal;
     config.routes = { route, small };
+    config.services.push_back({ { "app" } });
     m_table = RoutingTable::make(config);
     for (unsigned i = 0; i < pattern.engines; ++i) {
         const TargetId id { "e" + std::to_string(i) };
@@ -71,6 +81,11 @@
         m_engines[id].id = id;
         m_engines[id].prefixCache.setCapacity(pattern.engineMemory);
     }
+    for (unsigned i = 0; i < pattern.applications; ++i) {
+        const TargetId id { "a" + std::to_string(i) };
+        m_targets.push_back({ id, { "app" }, "127.0.0.1:2", { "z" }, pattern.applicationSlots, false });
+        m_applications[id].incarnation = m_targets.back().incarnation();
+    }
     makeRouters(start, Duration::zero());
 }
 
@@ -90,7 +105,8 @@
         m_routers.push_back(Dispatcher::make(settings, { "z" }, m_random.below(1U << 31)));
         m_routers.back()->setConfig(m_table);
         m_routers.back()->setTargets(now, m_targets);
-        m_routers.back()->setRouterCount(m_pattern.isRelayed ? largeFleet : m_pattern.routers);
+        m_routers.back()->setRouterCount(
+            m_pattern.isRelayed && !m_pattern.applications ? largeFleet : m_pattern.routers);
     }
 }
 
@@ -137,14 +153,39 @@
     return request;
 }
 
+unsigned DispatchWorld::arrivals(TimePoint now, Duration step)
+{
+    const double seconds = std::chrono::duration<double>(step).count();
+    if (m_pattern.applications) {
+        const double phase = std::chrono::duration<double>(now - start) / std::chrono::duration<double>(wavePeriod);
+        const double wave = 2.0 / 3 - std::cos(phase * 2 * std::numbers::pi) / 3;
+        unsigned n = 0;
+        // Exponential gaps between arrivals, in units of expected requests.
+        for (m_pendingRequests += m_pattern.requestsPerSecond * wave * seconds; m_pendingRequests > 0; ++n)
+            m_pendingRequests += std::log(1 - m_arrivalRandom.fraction());
+        return n;
+    }
+    const bool isBurst = now >= start + 2s && now < start + 4s;
+    m_pendingRequests += m_pattern.requestsPerSecond * (isBurst ? m_pattern.burst : 1) * seconds;
+    unsigned n = 0;
+    for (; m_pendingRequests >= 1; m_pendingRequests -= 1)
+        ++n;
+    return n;
+}
+
 Outcome DispatchWorld::run()
 {
-    double pendingRequests = 0;
+    const Duration step = m_pattern.applications ? applicationStep : stepDuration;
     TimePoint nextReport = start;
-    for (TimePoint now = start; now < start + m_pattern.totalDuration; now += stepDuration) {
+    for (TimePoint now = start; now < start + m_pattern.totalDuration; now += step) {
+        changePaces(now);
         while (!m_events.empty() && m_events.begin()->first <= now) {
             const Event it = m_events.begin()->second;
             m_events.erase(m_events.begin());
+            if (it.application) {
+                endWork(now, it);
+                continue;
+            }
             if (it.isEnd)
                 m_routers[it.router]->ended(now, it.attempt, AttemptEnd::Answered);
             else
@@ -159,10 +200,7 @@
         }
         failEngines(now);
         restartRouters(now);
-        const bool isBurst = now >= start + 2s && now < start + 4s;
-        pendingRequests += m_pattern.requestsPerSecond * (isBurst ? m_pattern.burst : 1)
-            * std::chrono::duration<double>(stepDuration).count();
-        for (; pendingRequests >= 1; pendingRequests -= 1) {
+        for (unsigned n = arrivals(now, step); n; --n) {
             Request request = generateRequest(now);
             ++m_outcome.requested;
             m_outcome.largeRequested += request.isLarge ? 1 : 0;
@@ -176,9 +214,90 @@
             nextReport = now + reportInterval;
         }
     }
+    for (const auto& [id, application] : m_applications)
+        m_outcome.sentToBusiest = std::max(m_outcome.sentToBusiest, application.sent);
     return m_outcome;
 }
 
+void DispatchWorld::changePaces(TimePoint now)
+{
+    if (!m_pattern.slowApplications || now < m_nextPaceChange)
+        return;
+    m_nextPaceChange = now + m_pattern.slowInterval;
+    unsigned left = m_pattern.applications;
+    unsigned slowLeft = m_pattern.slowApplications;
+    for (auto& [id, application] : m_applications) {
+        const bool isSlow = m_arrivalRandom.below(left--) < slowLeft;
+        slowLeft -= isSlow ? 1 : 0;
+        application.pacePercent = isSlow ? m_pattern.slowPacePercent : 100;
+    }
+}
+
+void DispatchWorld::submitToApplication(TimePoint now, Request request)
+{
+    const unsigned router = chooseRouter(request);
+    Dispatcher& dispatcher = *m_routers[router];
+    PlacementRequest demand { { request.customer }, { "app" }, &routeOf(request), {}, 0, request.arrived, now + 12s,
+        {} };
+    for (unsigned i = 0; i < maxTries; ++i) {
+        const Decision decision = dispatcher.place(now, demand, i ? AttemptKind::RetryAfterSend : AttemptKind::First);
+        const auto* placement = std::get_if<Placement>(&decision);
+        if (!placement)
+            break;
+        Application& application = m_applications.at(placement->target.id);
+        ++application.sent;
+        ++m_outcome.sentToApplications;
+        const Application::Entry entry { router, placement->attempt, request.arrived };
+        if (application.running < m_pattern.applicationSlots) {
+            startWork(now, application, entry);
+            return;
+        }
+        if (application.waiting.size() < m_pattern.applicationQueue) {
+            application.waiting.push_back(entry);
+            return;
+        }
+        ++m_outcome.rejectedAsFull;
+        sendLoad(now, router, application);
+        dispatcher.ended(now, placement->attempt, AttemptEnd::NotRun);
+        demand.tried.insert(application.incarnation);
+    }
+    countRefused(request);
+}
+
+void DispatchWorld::startWork(TimePoint now, Application& application, const Application::Entry& entry)
+{
+    ++application.running;
+    const double factor = (0.5 + m_random.fraction()) * application.pacePercent / 100;
+    const TimePoint end = now + std::chrono::duration_cast<Duration>(factor * m_pattern.work);
+    Event event { {}, entry.router, entry.attempt, true, &application };
+    event.request.arrived = entry.arrived;
+    m_events.emplace(end, std::move(event));
+}
+
+void DispatchWorld::endWork(TimePoint now, const Event& event)
+{
+    Application& application = *event.application;
+    --application.running;
+    if (!application.waiting.empty()) {
+        startWork(now, application, application.waiting.front());
+        application.waiting.pop_front();
+    }
+    const bool isOnTime = now - event.request.arrived <= m_pattern.goal;
+    m_outcome.onTime += isOnTime ? 1 : 0;
+    m_outcome.late += isOnTime ? 0 : 1;
+    sendLoad(now, event.router, application);
+    m_routers[event.router]->firstAnswer(now, event.attempt);
+    m_routers[event.router]->ended(now, event.attempt, AttemptEnd::Answered);
+}
+
+void DispatchWorld::sendLoad(TimePoint now, unsigned router, const Application& application)
+{
+    if (m_pattern.sendsLoad)
+        m_routers[router]->observeLoad(now, application.incarnation,
+            { application.running, static_cast<std::uint32_t>(application.waiting.size()), m_pattern.applicationSlots,
+                application.pacePercent });
+}
+
 void DispatchWorld::failEngines(TimePoint now)
 {
     if (!m_pattern.failedEngines || now < start + 3s)
@@ -212,6 +331,10 @@
 
 void DispatchWorld::submit(TimePoint now, Request request)
 {
+    if (m_pattern.applications) {
+        submitToApplication(now, std::move(request));
+        return;
+    }
     const unsigned router = chooseRouter(request);
     m_usageTally.requested(secondOf(now), request.customer, tokensOf(request.prompt));
     PlacementRequest demand { { request.customer }, { "llm" }, &routeOf(request), request.prompt, 0, request.arrived,
@@ -292,10 +415,12 @@
     }
     LoadReport sum;
     for (const LoadReport& it : m_reportsInTransit.front())
-        add(sum, it);
+        add(sum, it, m_pattern.aggregateLag * reportInterval);
     for (std::size_t i = 0; i < m_routers.size(); ++i) {
         LoadReport others = sum;
         subtract(others, m_reportsInTransit.front()[i]);
+        if (m_pattern.applications)
+            others.age = m_pattern.aggregateLag * reportInterval;
         m_routers[i]->peerReported(now, aggregateOfOthers, others);
     }
     m_reportsInTransit.pop_front();
--- a/tests/DispatchWorld.h
+++ b/tests/DispatchWorld.h
@@ -48,6 +48,17 @@
     double smallKindFraction = 0;
     Duration smallGoal = std::chrono::milliseconds(250);
     std::uint32_t smallTokens = 800;
+
+    /// Application targets. If not 0, all requests are for them: they arrive at random with a rate that rises and falls
+    /// between a third of its maximum and requestsPerSecond.
+    unsigned applications = 0;
+    unsigned applicationSlots = 6;
+    unsigned applicationQueue = 8; ///< Requests that wait in a target; it rejects further ones as full.
+    Duration work = std::chrono::milliseconds(30); ///< Mean time of a request; between half and one and a half of it.
+    bool sendsLoad = true; ///< Applications report their load in each answer.
+    unsigned slowApplications = 0; ///< Number of applications that are slow, drawn anew in each slowInterval.
+    Duration slowInterval = std::chrono::milliseconds(600);
+    unsigned slowPacePercent = 250;
 };
 
 /// Placement and admission policy.
@@ -74,6 +85,9 @@
     unsigned smallKindRefused = 0;
     unsigned requestedAfterRestart = 0; ///< In the four seconds after the restart of all routers.
     unsigned onTimeAfterRestart = 0;
+    unsigned rejectedAsFull = 0; ///< Attempts that applications rejected.
+    unsigned sentToApplications = 0; ///< Attempts.
+    unsigned sentToBusiest = 0; ///< Of those, to the application that got most.
 
     double onTimeShareAfterRestart() const
     {
@@ -118,6 +132,20 @@
         bool hasFailed = false;
     };
 
+    struct Application {
+        struct Entry {
+            unsigned router = 0;
+            AttemptId attempt = 0;
+            TimePoint arrived;
+        };
+
+        TargetIncarnation incarnation;
+        unsigned running = 0;
+        std::deque<Entry> waiting;
+        unsigned pacePercent = 100;
+        unsigned sent = 0;
+    };
+
     struct Request {
         std::string customer;
         PromptSize prompt;
@@ -132,6 +160,7 @@
         unsigned router = 0;
         AttemptId attempt = 0;
         bool isEnd = false;
+        Application* application = nullptr; ///< Whose request ends; null: of an engine.
     };
 
     Request generateRequest(TimePoint now);
@@ -141,6 +170,13 @@
     bool areAggregatesLost(TimePoint now) const;
     void submit(TimePoint now, Request);
     void serve(TimePoint now, unsigned router, const Request&, const Placement&);
+    /// @return requests that arrive in one step.
+    unsigned arrivals(TimePoint now, Duration step);
+    void changePaces(TimePoint now);
+    void submitToApplication(TimePoint now, Request);
+    void startWork(TimePoint now, Application&, const Application::Entry&);
+    void endWork(TimePoint now, const Event&);
+    void sendLoad(TimePoint now, unsigned router, const Application&);
     void report(TimePoint now);
     void reportToAll(TimePoint now, const std::vector<LoadReport>&);
     void reportByRelay(TimePoint now, std::vector<LoadReport>);
@@ -152,10 +188,14 @@
     const LoadPattern m_pattern;
     const Policy m_policy;
     SeededRandom m_random;
+    SeededRandom m_arrivalRandom; ///< Of requests to applications and their paces, the same under every policy.
     std::shared_ptr<const RoutingTable> m_table;
     std::vector<Target> m_targets;
     std::vector<std::unique_ptr<Dispatcher>> m_routers;
     std::map<TargetId, Engine> m_engines;
+    std::map<TargetId, Application> m_applications;
+    TimePoint m_nextPaceChange {};
+    double m_pendingRequests = 0;
     std::multimap<TimePoint, Event> m_events;
     std::multimap<TimePoint, Request> m_retries;
     std::deque<std::vector<LoadReport>> m_reportsInTransit; ///< Reports whose aggregate has not been delivered yet.
