--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -238,17 +238,34 @@
     Progress progress = Progress::NotRun;
 };
 
+/// Load of a target as of when it sent an answer.
+struct InstanceLoad {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0; ///< Not 0.
+    /// How long work takes on the target's VM, in per cent of the usual time; not 0. Absent: not reported.
+    std::optional<std::uint32_t> pacePercent;
+
+    /// @return whether a request has to wait for another one to end.
+    bool isFull() const { return running >= slots; }
+
+    bool operator==(const InstanceLoad&) const = default;
+};
+
 /// Target state that an answer carries in addition to its result, whichever request it answers.
 struct TargetSignals {
     bool isDraining = false; ///< The target is about to leave: it finishes running requests and takes no new ones.
     std::optional<Duration> backoff; ///< The target wants no request from this router for this time.
     std::optional<Duration> coldLeft; ///< Remaining time for which the target is cold.
+    std::optional<InstanceLoad> load;
+    bool isRejectedAsFull = false; ///< The request was not run because all slots are in use.
 
     bool isCold() const { return coldLeft && *coldLeft > Duration::zero(); }
-    bool any() const { return isDraining || backoff || isCold(); }
+    bool any() const { return isDraining || backoff || isCold() || load; }
 };
 
-/// @return "+draining", "+backoff:MILLISECONDS" and "+cold:MILLISECONDS", each if it is set.
+/// @return "+draining", "+backoff:MILLISECONDS", "+cold:MILLISECONDS" and "+full:RUNNING/WAITING/SLOTS", each if it is
+///         set.
 std::string toString(const TargetSignals&);
 
 /// Identifies a placed attempt until it ends.
@@ -349,6 +366,12 @@
 using quarantine::TargetKey;
 TargetKey keyOf(const TargetIncarnation&);
 
+/// Load that a target reported to one router.
+struct ReportedReading {
+    InstanceLoad load;
+    Duration age {}; ///< When the load report was sent.
+};
+
 /// Prompts that were recently placed on a target.
 struct PlacedPrompts {
     std::map<std::uint64_t, std::uint32_t> shared; ///< Prefixes that others may share, with PrefixKey::tokens.
@@ -367,12 +390,15 @@
     std::map<TargetKey, PlacedPrompts> placed; ///< Since the report before the last; each placement is sent twice.
     std::set<quarantine::CrashRecord> crashes; ///< Of requests; see quarantine::CrashGuard::recordsToSend().
     std::set<quarantine::CrashRecord> partCrashes; ///< See quarantine::PartGuard::recordsToSend().
+    std::map<TargetKey, ReportedReading> readings; ///< Newest of each application.
 };
 
 /// Adds the report of another router, or an aggregate of several.
-void add(LoadReport& sum, const LoadReport&);
+/// @param delay time since the report was received, by which its readings are older.
+void add(LoadReport& sum, const LoadReport&, Duration delay = Duration::zero());
 
-/// Removes one router's contribution from an aggregate made by add(), except for prompts, which are reported once.
+/// Removes one router's contribution from an aggregate made by add(), except for prompts, which are reported once, and
+/// readings, which are the same for all routers.
 void subtract(LoadReport& sum, const LoadReport&);
 
 /// @return the report as a compact binary record.
@@ -416,6 +442,13 @@
 /// @return the next step; never one by which a request of kind Once could run twice.
 NextStep nextStep(const AttemptFacts&);
 
+/// Newest load reading of a target.
+struct TargetReading {
+    TargetIncarnation target;
+    InstanceLoad load;
+    Duration age {};
+};
+
 /// Places the requests of one router. Not thread-safe.
 class Dispatcher {
 public:
@@ -451,6 +484,12 @@
     /// @return number of requests placed on cold targets since the start.
     virtual std::uint64_t coldPlacements() const = 0;
 
+    /// A target reported its load. Has no effect on services whose targets don't report theirs.
+    virtual void observeLoad(TimePoint now, const TargetIncarnation&, const InstanceLoad&) = 0;
+
+    /// @return the newest reading of each target that has one.
+    virtual std::vector<TargetReading> loadReadings(TimePoint now) const = 0;
+
     /// Replaces the set of evacuated availability zones. Their targets get no new request; requests that run there end
     /// normally.
     virtual void setEvacuatedZones(TimePoint now, const std::set<ZoneId>&) = 0;
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -29,6 +29,8 @@
     bool setCold(TimePoint now, const TargetIncarnation&, Duration left) override;
     std::vector<ColdTarget> coldTargets(TimePoint now) const override;
     std::uint64_t coldPlacements() const override { return m_coldPlacements; }
+    void observeLoad(TimePoint now, const TargetIncarnation&, const InstanceLoad&) override;
+    std::vector<TargetReading> loadReadings(TimePoint now) const override;
     void setEvacuatedZones(TimePoint now, const std::set<ZoneId>&) override;
     void setRouters(TimePoint now, const std::vector<VmId>& heard, const std::vector<VmId>& left) override;
     bool maySend(TimePoint now, const TargetIncarnation&) const override;
@@ -102,6 +104,11 @@
         std::optional<unsigned> homeRank, double sampleProbability);
     std::optional<Candidate> choose(
         TimePoint now, const PlacementRequest&, const std::vector<PrefixKey>&, bool isHedge);
+
+    /// Chooses at random by selectionWeight(), for services whose targets report their load.
+    /// @return absent if no usable target of an application has a recent reading.
+    std::optional<Candidate> chooseByReadings(
+        TimePoint now, const PlacementRequest&, const std::vector<TargetModel*>& usable);
     Candidate score(TimePoint now, TargetModel&, const PlacementRequest&, const std::vector<PrefixKey>&,
         std::optional<unsigned> homeRank) const;
     /// Admits or refuses the request and fills in the candidate's admission.
