Report the load of targets and rejections for lack of slots to operators

The edge router passes the load that targets report on to its dispatcher. /v1/status has the newest reading of each target with its age, and sagechute_edge_rejected_as_full_total counts, by service, the requests that targets rejected because all their slots were in use.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -50,6 +50,10 @@
                     .Name("sagechute_edge_target_signals_total")
                     .Help("Answers of targets that say that they leave or ask for a pause, by which they say")
                     .Register(metrics.registry()))
+    , m_rejectedAsFull(prometheus::BuildCounter()
+                           .Name("sagechute_edge_rejected_as_full_total")
+                           .Help("Requests that targets rejected because all their slots were in use, by service")
+                           .Register(metrics.registry()))
     , m_refusals(prometheus::BuildCounter()
                      .Name("sagechute_edge_refusals_total")
                      .Help("Requests turned away without having run, by reason")
@@ -180,6 +184,11 @@
         m_signals.Add({ { "signal", "backoff" } }).Increment();
 }
 
+void EdgeMetrics::recordRejectedAsFull(const ServiceId& service)
+{
+    m_rejectedAsFull.Add({ { "service", service.value } }).Increment();
+}
+
 void EdgeMetrics::recordLostAnswer(const relay::FlowRecord& record)
 {
     m_lostAnswers
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -24,6 +24,9 @@
     /// Counts answers of which the rest was not read. @param reason why.
     void recordRejectedAnswer(std::string_view reason);
     void recordTargetSignals(const dispatch::TargetSignals&);
+
+    /// A target rejected a request because all its slots were in use.
+    void recordRejectedAsFull(const ServiceId&);
     void recordRefusal(dispatch::RefusalReason);
 
     /// Counts a request that was sent to a target and whose caller got neither its whole answer nor a promise that it
@@ -50,6 +53,7 @@
     prometheus::Family<prometheus::Counter>& m_unframedAnswers;
     prometheus::Family<prometheus::Counter>& m_rejectedAnswers;
     prometheus::Family<prometheus::Counter>& m_signals;
+    prometheus::Family<prometheus::Counter>& m_rejectedAsFull;
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_lostAnswers;
     prometheus::Family<prometheus::Counter>& m_closedConnections;
--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -81,6 +81,8 @@
             [&](news::TargetRoster& roster) { unknown.isDraining = roster.saidDraining(unsuspendedNow(), target); });
     if (signals.backoff && m_dispatcher->backOff(now, target, *signals.backoff))
         unknown.backoff = signals.backoff;
+    if (signals.load)
+        m_dispatcher->observeLoad(now, target, *signals.load);
     return unknown;
 }
 
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -170,12 +170,30 @@
         exchange.respond(m_context.entryProtocol.locateResponse(addresses, cacheTime));
 }
 
-nlohmann::json Listeners::statusJson() const
+nlohmann::json Listeners::targetsJson() const
 {
+    std::map<dispatch::TargetIncarnation, nlohmann::json> readings;
+    const TimePoint now = steadyNow();
+    for (const dispatch::TargetReading& it :
+        m_context.state.withDispatcher([&](const dispatch::Dispatcher& it) { return it.loadReadings(now); })) {
+        nlohmann::json reading { { "running", it.load.running }, { "waiting", it.load.waiting },
+            { "slots", it.load.slots }, { "ageMs", ageMs(it.age) } };
+        if (it.load.pacePercent)
+            reading["pacePercent"] = *it.load.pacePercent;
+        readings[it.target] = std::move(reading);
+    }
     nlohmann::json targets = nlohmann::json::array();
-    for (const dispatch::Target& it : m_context.state.withTargets([](const auto& it) { return it.targets(); }))
+    for (const dispatch::Target& it : m_context.state.withTargets([](const auto& it) { return it.targets(); })) {
         targets.push_back({ { "id", it.id.value }, { "service", it.service.value }, { "address", it.address },
             { "born", it.startedAtMs }, { "zone", it.zone.value }, { "draining", it.draining } });
+        if (const auto reading = readings.find(it.incarnation()); reading != readings.end())
+            targets.back()["load"] = reading->second;
+    }
+    return targets;
+}
+
+nlohmann::json Listeners::statusJson() const
+{
     nlohmann::json peers = nlohmann::json::array();
     for (const Peer& it : m_context.fleet.peers(steadyNow()))
         peers.push_back({ { "vm", it.vm.value }, { "zone", it.zone.value }, { "ready", it.isReady },
@@ -187,7 +205,7 @@
         { "usePercent", m_context.state.utilizationPercent.load() }, { "configAgeMs", ageMs(known.configAge) },
         { "targetsAgeMs", ageMs(known.targetsAge) }, { "readAgeMs", ageMs(known.readAge) },
         { "activeRequests", m_context.state.activeRequests.load() }, { "droppedLogLines", process::droppedLogLines() },
-        { "targets", std::move(targets) }, { "peers", std::move(peers) } };
+        { "targets", targetsJson() }, { "peers", std::move(peers) } };
 }
 
 void Listeners::handleQuarantine(net::ServerExchange& exchange)
--- a/apps/sagechute-edge/Listeners.h
+++ b/apps/sagechute-edge/Listeners.h
@@ -51,6 +51,9 @@
     nlohmann::json crashCasesJson() const;
     nlohmann::json statusJson() const;
 
+    /// @return the targets, each with its newest load reading.
+    nlohmann::json targetsJson() const;
+
     const ListenerContext m_context;
     ReadinessGate m_readinessGate;
     std::atomic<std::size_t> m_lastAddressCount { 0 }; ///< Number of addresses in the last lookup answer, for the log.
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -207,6 +207,8 @@
     TimePoint now, const dispatch::TargetIncarnation& target, const dispatch::TargetSignals& signals)
 {
     m_context.metrics.recordTargetSignals(signals);
+    if (signals.isRejectedAsFull)
+        m_context.metrics.recordRejectedAsFull(m_order.service);
     const dispatch::TargetSignals unknown = m_context.state.applyTargetSignals(now, target, signals);
     if (unknown.isDraining)
         process::log(process::LogLevel::Info, "target-draining",
--- a/tests/platform_path_test.py
+++ b/tests/platform_path_test.py
@@ -4,6 +4,7 @@
 """
 
 import http.client
+import json
 import os
 import signal
 import socket
@@ -41,6 +42,16 @@
         self.assertEqual(len(lines()), 1)
         return lines()[0]
 
+    def test_the_status_has_the_load_that_a_target_reported(self):
+        """Guards against readings that are decoded but do not reach the dispatcher."""
+        self.assertEqual(self.fleet.send("/posts/x", fresh(), body="pay")[0], 200)
+        status, _, body = call(self.fleet.routers[0]["control"], "GET", "/v1/status")
+        self.assertEqual(status, 200)
+        loads = [target["load"] for target in json.loads(body)["targets"] if "load" in target]
+        self.assertEqual(len(loads), 1)
+        self.assertGreater(loads[0]["slots"], 0)
+        self.assertGreaterEqual(loads[0]["ageMs"], 0)
+
     def test_each_kind_of_request_is_served_and_the_rest_is_refused(self):
         one = fresh()
         status, fields, body = self.fleet.send("/posts/%2Fa?q=1", one, body="pay")
