--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -119,6 +119,8 @@
         unknown.backoff = signals.backoff;
     if (signals.isCold() && m_dispatcher->setCold(now, target, *signals.coldLeft))
         unknown.coldLeft = signals.coldLeft;
+    if (signals.load)
+        m_dispatcher->observeLoad(now, target, *signals.load);
     return unknown;
 }
 
