Ask other routers after a gap that none of them has reported reads after

A router was cut off for 5 s. The two routers that it asked on its return had been cut off as well. It then read the store itself, took its gap for an outage of the store, and kept the entries that it found missing. As its relay fell silent, it read the store for itself every half of the bound. Its data was therefore never old enough to ask another router, and only another one could tell that the store had been read all the while.

A roster with a gap after which no other router has reported reads now states the start of that gap as the time up to which others agree, and the router asks at once, until one answers with later reads.

--- a/apps/sagechute-edge/PeerFollower.cpp
+++ b/apps/sagechute-edge/PeerFollower.cpp
@@ -55,10 +55,16 @@
     }
 }
 
+std::optional<TimePoint> PeerFollower::witnessedUntil() const
+{
+    const auto targets = m_state.withTargets([](const news::TargetRoster& it) { return it.witnessedUntil(); });
+    return std::min(news::knownUntil(m_state.knowledge()), targets);
+}
+
 Duration PeerFollower::nextWait() const
 {
     const TimePoint now = unsuspendedNow();
-    const TimePoint due = m_requests.anyoneDue(now, news::knownUntil(m_state.knowledge()));
+    const TimePoint due = m_requests.anyoneDue(now, witnessedUntil());
     return std::clamp<Duration>(due - now, minWait, maxWait);
 }
 
@@ -67,7 +73,7 @@
     using Whom = news::PeerRequests::Whom;
     const TimePoint now = unsuspendedNow();
     const auto vm = source ? std::optional(source->vm) : std::nullopt;
-    const Whom whom = m_requests.due(now, news::knownUntil(m_state.knowledge()), vm);
+    const Whom whom = m_requests.due(now, witnessedUntil(), vm);
     if (whom == Whom::Source)
         fetch(*source, now, whom);
     else if (whom == Whom::Anyone)
--- a/apps/sagechute-edge/PeerFollower.h
+++ b/apps/sagechute-edge/PeerFollower.h
@@ -32,6 +32,9 @@
 
     void run();
     Duration nextWait() const;
+
+    /// @return the time up to which everything is known, for the decision when to ask any router.
+    std::optional<TimePoint> witnessedUntil() const;
     void fetchIfDue(const std::optional<RouterContact>& source);
     void fetchFromRandomPeer(TimePoint now);
     void fetch(const RouterContact&, TimePoint now, news::PeerRequests::Whom);
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -117,6 +117,7 @@
 struct ReadSpan {
     TimePoint from;
     TimePoint until;
+    bool isTold = false; ///< Reported by another router; otherwise a read of this router's own.
 };
 
 /// The target list of this router.
@@ -154,6 +155,12 @@
     /// @return since when the store is known to have been read without a break; absent before the first known().
     std::optional<TimePoint> readSince() const { return m_read ? std::optional(m_read->from) : std::nullopt; }
 
+    /// @return knownUntil(), or, while entries are retained for a gap after which no other router has reported reads,
+    /// the start of that gap. A router that was cut off from all others finds the same gap as during an outage of the
+    /// store and can't tell them apart by reading the store itself, so it has to ask others as if it knew nothing
+    /// since.
+    std::optional<TimePoint> witnessedUntil() const;
+
     void apply(TimePoint now, const TargetChange&);
 
     /// Applies the changes returned by one read. For each target only the last change and whether it was ever draining
@@ -252,6 +259,7 @@
     std::optional<LogOffset> m_next;
     LogOffset m_completeFrom = 0; ///< All changes from this offset on are retained.
     std::optional<ReadSpan> m_read;
+    bool m_isGapWitnessed = false; ///< Another router has reported reads after the last gap.
     std::vector<ReadGap> m_readGaps; ///< Oldest first; cleared when no entry is retained for them any more.
     std::optional<TimePoint> m_graceUntil;
     std::uint64_t m_revision = 0;
@@ -469,7 +477,8 @@
     /// @param startedAt start of this router process.
     PeerRequests(const NewsTimes&, TimePoint startedAt);
 
-    /// @param knownUntil time of the older topic. @param source a router that reported newer data, if any.
+    /// @param knownUntil time of the older topic, but not after TargetRoster::witnessedUntil(). @param source a router
+    /// that reported newer data, if any.
     /// @return whom to ask now. Anyone when the local data is old: a router whose own read is refused or hangs, and
     /// whose sources are lost, would otherwise receive nothing new until they return.
     Whom due(TimePoint now, std::optional<TimePoint> knownUntil, const std::optional<VmId>& source) const;
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -22,11 +22,14 @@
     narrowReadGaps(told);
     if (told.from - m_read->until > m_maxReadGap) {
         m_readGaps.push_back({ m_read->until, told.from });
+        m_isGapWitnessed = told.isTold;
         m_read = told;
     } else if (m_read->from - told.until <= m_maxReadGap) {
         m_read = { std::min(m_read->from, told.from), std::max(m_read->until, told.until) };
     }
     updateGracePeriod();
+    const bool isAfterGap = !m_readGaps.empty() && told.until > m_readGaps.back().after;
+    m_isGapWitnessed = m_isGapWitnessed || (told.isTold && isAfterGap);
 }
 
 void TargetRoster::narrowReadGaps(ReadSpan told)
@@ -57,6 +60,12 @@
     }
 }
 
+std::optional<TimePoint> TargetRoster::witnessedUntil() const
+{
+    const bool isUnwitnessed = m_graceUntil && !m_isGapWitnessed;
+    return isUnwitnessed ? std::optional(m_readGaps.back().before) : knownUntil();
+}
+
 bool TargetRoster::isGracePeriodOver(TimePoint now) const
 {
     return !m_graceUntil
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -445,6 +445,50 @@
     }
 }
 
+// Guards against a router that was cut off, and whose relay then fell silent, using a removed target for four seconds
+// after its return. It read the store itself every half of the bound, which kept its data fresh, so that it asked no
+// other router, although only another could tell that the store had been read in the meantime. In the simulation:
+//   25.200 it is back  26.570 it reads the store, known before until 19.370; kept until 28.760  29.550 dropped
+TEST_CASE("a router that retains entries asks others until one has reported reads after the gap")
+{
+    const NewsTimes times = NewsTimes::make(3s, false);
+    const PeerRequests requests(times, start - 1h);
+    TargetRoster roster(times.storeBreak);
+    const auto whom = [&](TimePoint now) { return requests.due(now, roster.witnessedUntil(), std::nullopt); };
+    roster.known(1, start);
+    const TimePoint back = start + 7s;
+    CHECK(whom(start) == PeerRequests::Whom::Nobody);
+    SECTION("it reads the store itself")
+    {
+        roster.known(2, back);
+        CHECK(whom(back) == PeerRequests::Whom::Anyone);
+        roster.known(2, back + 500ms);
+        CHECK(whom(back + 500ms) == PeerRequests::Whom::Anyone);
+        SECTION("another that was cut off, too, says nothing of the gap")
+        {
+            roster.known(2, ReadSpan { start - 10s, start + 100ms, true });
+            CHECK(whom(back + 500ms) == PeerRequests::Whom::Anyone);
+        }
+        SECTION("another read the store all the time")
+        {
+            roster.known(2, ReadSpan { start - 10s, back + 600ms, true });
+            CHECK(whom(back + 600ms) == PeerRequests::Whom::Nobody);
+            CHECK_FALSE(roster.keepsMissingUntil());
+        }
+        SECTION("another found the store away")
+        {
+            roster.known(2, ReadSpan { back, back + 600ms, true });
+            CHECK(whom(back + 600ms) == PeerRequests::Whom::Nobody);
+            CHECK(roster.keepsMissingUntil());
+        }
+    }
+    SECTION("another tells it of the gap: the store was away")
+    {
+        roster.known(2, ReadSpan { back, back, true });
+        CHECK(whom(back) == PeerRequests::Whom::Nobody);
+    }
+}
+
 TEST_CASE("the start of gapless reading merges the intervals seen by several routers")
 {
     TargetRoster roster;
