--- a/src/dispatch/LoadReport.cpp
+++ b/src/dispatch/LoadReport.cpp
@@ -70,7 +70,7 @@
     sum.crashes.insert(part.crashes.begin(), part.crashes.end());
     sum.partCrashes.insert(part.partCrashes.begin(), part.partCrashes.end());
     for (const auto& [key, reading] : part.readings) {
-        const auto [it, isNew] = sum.readings.try_emplace(key, reading.load, reading.age + delay);
+        const auto [it, isNew] = sum.readings.try_emplace(key, ReportedReading { reading.load, reading.age + delay });
         if (!isNew && reading.age + delay < it->second.age)
             it->second = { reading.load, reading.age + delay };
     }
