Look up a service's limit on cold targets once for each placement

Placement looked the service up again for each of its targets, twice for a cold one, and a refusal walked all targets also where the service limits none. The service is now found once and passed on. The decisions are the same: ColdPlacementTest, DispatchTest and DispatchReplayTest pass unchanged.

--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -361,12 +361,11 @@
 {
     std::vector<TargetModel*> usable;
     usable.reserve(m_targets.size());
-    const Service* service = m_table ? m_table->findService(request.service) : nullptr;
-    const bool limitsColdTargets = service && service->coldRate > 0;
+    const Service* limitingService = serviceWithColdRate(request.service);
     for (const auto& [incarnation, model] : m_targets) {
         if (model->target().service != request.service || !takesRequests(now, incarnation, *model))
             continue;
-        if (limitsColdTargets && freeAt(now, *model) > now)
+        if (limitingService && freeAt(now, *model, *limitingService) > now)
             continue;
         const bool isAvoided = model->isAvoided(now) || m_backoffs.isOnTrial(now, incarnation);
         if (isFirstPass && (isAvoided || request.tried.contains(incarnation)))
@@ -660,12 +659,18 @@
     return coldSlotCount(service.coldRate, m_settings.coldOverage, m_settings.coldSlack);
 }
 
-TimePoint LocalDispatcher::freeAt(TimePoint now, const TargetModel& model) const
+const Service* LocalDispatcher::serviceWithColdRate(const ServiceId& id) const
 {
-    const std::optional<TimePoint> until = coldUntil(now, model);
+    const Service* service = m_table ? m_table->findService(id) : nullptr;
+    return service && service->coldRate > 0 ? service : nullptr;
+}
+
+TimePoint LocalDispatcher::freeAt(TimePoint now, const TargetModel& model, const Service& service) const
+{
+    const std::optional<TimePoint> until = m_coldTargets.coldUntil(now, model.target(), &service);
     if (!until)
         return now;
-    const auto slot = m_coldAllowance.nextFree(now, model.target().id, coldSlots(*serviceOf(model)));
+    const auto slot = m_coldAllowance.nextFree(now, model.target().id, coldSlots(service));
     return std::min(slot.value_or(*until), *until);
 }
 
@@ -683,11 +688,14 @@
 
 std::optional<TimePoint> LocalDispatcher::earliestColdSlot(TimePoint now, const ServiceId& service) const
 {
+    const Service* limitingService = serviceWithColdRate(service);
+    if (!limitingService)
+        return std::nullopt;
     std::optional<TimePoint> first;
     for (const auto& [incarnation, model] : m_targets) {
         if (model->target().service != service || !takesRequests(now, incarnation, *model))
             continue;
-        const TimePoint free = freeAt(now, *model);
+        const TimePoint free = freeAt(now, *model, *limitingService);
         if (free <= now)
             return std::nullopt;
         first = std::min(first.value_or(free), free);
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -76,15 +76,18 @@
     std::optional<TimePoint> coldUntil(TimePoint now, const TargetModel&) const;
     unsigned coldSlots(const Service&) const;
 
+    /// @return the service if it limits the requests to its cold targets; otherwise null.
+    const Service* serviceWithColdRate(const ServiceId&) const;
+
     /// @return the first time at which this router may send the target a request, as far as its cold time matters; now
     ///         if it is warm.
-    TimePoint freeAt(TimePoint now, const TargetModel&) const;
+    TimePoint freeAt(TimePoint now, const TargetModel&, const Service&) const;
 
     /// Uses a slot of a target if it is cold.
     void countColdPlacement(TimePoint now, const TargetModel&);
 
     /// @return when this router may send a request to the first of the service's targets that take requests; absent if
-    ///         that is now for one of them, or there is none.
+    ///         that is now for one of them, there is none, or the service does not limit cold targets.
     std::optional<TimePoint> earliestColdSlot(TimePoint now, const ServiceId&) const;
 
     /// @return when the first of the service's targets outside evacuated zones ends its pause; absent if one of them is
