--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -174,6 +174,9 @@
 /// @return the parts that other requests may have in common with this one: all but the last, each once.
 std::vector<quarantine::PartKey> sharedPartsOf(const PromptSize&);
 
+/// Sliding window over which customers' shares are compared where a deployment sets no other.
+inline constexpr Duration defaultShareWindow = std::chrono::seconds(4);
+
 /// Tuning parameters of placement and admission. Each is a process setting or a constant of the engines in use.
 struct DispatchSettings {
     /// Initial estimate of an engine's prefill rate, in tokens per millisecond. The engines' data sheet gives 51.1
@@ -204,7 +207,7 @@
     /// Fraction of a stream's goal within which its first event must be predicted to arrive for it to be admitted.
     double admissionGoalFraction = 1.0;
     /// Sliding window over which customers' shares are compared. A constant of the deployment.
-    Duration shareWindow = std::chrono::seconds(4);
+    Duration shareWindow = defaultShareWindow;
     /// Lower bound on the number of routers that the retry budget is divided among, because a router that is
     /// partitioned or has just started does not know of all routers that spend from it.
     unsigned leastRouters = 8;
--- a/src/edge/ReportPlan.cpp
+++ b/src/edge/ReportPlan.cpp
@@ -11,7 +11,7 @@
 
     /// What a zone's routers have granted stays granted: its customers count for as long as the window over which
     /// shares are compared.
-    Duration maxCustomersAge() { return dispatch::DispatchSettings {}.shareWindow; }
+    constexpr Duration maxCustomersAge = dispatch::defaultShareWindow;
 
     /// A sum arrives some intervals after the report that it includes, and later from a relay with few cores.
     constexpr std::size_t maxSentReports = 32;
@@ -103,7 +103,7 @@
     for (const auto& [zone, timedReport] : m_zones) {
         if (now - timedReport.at <= maxReportAge)
             addReport(now, own, timedReport);
-        else if (now - timedReport.at <= maxCustomersAge())
+        else if (now - timedReport.at <= maxCustomersAge)
             addReport(now, own, { customersOf(timedReport.report), timedReport.at });
     }
     return own;
