Decide in the library up to when a router's knowledge is witnessed

The router and the model of the news each combined the age of both topics with that of the roster, so that the model would not have shown an error in the router. StoreFollower reads the offset of the operator's records in place of a copy of all evacuated zones.

--- a/apps/sagechute-edge/PeerFollower.cpp
+++ b/apps/sagechute-edge/PeerFollower.cpp
@@ -57,8 +57,8 @@
 
 std::optional<TimePoint> PeerFollower::witnessedUntil() const
 {
-    const auto targets = m_state.withTargets([](const news::TargetRoster& it) { return it.witnessedUntil(); });
-    return std::min(news::knownUntil(m_state.knowledge()), targets);
+    const news::Knowledge known = m_state.knowledge();
+    return m_state.withTargets([&](const news::TargetRoster& it) { return news::witnessedUntil(known, it); });
 }
 
 Duration PeerFollower::nextWait() const
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -117,8 +117,8 @@
 
 bool StoreFollower::readConfig(Topic& topic, Duration wait)
 {
-    if (const std::optional<LogOffset> known = m_state.evacuatedZones().next())
-        topic.cursor.toldByPeer(*known);
+    if (const LogOffset known = m_state.knowledge().operatorNext)
+        topic.cursor.toldByPeer(known);
     const std::optional<LogOffset> from = topic.cursor.next();
     const TimePoint sent = unsuspendedNow();
     absl::StatusOr<news::ConfigNews> found
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -448,6 +448,9 @@
 /// @return the older of both topics' times; absent while either is unknown.
 std::optional<TimePoint> knownUntil(const Knowledge&);
 
+/// @return knownUntil(), but not after TargetRoster::witnessedUntil(): the time for PeerRequests::due().
+std::optional<TimePoint> witnessedUntil(const Knowledge&, const TargetRoster&);
+
 /// @param sent when the read was sent. @param answered when its response arrived.
 /// @param wait the long-poll time of the read. @param isEmpty whether the response had nothing new.
 /// @return the time up to which the read makes the data complete. A call that the store held and answered empty shows
@@ -553,8 +556,7 @@
     /// @param startedAt start of this router process.
     PeerRequests(const NewsTimes&, TimePoint startedAt);
 
-    /// @param knownUntil time of the older topic, but not after TargetRoster::witnessedUntil(). @param source a router
-    /// that reported newer data, if any.
+    /// @param knownUntil see witnessedUntil(). @param source a router that reported newer data, if any.
     /// @return whom to ask now. Anyone when the local data is old: a router whose own read is refused or hangs, and
     /// whose sources are lost, would otherwise receive nothing new until they return.
     Whom due(TimePoint now, std::optional<TimePoint> knownUntil, const std::optional<VmId>& source) const;
--- a/src/news/Knowledge.cpp
+++ b/src/news/Knowledge.cpp
@@ -95,6 +95,11 @@
     return std::min(*known.configUntil, *known.targetsUntil);
 }
 
+std::optional<TimePoint> witnessedUntil(const Knowledge& known, const TargetRoster& roster)
+{
+    return std::min(knownUntil(known), roster.witnessedUntil());
+}
+
 TimePoint knownByRead(TimePoint sent, TimePoint answered, Duration wait, bool isEmpty)
 {
     const bool wasHeld = isEmpty && answered - sent >= wait;
--- a/tests/NewsWorld.cpp
+++ b/tests/NewsWorld.cpp
@@ -287,8 +287,7 @@
     Router& self = m_routers[i];
     const std::optional<std::size_t> source = std::exchange(self.news, std::nullopt);
     const auto vm = source ? std::optional(m_routers[*source].vm) : std::nullopt;
-    const auto known = std::min(news::knownUntil(knowledge(self)), self.roster.witnessedUntil());
-    const auto whom = self.requests->due(m_now, known, vm);
+    const auto whom = self.requests->due(m_now, witnessedUntil(knowledge(self), self.roster), vm);
     if (whom == PeerRequests::Whom::Source)
         startFetch(i, *source, whom);
     if (whom != PeerRequests::Whom::Anyone || m_options.fault == DeliberateFault::NeverAsksPeers)
