Leave an application alone that broke off an answer while another one has room

The choice by cost before it left such a target out as its failure rate costs more than an idle target's time.

An application whose latest answer broke off gets no request for avoid-after-failure (800 ms) as long as another one has room; its next response clears it.

--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -308,13 +308,26 @@
     return best;
 }
 
+std::vector<TargetModel*> LocalDispatcher::withoutDoubtful(TimePoint now, const std::vector<TargetModel*>& usable)
+{
+    std::vector<TargetModel*> others;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(others),
+        [&](const TargetModel* it) { return !it->isDoubtful(now); });
+    const bool hasRoom = std::any_of(others.begin(), others.end(), [&](const TargetModel* it) {
+        const LoadEstimate estimate = it->estimateLoad(now);
+        return estimate.occupancy < estimate.slots;
+    });
+    return hasRoom ? others : usable;
+}
+
 std::optional<LocalDispatcher::Candidate> LocalDispatcher::chooseByReadings(
-    TimePoint now, const PlacementRequest& request, const std::vector<TargetModel*>& usable)
+    TimePoint now, const PlacementRequest& request, const std::vector<TargetModel*>& all)
 {
-    const bool hasReadings = std::any_of(
-        usable.begin(), usable.end(), [&](const TargetModel* it) { return it->hasReadingsForSelection(now); });
+    const bool hasReadings
+        = std::any_of(all.begin(), all.end(), [&](const TargetModel* it) { return it->hasReadingsForSelection(now); });
     if (!hasReadings)
         return std::nullopt;
+    const std::vector<TargetModel*> usable = withoutDoubtful(now, all);
     std::vector<LoadEstimate> estimates;
     estimates.reserve(usable.size());
     double occupancy = 0;
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -108,10 +108,14 @@
     std::optional<Candidate> choose(
         TimePoint now, const PlacementRequest&, const std::vector<PrefixKey>&, bool isHedge);
 
+    /// @return the targets whose latest answers did not break off, if any of them has room; otherwise all. A random choice
+    ///         would send more requests to a target that breaks them off than the retry budget can repair.
+    static std::vector<TargetModel*> withoutDoubtful(TimePoint now, const std::vector<TargetModel*>& usable);
+
     /// Chooses at random by selectionWeight(), for services whose targets report their load.
     /// @return absent if no usable target of an application has a recent reading.
     std::optional<Candidate> chooseByReadings(
-        TimePoint now, const PlacementRequest&, const std::vector<TargetModel*>& usable);
+        TimePoint now, const PlacementRequest&, const std::vector<TargetModel*>& all);
     Candidate score(TimePoint now, TargetModel&, const PlacementRequest&, const std::vector<PrefixKey>&,
         std::optional<unsigned> homeRank) const;
     /// Admits or refuses the request and fills in the candidate's admission.
--- a/src/dispatch/TargetModel.cpp
+++ b/src/dispatch/TargetModel.cpp
@@ -170,10 +170,12 @@
     if (hasResponded) {
         m_consecutiveFailures = 0;
         m_avoidUntil = {};
+        m_doubtfulUntil = {};
     } else {
         // A single broken answer may be due to the request. A target that is unreachable or breaks two answers in a row
         // is avoided.
         m_consecutiveFailures += 1;
+        m_doubtfulUntil = now + m_settings.avoidAfterFailure;
         const bool isDown = end != AttemptEnd::Broken || m_consecutiveFailures > 1;
         if (isDown)
             m_avoidUntil
--- a/src/dispatch/TargetModel.h
+++ b/src/dispatch/TargetModel.h
@@ -59,6 +59,9 @@
     /// target is alive.
     bool isOverdue(TimePoint now) const;
 
+    /// @return whether its latest answer broke off a short time ago, so that it may break off the next one too.
+    bool isDoubtful(TimePoint now) const { return now < m_doubtfulUntil; }
+
     /// @return moving average of the fraction of attempts that failed, 0 to 1.
     double failureRate() const { return m_failureRate; }
 
@@ -120,6 +123,7 @@
     double m_failureRate = 0;
     unsigned m_consecutiveFailures = 0;
     TimePoint m_avoidUntil {};
+    TimePoint m_doubtfulUntil {};
     std::multimap<TimePoint, TimePoint> m_firstEventDeadlines; ///< By placement time: when the first answer is overdue.
 };
 
