--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Sourced by tools/demo.sh and .ci/run: installs what tools/packages.txt names, if anything of it is missing.
+# Sourced by tools/demo.sh, tools/test.sh and .ci/run: installs what tools/packages.txt names, if anything of it is missing, and has
+# compilers called through ccache.
 installPackages() {
     local list="$1" missing=() package
     while read -r package; do
@@ -14,3 +15,6 @@
     apt-get update -q
     DEBIAN_FRONTEND=noninteractive apt-get install -y -q --no-install-recommends "${missing[@]}"
 }
+
+# Read by CMake when it configures a build directory for the first time.
+export CMAKE_CXX_COMPILER_LAUNCHER="${CMAKE_CXX_COMPILER_LAUNCHER-ccache}" CCACHE_BASEDIR="${CCACHE_BASEDIR-$PWD}" CCACHE_NOHASHDIR=1
