Keep what a zone reported of placed prompts until it is forwarded

A relay replaces the report of another zone's relay by the next one. If two come between two of its own sums, what the first one told of placed prompts is lost, as each is told in few reports, and routers of this zone have engines prefill shared parts that others keep. Reports of the relay's own zone were merged already.

A router that others take for a relay and that forwards nothing keeps no prefixes of former reports, so that its memory stays bounded; before, those of its zone piled up.

--- a/apps/sagechute-edge/Fleet.cpp
+++ b/apps/sagechute-edge/Fleet.cpp
@@ -244,7 +244,7 @@
         sendHeartbeat(it, m_relayReports.includedSerial(now, it.vm), toMembers);
     subtract(all, own);
     m_state.withDispatcher([&](dispatch::Dispatcher& it) { it.peerReported(now, aggregateSource, all); });
-    m_relayReports.clearForwardedPrompts();
+    m_relayReports.clearForwardedPrompts(now);
     logLateReports(now);
 }
 
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -306,7 +306,7 @@
     std::uint64_t includedSerial(TimePoint now, const VmId& member) const;
 
     /// Forgets the prefixes that have been sent, since each is sent once only.
-    void clearForwardedPrompts();
+    void clearForwardedPrompts(TimePoint now);
 
     /// @return names of the routers and availability zones whose last report is too old to be included in the sums.
     std::set<std::string> staleSources(TimePoint now) const;
@@ -318,9 +318,11 @@
     };
 
     static void addReport(TimePoint now, dispatch::LoadReport& sum, const TimedReport&);
+    void replace(TimedReport& current, TimedReport next);
 
     std::map<VmId, TimedReport> m_members;
     std::map<ZoneId, TimedReport> m_zones;
+    std::optional<TimePoint> m_forwardedAt; ///< Time of the last clearForwardedPrompts(), or of the first report.
 };
 
 /// The reports that this router has sent recently, to be subtracted from a sum that includes one of them.
--- a/src/edge/ReportPlan.cpp
+++ b/src/edge/ReportPlan.cpp
@@ -66,19 +66,28 @@
 
 void LoadReportAggregator::setRouterReport(TimePoint now, const VmId& vm, dispatch::LoadReport report)
 {
-    // Prefixes that have not been forwarded yet are kept, since each is sent in a few reports only.
-    TimedReport& timedReport = m_members[vm];
-    for (const auto& [target, placed] : timedReport.report.placed) {
-        dispatch::PlacedPrompts& told = report.placed[target];
-        told.shared.insert(placed.shared.begin(), placed.shared.end());
-        told.unsharedTokens += placed.unsharedTokens;
-    }
-    timedReport = { std::move(report), now };
+    replace(m_members[vm], { std::move(report), now });
 }
 
 void LoadReportAggregator::setZoneReport(TimePoint now, const ZoneId& zone, dispatch::LoadReport report)
 {
-    m_zones[zone] = { std::move(report), now };
+    replace(m_zones[zone], { std::move(report), now });
+}
+
+void LoadReportAggregator::replace(TimedReport& current, TimedReport next)
+{
+    if (!m_forwardedAt)
+        m_forwardedAt = next.at;
+    // A router that others take for a relay, but that does not forward anything, would keep more and more.
+    if (next.at - *m_forwardedAt > maxReportAge)
+        current.report.placed.clear();
+    // Prefixes that have not been forwarded yet are kept, since each is sent in a few reports only.
+    for (const auto& [target, placed] : current.report.placed) {
+        dispatch::PlacedPrompts& told = next.report.placed[target];
+        told.shared.insert(placed.shared.begin(), placed.shared.end());
+        told.unsharedTokens += placed.unsharedTokens;
+    }
+    current = std::move(next);
 }
 
 void LoadReportAggregator::addReport(TimePoint now, dispatch::LoadReport& sum, const TimedReport& timedReport)
@@ -129,8 +138,9 @@
     return it != m_members.end() && now - it->second.at <= maxReportAge ? it->second.report.serial : 0;
 }
 
-void LoadReportAggregator::clearForwardedPrompts()
+void LoadReportAggregator::clearForwardedPrompts(TimePoint now)
 {
+    m_forwardedAt = now;
     for (auto& [vm, timedReport] : m_members)
         timedReport.report.placed.clear();
     for (auto& [zone, timedReport] : m_zones)
--- a/tests/ReportsTest.cpp
+++ b/tests/ReportsTest.cpp
@@ -108,12 +108,49 @@
     CHECK(forA.targets.at(1).prefillTokens == 30);
     CHECK(forA.customers.at({ "c" }).granted == 8);
 
-    aggregator.clearForwardedPrompts();
+    aggregator.clearForwardedPrompts(start);
     CHECK(aggregator.sum(start, aggregator.zoneSum(start)).placed.empty());
     CHECK(aggregator.sum(start, aggregator.zoneSum(start)).targets.at(1).active == 4);
     CHECK(aggregator.zoneSum(start + 5s).targets.empty());
 }
 
+// Guards against routers that prefill a shared part again, as they were never told which engine has it: another zone's
+// relay sent two reports between two sums of this one.
+TEST_CASE("prefixes of a report that was replaced before it was forwarded are forwarded with the next one")
+{
+    LoadReportAggregator aggregator;
+    dispatch::LoadReport former;
+    former.placed[1] = { { { 7, 1 } }, 100 };
+    dispatch::LoadReport next;
+    next.placed[1] = { { { 8, 3 } }, 50 };
+    next.placed[2] = { { { 9, 2 } }, 0 };
+    const auto checkPlaced = [&] {
+        const dispatch::LoadReport all = aggregator.sum(start, aggregator.zoneSum(start));
+        CHECK(all.placed.at(1).shared.size() == 2);
+        CHECK(all.placed.at(1).unsharedTokens == 150);
+        CHECK(all.placed.at(2).shared.size() == 1);
+        aggregator.clearForwardedPrompts(start);
+    };
+    aggregator.setZoneReport(start, { "far" }, former);
+    aggregator.setZoneReport(start, { "far" }, next);
+    checkPlaced();
+    aggregator.setRouterReport(start, { "a" }, former);
+    aggregator.setRouterReport(start, { "a" }, next);
+    checkPlaced();
+}
+
+// Guards against memory that grows in a router that others take for a relay.
+TEST_CASE("a router that forwards nothing keeps no prefixes of former reports")
+{
+    LoadReportAggregator aggregator;
+    dispatch::LoadReport report;
+    for (std::uint64_t key = 0; key < 100; ++key) {
+        report.placed[1].shared = { { key, 10 } };
+        aggregator.setZoneReport(start + key * 100ms, { "far" }, report);
+    }
+    CHECK(aggregator.sum(start + 9900ms, {}).placed.at(1).shared.size() == 1);
+}
+
 TEST_CASE(
     "a sum states the age of its oldest report, and a relay names the sources whose reports are too old to include")
 {
