Block SIGHUP first of all, and restart routers in the soak as the platform does

Programs that reload on SIGHUP block it before they read their settings. A signal that comes before main still ends the process, which the platform starts again; the soak now does so, too, and reports a router that ends by itself in any other way as a breach.

--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -105,11 +105,12 @@
 
     int run(int argc, char** argv)
     {
+        // First of all: until it blocks SIGHUP, a reload request ends the process.
+        process::StopSignal stop;
         Options options;
         SettingsWatcher settingsWatcher(argc, argv);
         if (const auto code = settingsWatcher.read(options))
             return *code;
-        process::StopSignal stop;
         const Incarnation incarnation = generateIncarnation();
         process::StreamLimits limits;
         limits.linesPerSecond = options.maxLogLinesPerSecond();
--- a/apps/sagechute-router/main.cpp
+++ b/apps/sagechute-router/main.cpp
@@ -260,13 +260,14 @@
 
     int runRouter(int argc, char** argv)
     {
+        // First of all: until it blocks SIGHUP, a reload request ends the process.
+        process::StopSignal stop;
         Options options;
         process::Settings settings(
             "sagechute-router", "routes requests from callers and shares targets fairly among customers");
         options.declare(settings);
         if (auto code = settings.read(argc, argv))
             return *code;
-        process::StopSignal stop;
         if (absl::Status status = process::startLogging("sagechute-router", options.logLevel, VmId { options.vm }, 0);
             !status.ok()) {
             fprintf(stderr, "%s\n", std::string(status.message()).c_str());
--- a/apps/sagechute-steward/main.cpp
+++ b/apps/sagechute-steward/main.cpp
@@ -16,13 +16,14 @@
 
 int main(int argc, char** argv)
 {
+    // First of all: until it blocks SIGHUP, a reload request ends the process.
+    process::StopSignal signal;
     steward::Options options;
     process::Settings settings("sagechute-steward",
         "sends orders to targets and writes configuration snapshots while it holds a lease in the log");
     options.declare(settings);
     if (const std::optional<int> code = settings.read(argc, argv))
         return *code;
-    process::StopSignal signal;
     const absl::Status logging = process::startLogging("sagechute-steward", options.logLevel, VmId { options.vm }, 0);
     if (!logging.ok())
         return report(logging, process::exitUsage);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -43,6 +43,7 @@
 CRASHING_INTERVALS_SECONDS = (0.3, 0.9)
 DOWN_SECONDS = (1.0, 3.0)  # Of a target that crashed.
 EVACUATED_SECONDS = (3.0, 6.0)  # More than the bound within which an evacuation is in force.
+RESTART_SECONDS = 0.3  # After a process has ended, until the platform starts it again.
 ZONES = ("a", "b", "c")
 EXTRAS = ("signals", "answers", "silences", "parts", "zones")  # What came to the soak later; each has chances of its own.
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -101,6 +102,7 @@
                                     self.is_over, self.signals, choose_key) for i in range(self._sizes["callers"])]
             for thread in self._threads:
                 thread.start()
+            threading.Thread(target=self._restart_ended, daemon=True).start()
             self._disturb()
             self._heal()
             if "silences" in self._extras:
@@ -298,6 +300,32 @@
         for it in asking:
             self._fault(it, "none", 0)
 
+    def _restart_ended(self):
+        """Starts a router that ended by itself again, as the platform does. Only a SIGHUP may end one: it can come before
+        the program is there to block it.
+        """
+        while not self.is_over.wait(0.05):
+            for router in self._fleet.routers:
+                process, restart = router["process"], self._restarts.setdefault(router["front"], threading.Lock())
+                if process.child.poll() is None or not restart.acquire(blocking=False):
+                    continue
+                try:
+                    self._start_ended(process)
+                finally:
+                    restart.release()
+
+    def _start_ended(self, process):
+        code = process.child.poll()
+        if code is None:
+            return
+        self._unplanned_for(RESTART_SECONDS)
+        if code == -signal.SIGHUP:
+            self._history.append(f"{process.name} ended by a SIGHUP as it started")
+        else:
+            self.breaches.append(f"{process.name} ended by itself with {code}")
+        time.sleep(RESTART_SECONDS)
+        process.start()
+
     def _unplanned_for(self, seconds):
         now = time.monotonic()
         self._unplanned.append((now - 0.2, now + seconds + 3.0))
