Show operators which engines prefill shared parts

Requests' log lines have shared-read-tokens, homes and at-home, and a counter adds up the tokens by whether the engine is a home of the prompt. Before, only read-tokens was there, which mixes shared and own parts.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -24,6 +24,14 @@
         return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, bounds);
     }
 
+    prometheus::Family<prometheus::Counter>& sharedPrefillCounter(prometheus::Registry& registry)
+    {
+        return prometheus::BuildCounter()
+            .Name("sagechute_edge_shared_prefill_tokens_total")
+            .Help("Tokens of shared prompt parts that engines had to prefill, at homes of the prompt and elsewhere")
+            .Register(registry);
+    }
+
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 } // namespace
@@ -58,6 +66,8 @@
                      .Name("sagechute_edge_refusals_total")
                      .Help("Requests turned away without having run, by reason")
                      .Register(metrics.registry()))
+    , m_homePrefill(sharedPrefillCounter(metrics.registry()).Add({ { "engine", "home" } }))
+    , m_otherPrefill(sharedPrefillCounter(metrics.registry()).Add({ { "engine", "other" } }))
     , m_lostAnswers(
           prometheus::BuildCounter()
               .Name("sagechute_edge_lost_answers_total")
@@ -201,6 +211,11 @@
         m_signals.Add({ { "signal", "cold" } }).Increment();
 }
 
+void EdgeMetrics::recordSharedPrefill(const dispatch::Placement& placement)
+{
+    (placement.isAtHome ? m_homePrefill : m_otherPrefill).Increment(placement.sharedPrefillTokens);
+}
+
 void EdgeMetrics::recordRejectedAsFull(const ServiceId& service)
 {
     m_rejectedAsFull.Add({ { "service", service.value } }).Increment();
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -29,6 +29,9 @@
     void recordRejectedAsFull(const ServiceId&);
     void recordRefusal(dispatch::RefusalReason);
 
+    /// Counts the shared parts of a prompt that the engine has to prefill, as far as known.
+    void recordSharedPrefill(const dispatch::Placement&);
+
     /// Counts a request that was sent to a target and whose caller got neither its whole answer nor a promise that it
     /// has not run.
     /// @param record of a flow that is done.
@@ -59,6 +62,8 @@
     prometheus::Family<prometheus::Counter>& m_signals;
     prometheus::Family<prometheus::Counter>& m_rejectedAsFull;
     prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Counter& m_homePrefill;
+    prometheus::Counter& m_otherPrefill;
     prometheus::Family<prometheus::Counter>& m_lostAnswers;
     prometheus::Family<prometheus::Counter>& m_closedConnections;
     prometheus::Family<prometheus::Counter>& m_targetEnds;
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -176,7 +176,11 @@
 
 dispatch::Decision Relay::place(TimePoint now, const dispatch::PlacementRequest& demand, dispatch::AttemptKind round)
 {
-    return m_context.state.withDispatcher([&](dispatch::Dispatcher& it) { return it.place(now, demand, round); });
+    dispatch::Decision decision
+        = m_context.state.withDispatcher([&](dispatch::Dispatcher& it) { return it.place(now, demand, round); });
+    if (const auto* placement = std::get_if<dispatch::Placement>(&decision))
+        m_context.metrics.recordSharedPrefill(*placement);
+    return decision;
 }
 
 void Relay::firstAnswer(TimePoint now, dispatch::AttemptId attempt)
@@ -304,6 +308,9 @@
             { "ms", formatDurationMs(duration) }, { "first-ms", formatDurationMs(record.firstEventLatency) },
             { "predicted-ms", formatDurationMs(record.placement.predictedFirstEventDelay) },
             { "read-tokens", std::to_string(record.placement.prefillTokens) },
+            { "shared-read-tokens", std::to_string(record.placement.sharedPrefillTokens) },
+            { "homes", std::to_string(record.placement.homes) },
+            { "at-home", record.placement.isAtHome ? "yes" : "no" },
             { "prompt-tokens", std::to_string(m_order.facts.prompt.inputTokens) },
             { "answer-tokens", std::to_string(m_order.facts.prompt.maxOutputTokens) },
             { "parts", sharedPartsText(m_order.facts.prompt) }, { "wait-ms", formatDurationMs(admission.wait) },
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -292,6 +292,9 @@
     std::uint32_t prefillTokens = 0; ///< Prompt tokens that are not cached at the target, as far as known.
     Duration predictedFirstEventDelay {};
     Admission admission;
+    std::uint32_t sharedPrefillTokens = 0; ///< Of prefillTokens, those of parts that other requests may share.
+    unsigned homes = 0; ///< Number of the prompt's home targets; 0: it has no shared part.
+    bool isAtHome = false; ///< The target is one of them.
 };
 
 /// Why a request is refused without having run.
--- a/src/dispatch/HomeOrder.h
+++ b/src/dispatch/HomeOrder.h
@@ -32,6 +32,8 @@
     /// @return 0 for the top target; absent for targets that are not among the first few.
     std::optional<unsigned> rankOf(const TargetModel&) const;
 
+    unsigned homeCount() const { return m_homeCount; }
+
     /// @return whether the target is one of the homes.
     bool isHome(const TargetModel&) const;
 
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -446,11 +446,14 @@
         cost += noRoomCostMs;
     if (const std::optional<unsigned> rank = homeOrder.rankOf(model))
         cost -= homeBonusMs(request.prompt, prefixes) * std::pow(homeBonusDecay, *rank);
-    if (isLargeFleet() && !isHome && !prefixes.empty()) {
-        const std::uint32_t shared
+    if (prefixes.size() > 1) {
+        candidate.homes = homeOrder.homeCount();
+        candidate.isAtHome = isHome;
+        candidate.sharedPrefillTokens
             = candidate.prefillTokens - std::min(candidate.prefillTokens, prefixes.back().tokens);
-        cost += copyCostFactor * m_settings.homeWeight * shared / m_settings.prefillTokensPerMs;
     }
+    if (isLargeFleet() && !isHome)
+        cost += copyCostFactor * m_settings.homeWeight * candidate.sharedPrefillTokens / m_settings.prefillTokensPerMs;
     candidate.cost = cost;
     return candidate;
 }
@@ -771,7 +774,8 @@
         = { incarnation, best.prefillTokens, reservedTokens, now, best.predictedFirstEventDelay, false, request.key };
     if (!request.prompt.parts.empty())
         m_crashes.parts().sent(now, m_lastAttempt, sharedPartsOf(request.prompt));
-    return { m_lastAttempt, best.model->target(), best.prefillTokens, best.predictedFirstEventDelay, best.admission };
+    return { m_lastAttempt, best.model->target(), best.prefillTokens, best.predictedFirstEventDelay, best.admission,
+        best.sharedPrefillTokens, best.homes, best.isAtHome };
 }
 
 void LocalDispatcher::recordPlacement(TimePoint now, TargetKey target, const std::vector<PrefixKey>& prefixes)
--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -61,6 +61,9 @@
         Duration predictedFirstEventDelay {};
         double cost = 0;
         Admission admission;
+        std::uint32_t sharedPrefillTokens = 0;
+        unsigned homes = 0;
+        bool isAtHome = false;
     };
 
     /// @return whether the target is neither draining nor in a backoff pause, and its zone is not evacuated.
