--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -107,6 +107,48 @@
     CHECK(placed(second)->prefillTokens == 500);
 }
 
+// Guards against refusals, or copies all over the fleet, while the engines that a part has its home on can't be used.
+TEST_CASE("the next engine becomes the home of a part while its home can't take requests")
+{
+    constexpr unsigned largeFleet = 67;
+    constexpr std::uint64_t shared = 7;
+    const auto place = [](TestDeployment& it, TimePoint now) {
+        const Decision decision
+            = it.dispatcher->place(now, it.demand("c", prompt(shared, 13000, 500)), AttemptKind::First);
+        REQUIRE(placed(decision));
+        it.dispatcher->firstAnswer(now, placed(decision)->attempt);
+        it.dispatcher->ended(now, placed(decision)->attempt, AttemptEnd::Answered);
+        return *placed(decision);
+    };
+    TestDeployment deployment(30);
+    deployment.dispatcher->setRouterCount(largeFleet);
+    const Placement first = place(deployment, start);
+    CHECK(first.isAtHome);
+    CHECK(first.homes == 2);
+    CHECK(first.sharedPrefillTokens == 13000);
+    const auto isFirst = [&](const Target& it) { return it.id == first.target.id; };
+    const std::string how = GENERATE("draining", "paused", "gone");
+    std::vector<Target> targets = deployment.targets;
+    if (how == "draining")
+        std::find_if(targets.begin(), targets.end(), isFirst)->draining = true;
+    else if (how == "gone")
+        std::erase_if(targets, isFirst);
+    else
+        deployment.dispatcher->backOff(start, first.target.incarnation(), 10s);
+    deployment.dispatcher->setTargets(start + 1s, targets);
+    const Placement next = place(deployment, start + 1s);
+    CHECK(next.target.id != first.target.id);
+    CHECK(next.isAtHome);
+    CHECK(next.sharedPrefillTokens == 13000);
+    const Placement again = place(deployment, start + 2s);
+    CHECK(again.target.id == next.target.id);
+    CHECK(again.sharedPrefillTokens == 0);
+    deployment.dispatcher->setTargets(start + 20s, deployment.targets);
+    const Placement after = place(deployment, start + 20s);
+    CHECK(after.isAtHome);
+    CHECK((after.target.id == first.target.id || after.target.id == next.target.id));
+}
+
 // Guards against a shared part being prefilled on most engines, which made a third of all prefill redundant. Several
 // routers get requests with a new shared part before any report is exchanged, and each chose an engine that was idle in
 // its own view.
