Test where the requests of an evacuated zone go

The homes of its parts are spread over the engines of all other zones (within 1.5 times of an even part), parts elsewhere stay, and what the zone keeps counts again when it is back.

--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -149,6 +149,56 @@
     CHECK((after.target.id == first.target.id || after.target.id == next.target.id));
 }
 
+// Guards against a wave of requests that all go to one of the remaining zones, and against parts that are read anew
+// although their engine is not in the evacuated zone.
+TEST_CASE("the parts of an evacuated zone are spread over the engines of all others, and the rest stays where it is")
+{
+    constexpr unsigned largeFleet = 67;
+    constexpr unsigned engines = 60;
+    constexpr unsigned parts = 600;
+    const std::vector<ZoneId> zones { { "a" }, { "b" }, { "c" }, { "d" } };
+    TestDeployment deployment(engines);
+    std::map<TargetId, ZoneId> zoneOf;
+    for (unsigned i = 0; i < engines; ++i) {
+        deployment.targets[i].zone = zones[i % zones.size()];
+        zoneOf[deployment.targets[i].id] = deployment.targets[i].zone;
+    }
+    deployment.dispatcher->setTargets(start, deployment.targets);
+    deployment.dispatcher->setRouterCount(largeFleet);
+    const auto placeAll = [&](TimePoint from) {
+        std::vector<Placement> placements;
+        for (unsigned i = 0; i < parts; ++i) {
+            const TimePoint now = from + i * 1s; // Far below the capacity.
+            const Decision decision
+                = deployment.dispatcher->place(now, deployment.demand("c", prompt(i, 13000, 500)), AttemptKind::First);
+            REQUIRE(placed(decision));
+            placements.push_back(*placed(decision));
+            deployment.dispatcher->firstAnswer(now, placements.back().attempt);
+            deployment.dispatcher->ended(now, placements.back().attempt, AttemptEnd::Answered);
+        }
+        return placements;
+    };
+    const std::vector<Placement> before = placeAll(start);
+    deployment.dispatcher->setEvacuatedZones(start + 1000s, { { "b" } });
+    const std::vector<Placement> during = placeAll(start + 1000s);
+    std::map<ZoneId, unsigned> moved;
+    for (unsigned i = 0; i < parts; ++i) {
+        const bool wasThere = zoneOf[before[i].target.id].value == "b";
+        CHECK((wasThere || during[i].target.id == before[i].target.id));
+        CHECK(during[i].sharedPrefillTokens == (wasThere ? 13000 : 0));
+        moved[zoneOf[during[i].target.id]] += wasThere ? 1 : 0;
+    }
+    const unsigned all = moved[{ "a" }] + moved[{ "c" }] + moved[{ "d" }];
+    CHECK(all > parts / 8);
+    CHECK(moved[{ "b" }] == 0);
+    for (const ZoneId& it : { zones[0], zones[2], zones[3] })
+        CHECK(3 * moved[it] < 1.5 * all);
+    // What was cached in the zone counts again when the zone is back.
+    deployment.dispatcher->setEvacuatedZones(start + 2000s, {});
+    for (const Placement& it : placeAll(start + 2000s))
+        CHECK(it.sharedPrefillTokens == 0);
+}
+
 // Guards against a shared part being prefilled on most engines, which made a third of all prefill redundant. Several
 // routers get requests with a new shared part before any report is exchanged, and each chose an engine that was idle in
 // its own view.
