--- a/src/dispatch/LocalDispatcher.h
+++ b/src/dispatch/LocalDispatcher.h
@@ -117,9 +117,8 @@
     std::optional<Candidate> choose(
         TimePoint now, const PlacementRequest&, const std::vector<PrefixKey>&, bool isHedge);
 
-    /// @return the targets whose latest answers did not break off, if any of them has room; otherwise all. A random
-    /// choice
-    ///         would send more requests to a target that breaks them off than the retry budget can repair.
+    /// A random choice would send more requests to a target that breaks answers off than the retry budget can repair.
+    /// @return the targets whose latest answers did not break off, if any of them has room; otherwise all.
     static std::vector<TargetModel*> withoutDoubtful(TimePoint now, const std::vector<TargetModel*>& usable);
 
     /// Chooses at random by selectionWeight(), for services whose targets report their load.
--- a/src/dispatch/PromptDemand.cpp
+++ b/src/dispatch/PromptDemand.cpp
@@ -18,8 +18,10 @@
 
 void PromptDemand::requested(TimePoint now, std::uint64_t prefix, std::uint32_t tokens)
 {
-    if (m_entries.size() >= maxEntries)
+    if (m_entries.size() >= maxEntries && now - m_sweptAt > halfLife) {
         std::erase_if(m_entries, [&](const auto& it) { return now - it.second.at > expiredAfterHalfLives * halfLife; });
+        m_sweptAt = now;
+    }
     if (m_entries.size() >= maxEntries && !m_entries.contains(prefix))
         return;
     Entry& entry = m_entries[prefix];
--- a/src/dispatch/PromptDemand.h
+++ b/src/dispatch/PromptDemand.h
@@ -27,8 +27,8 @@
     /// with a burst.
     static constexpr Duration halfLife = std::chrono::seconds(4);
 
-    /// Above this number of prefixes, those without a request in the last few half-lives are removed; if that is not
-    /// enough, new ones aren't counted.
+    /// Above this number of prefixes, those without a request in the last few half-lives are removed, at most once per
+    /// half-life; if that is not enough, new ones aren't counted.
     static constexpr std::size_t maxEntries = 4096;
 
 private:
@@ -38,6 +38,7 @@
     };
 
     std::unordered_map<std::uint64_t, Entry> m_entries;
+    TimePoint m_sweptAt {};
 };
 
 } // namespace sagechute::dispatch
