Tell callers of a crowded router to return in order, as many at a time as it admits

A router that lacks cores told all refused callers the same 150 ms. They returned while the flood still lasted and were refused again, and the router had room right after it.

edge::ReturnOrder gives each refused caller the first free place of an order of return: slots of 50 ms, up to a third of the request's remaining time and 10 s ahead, which take three quarters of the rate that the limiter admits. A customer takes places at no more than its max-min fair part of that; an eighth of the rate is kept for customers that find the order filled by another one. Its state is a fixed ring and one entry for each customer that was refused recently or has places ahead.

Other refusals keep their times. sagechute_edge_refusal_retry_seconds{reason} has the times given. sagechute_edge_refusals_total now also counts refusals before a target is chosen that carry a Retry-After, and their log lines have come-back-ms.

EdgeTest, CrowdTest and ReturnOrderTest pass. Not run: tests with real processes.

--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -27,7 +27,9 @@
 
     /// A target rejected a request because all its slots were in use.
     void recordRejectedAsFull(const ServiceId&);
-    void recordRefusal(dispatch::RefusalReason);
+
+    /// @param retryAfter what the caller was told.
+    void recordRefusal(std::string_view reason, Duration retryAfter);
 
     /// Counts a request that was sent to a target and whose caller got neither its whole answer nor a promise that it
     /// has not run.
@@ -59,6 +61,7 @@
     prometheus::Family<prometheus::Counter>& m_signals;
     prometheus::Family<prometheus::Counter>& m_rejectedAsFull;
     prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Histogram>& m_refusalRetryTimes;
     prometheus::Family<prometheus::Counter>& m_lostAnswers;
     prometheus::Family<prometheus::Counter>& m_closedConnections;
     prometheus::Family<prometheus::Counter>& m_targetEnds;
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -40,12 +40,6 @@
         return text.empty() ? "none" : text;
     }
 
-    TimePoint deadlineOf(const RelayOrder& order)
-    {
-        const Duration timeout = order.route->timeout;
-        return order.arrived + (order.facts.deadline ? std::min(*order.facts.deadline, timeout) : timeout);
-    }
-
     quarantine::RequestKey keyOf(const RelayOrder& order)
     {
         const net::ServerRequest& request = order.exchange->request();
@@ -56,7 +50,7 @@
     relay::RequestInfo factsOf(const RelayOrder& order, quarantine::RequestKey key)
     {
         return { order.facts.id, order.route, order.service, order.customer, order.facts.prompt,
-            order.exchange->request().body.size(), order.arrived, deadlineOf(order), key };
+            order.exchange->request().body.size(), order.arrived, order.arrived + order.timeLimit(), key };
     }
 
     class AttemptSink final : public net::TransferSink {
@@ -269,7 +263,7 @@
 void Relay::refuse(int status, std::string_view reason, std::optional<Duration> retryAfter)
 {
     if (retryAfter)
-        m_context.metrics.recordRefusal(m_flow.record().refusal.reason);
+        m_context.metrics.recordRefusal(toString(m_flow.record().refusal.reason), *retryAfter);
     sendResponse(m_context.callerProtocol.refusal(status, reason, retryAfter));
 }
 
--- a/apps/sagechute-edge/RequestHandler.h
+++ b/apps/sagechute-edge/RequestHandler.h
@@ -7,11 +7,7 @@
 /// Validates callers' requests, determines their route, customer and service, and starts a relay for each.
 class RequestHandler {
 public:
-    RequestHandler(const RelayContext& context, AdaptiveRateLimiter& overloadMeter)
-        : m_context(context)
-        , m_overloadMeter(overloadMeter)
-    {
-    }
+    RequestHandler(const RelayContext&, AdaptiveRateLimiter& overloadMeter);
 
     void handle(std::shared_ptr<net::ServerExchange>);
 
@@ -31,6 +27,7 @@
 
     const RelayContext m_context;
     AdaptiveRateLimiter& m_overloadMeter;
+    ReturnOrder m_returnOrder;
 };
 
 } // namespace sagechute::edge
