Keep breaks in reading from shrinking as routers pass them on

The store was unavailable from 20.28 to 21.42 s while entries returned from a first outage. A router that read at 21.48 found a break since 19.79 (1.69 s, more than 0.55 of the bound) and extended the grace period to 23.68. It reported the start and the end of the new reads. toldRead() moved the start back to the end, which every router reports at least 20 ms older. A few routers on the reads began at 21.42, the break was 1.63 s, and this report closed the break at every router, including the one that had read: grace until 21.47, dropped from 21.82 on, registered again at 23.21.

toldRead() now leaves the start as estimated, which is late rather than early, even if it is after the end. TargetRoster::known() finds a gap only by a report of a later read than known. Otherwise a queued report, whose end is an hour old for want of a known delay, would take back what is known.

A store that is unavailable again for so short a time that no router finds a break of 0.55 of the bound still prolongs the return of entries unseen.

--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -124,6 +124,9 @@
 // ---- Target list
 
 /// An interval in which the store was read by some router without a gap longer than NewsTimes::storeBreak.
+///
+/// Each router that passes it on estimates the start later and the end earlier, by up to the transit time. Soon after a
+/// gap the estimated start may therefore be after the estimated end.
 struct ReadSpan {
     TimePoint from;
     TimePoint until;
@@ -442,7 +445,9 @@
 Missing learn(Knowledge&, const ToldKnowledge&, TimePoint now);
 
 /// @param asOf when the ages were valid. @param heard when they were received.
-/// @return the interval in which another router knows the store to have been read; absent if it has no targets.
+/// @return the interval in which another router knows the store to have been read; absent if it has no targets. Its
+/// start is not moved to an earlier end: a gap would seem shorter with each router that passes it on, and end the grace
+/// period of entries that could not be registered again in it.
 std::optional<ReadSpan> toldRead(const ToldKnowledge&, TimePoint asOf, TimePoint heard);
 
 /// @return the older of both topics' times; absent while either is unknown.
--- a/src/news/Knowledge.cpp
+++ b/src/news/Knowledge.cpp
@@ -85,7 +85,7 @@
         return std::nullopt;
     const TimePoint until = asOf - *told.targetsAge;
     const TimePoint from = told.targetsFromAge ? heard - *told.targetsFromAge : until;
-    return ReadSpan { std::min(from, until), until, true };
+    return ReadSpan { from, until, true };
 }
 
 std::optional<TimePoint> knownUntil(const Knowledge& known)
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -20,7 +20,8 @@
         return;
     }
     narrowReadGaps(told);
-    if (told.from - m_read->until > m_maxReadGap) {
+    // A span whose end is older than what is known here shows no gap, however late its start is estimated.
+    if (told.until > m_read->until && told.from - m_read->until > m_maxReadGap) {
         m_readGaps.push_back({ m_read->until, told.from });
         m_isGapWitnessed = told.isTold;
         m_read = told;
--- a/tests/NewsTest.cpp
+++ b/tests/NewsTest.cpp
@@ -119,6 +119,54 @@
     CHECK(toldRead({ 3, 0ms, 9, 200ms, std::nullopt }, start, start)->from == start - 200ms);
 }
 
+// Guards against live targets being dropped two seconds too early after the store was unavailable for a second time
+// while entries returned. Each router that passed on the first read after it reported an earlier start, until the break
+// seemed too short to count and ended the grace period at all routers. In the simulation, with a bound of 3 s:
+//   20.280 to 21.420 the store is unavailable  21.570 read from 21.480, before until 19.790; kept until 23.680
+//   21.820 told from 21.420; kept until 21.470  21.820 dropped; back by 23.210
+TEST_CASE("a break in reading does not become shorter with each router that passes it on")
+{
+    const NewsTimes times = NewsTimes::make(3s, false);
+    const TimePoint back = start + 6s;
+    const TimePoint away = back + 500ms;
+    const TimePoint backAgain = away + times.storeBreak + 30ms;
+    TargetRoster roster(times.storeBreak);
+    roster.known(1, start);
+    roster.known(1, back);
+    roster.known(1, away);
+    const TimePoint until = backAgain + TargetRoster::reregistrationGrace;
+    Knowledge other { 0, backAgain, 1, backAgain, backAgain };
+    TimePoint now = backAgain;
+    for (int i = 0; i < 5; ++i) {
+        const ToldKnowledge told = delayed(tell(other, std::nullopt, now), 0ms);
+        now += 2ms;
+        const auto read = toldRead(told, now, now);
+        REQUIRE(read);
+        roster.known(1, *read);
+        CHECK(roster.keepsMissingUntil() >= until);
+        other.targetsUntil = read->until;
+        other.targetsFrom = read->from;
+    }
+    // Its own read finds the same break.
+    roster.known(1, now);
+    CHECK(roster.keepsMissingUntil() >= until);
+}
+
+// Guards against a router that finds heartbeats queued for seconds in its socket and takes its data for older than it
+// is, or their delay for a break in reading.
+TEST_CASE("a queued report of a short time of reading neither reveals a gap nor takes back what is known")
+{
+    TargetRoster roster;
+    roster.known(1, start);
+    const ToldKnowledge told = delayed({ 0, 0ms, 1, 0ms, std::nullopt, 100ms, 0 }, TransitMeter::unknownDelay);
+    const auto read = toldRead(told, start + 3s, start + 3s);
+    REQUIRE(read);
+    roster.known(1, *read);
+    CHECK(roster.knownUntil() == start);
+    CHECK(roster.readSince() == start);
+    CHECK_FALSE(roster.keepsMissingUntil());
+}
+
 TEST_CASE("a call that the store held and answered empty covers the time that it was held")
 {
     CHECK(knownByRead(start, start + 510ms, 500ms, true) == start + 500ms);
