--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -110,13 +110,16 @@
     """A store, workers and edge routers. Ends all of them by id when it is closed."""
 
     def __init__(self, build, routers=2, engines=2, applications=2, proxy=None, worker_arguments=(), others=None,
-                 zones=("a",)):
+                 zones=("a",), has_router_addresses=False):
         """proxy: given an address, returns the one by which routers reach it; absent: they reach it directly.
 
         others: the services of further workers, by name; engines if the service begins with llm.
         zones: availability zones of the workers, in turn for each service. The routers are in the first if it is the
         only one, and else in another, so that all workers are equally far.
+        has_router_addresses: each router has a loopback address of its own, and all have the same ports for each other.
+        Only then they meet by their seeds, as a router takes a seed's gossip port to be its own.
         """
+        self.has_router_addresses = has_router_addresses
         self.zones = zones
         self.build = build
         self.worker_arguments = list(worker_arguments)
@@ -137,8 +140,7 @@
         for name, service in others.items():
             self._add_worker(name, next(ports), ["--service", service] + (["--engine"] if service.startswith("llm") else []))
         layouts = [[next(ports) for _ in range(8)] for _ in range(routers)]
-        seeds = ",".join(f"127.0.0.1:{layout[2]}" for layout in layouts[:3])
-        self.routers = [self._add_router(i, layout, seeds) for i, layout in enumerate(layouts)]
+        self.routers = self._add_group(range(routers), layouts)
 
     def __enter__(self):
         return self
@@ -158,11 +160,22 @@
                    "--store", self.store, "--zone", zone]
         self.workers[name] = {"address": address, "zone": zone, "process": self._start(name, command + arguments + self.worker_arguments)}
 
+    def _add_group(self, numbers, layouts):
+        """Routers whose seeds are some of them."""
+        if self.has_router_addresses:
+            layouts = [layout[:4] + layouts[0][4:] for layout in layouts]
+        seeds = ",".join(f"{self._router_address(number)}:{layout[2]}" for number, layout in list(zip(numbers, layouts))[:3])
+        return [self._add_router(number, layout, seeds) for number, layout in zip(numbers, layouts)]
+
+    def _router_address(self, index):
+        return f"127.0.0.{10 + index}" if self.has_router_addresses else "127.0.0.1"
+
     def _add_router(self, index, ports, seeds):
+        address = self._router_address(index)
         settings = {
-            "vm-id": f"router-{index}", "zone": self.zones[0] if len(self.zones) == 1 else ROUTER_ZONE, "callers-listen": f"127.0.0.1:{ports[0]}",
-            "readiness-listen": f"127.0.0.1:{ports[1]}", "control-listen": f"127.0.0.1:{ports[2]}",
-            "locate-listen": f"127.0.0.1:{ports[3]}", "address": "127.0.0.1",
+            "vm-id": f"router-{index}", "zone": self.zones[0] if len(self.zones) == 1 else ROUTER_ZONE, "callers-listen": f"{address}:{ports[0]}",
+            "readiness-listen": f"{address}:{ports[1]}", "control-listen": f"{address}:{ports[2]}",
+            "locate-listen": f"{address}:{ports[3]}", "address": address,
             "port-range": f"{ports[4]},{ports[5]}", "seeds": seeds, "store": self.proxy(self.store),
             "stop-grace-seconds": "4", "evacuation-bound-ms": str(EVACUATION_BOUND_MS),
         }
@@ -174,7 +187,7 @@
         process = self._start(f"router-{index}", ["sagechute-edge"], {"SAGECHUTE_NODE_FILE": path})
         return {"settings": path, "process": process, "front": settings["callers-listen"],
                 "ready": settings["readiness-listen"], "locate": settings["locate-listen"],
-                "control": settings["control-listen"], "metrics": f"127.0.0.1:{max(ports[4], ports[5])}"}
+                "control": settings["control-listen"], "metrics": f"{address}:{max(ports[4], ports[5])}"}
 
     def wait_until(self, what, condition, seconds=READY_SECONDS):
         end = time.monotonic() + seconds
@@ -206,6 +219,19 @@
                             for line in text.splitlines(keepends=True))
         router["process"].start()
 
+    def restart_as_group(self, numbers):
+        """Restarts routers abruptly with new ports and with only each other as seeds.
+
+        They and the other routers can't hear each other: neither knows the ports of the others, and a router looks for
+        those in the store only while it is alone. At least two, with addresses of their own.
+        """
+        for number in numbers:
+            self.routers[number]["process"].end()
+        ports = free_ports(8 * len(numbers))
+        layouts = [ports[8 * i:8 * i + 8] for i in range(len(numbers))]
+        for number, router in zip(numbers, self._add_group(numbers, layouts)):
+            self.routers[number] = router
+
     def is_ready(self, router):
         return call(router["ready"], "GET", "/sagechute/ready", timeout=1.0)[0] == 200
 
