Limit floods to their part of what was granted where reports come over relays

Where demand is 18 times the capacity, all routers see the flood's share fall below 1 at the same moment, when its last burst leaves the share window. They admit the next burst until the aggregate shows it, in a cycle of four seconds.

In fleets with relays, a customer that gets more than twice as much as one that requests at most a third of what it does, and that has unmet demand, may now have 1.2 times the level of what was granted. Each router admits its part, by its part of the requests, as beside customers with shed requests. The others are judged by the same level while the limit lasts, so that engines whose capacity is understated are not idle.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -31,6 +31,20 @@
     /// A customer is underserved if it was granted less than this fraction of what the best-served one was granted.
     constexpr double underservedFraction = 0.85;
 
+    /// A customer counts as flooding beside one that requests less than this fraction of what it requests. Customers
+    /// with similar demand share an overload without one of them flooding.
+    constexpr double floodVictimFraction = 1.0 / 3;
+
+    /// Twice as much as another customer counts as unfair by the operators' rule.
+    constexpr double unfairRatio = 2;
+
+    /// Demand counts as unmet below this granted fraction. Single requests are refused for other reasons, too.
+    constexpr double unmetFraction = 0.75;
+
+    /// A limited flood, and the others beside it, may have this multiple of the level of what was granted: below
+    /// unfairRatio, and above 1, so that the level rises again when engines have room.
+    constexpr double floodGrantRatio = 1.2;
+
     constexpr Duration aggregateTtl = std::chrono::milliseconds(25);
 
     void addUsage(CustomerUsage& sum, const CustomerUsage& usage)
@@ -170,14 +184,43 @@
         m_totalUsageAt = now;
         m_totalUsage = totalUsage(now);
         m_level = fairShareLevel(m_totalUsage, capacity);
-        m_underservedBelow = std::min(fairShareLevel(m_totalUsage), underservedFraction * maxGranted(m_totalUsage));
+        m_grantedLevel = fairShareLevel(m_totalUsage);
+        m_underservedBelow = std::min(m_grantedLevel, underservedFraction * maxGranted(m_totalUsage));
+        updateFloods();
         updateShedCustomers();
     }
     const auto self = m_totalUsage.find(customer);
     if (self == m_totalUsage.end() || m_level <= 0)
         return 0;
     const double share = self->second.granted / m_level;
-    return self->second.granted < m_underservedBelow ? std::min(share, maxUnderservedRatio) : share;
+    const bool isBesideFlood = !m_floods.empty() && !m_floods.contains(customer);
+    const double underservedBelow = isBesideFlood ? floodGrantRatio * m_grantedLevel : m_underservedBelow;
+    return self->second.granted < underservedBelow ? std::min(share, maxUnderservedRatio) : share;
+}
+
+bool CustomerShares::isFlooding(const CustomerId& customer, const CustomerUsage& self) const
+{
+    if (self.requested * floodVictimFraction < m_grantedLevel)
+        return false;
+    // A limit that ended when the customers are even would let all routers admit the flood again at the same moment.
+    const bool wasFlooding = m_floods.contains(customer);
+    return std::any_of(m_totalUsage.begin(), m_totalUsage.end(), [&](const auto& it) {
+        const CustomerUsage& other = it.second;
+        const double attainable = std::min(other.requested, self.granted);
+        return it.first != customer && other.requested <= floodVictimFraction * self.requested
+            && other.granted < unmetFraction * other.requested
+            && (wasFlooding || unfairRatio * other.granted + minGrantMargin < attainable);
+    });
+}
+
+void CustomerShares::updateFloods()
+{
+    std::set<CustomerId> floods;
+    for (const auto& [id, usage] : m_totalUsage) {
+        if (m_isRelayed && isFlooding(id, usage))
+            floods.insert(id);
+    }
+    m_floods = std::move(floods);
 }
 
 void CustomerShares::updateShedCustomers()
@@ -222,14 +265,19 @@
 bool CustomerShares::isFarAboveOthers(TimePoint now, const CustomerId& customer)
 {
     const auto self = m_totalUsage.find(customer);
-    const std::optional<double> fleetLimit
+    const std::optional<double> shedLimit
         = self == m_totalUsage.end() ? std::nullopt : grantLimit(customer, self->second);
-    if (!fleetLimit) {
+    const bool isFlood = m_floods.contains(customer);
+    if (!shedLimit && !isFlood) {
         m_allowances.erase(customer);
         return false;
     }
-    const bool isOverFleetLimit = self->second.granted > *fleetLimit;
-    return isAllowanceSpent(now, customer, *fleetLimit) || isOverFleetLimit;
+    const double noLimit = std::numeric_limits<double>::infinity();
+    const double floodLimit = isFlood ? floodGrantRatio * m_grantedLevel : noLimit;
+    // The aggregate is not compared with the flood limit: all routers would see it fall below the limit at the same
+    // moment and admit too much together.
+    const bool isOverShedLimit = shedLimit && self->second.granted > *shedLimit;
+    return isAllowanceSpent(now, customer, std::min(floodLimit, shedLimit.value_or(noLimit))) || isOverShedLimit;
 }
 
 } // namespace sagechute::dispatch
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -6,6 +6,7 @@
 #include <sagechute/Dispatch.h>
 
 #include <deque>
+#include <set>
 
 namespace sagechute::dispatch {
 
@@ -21,6 +22,10 @@
     {
     }
 
+    /// @param isRelayed whether reports of other routers come over relays. Only then are floods limited: with reports
+    ///        that are exchanged directly, share ratios alone keep a flood below twice of what others get.
+    void setRelayed(bool isRelayed) { m_isRelayed = isRelayed; }
+
     void requested(TimePoint now, const CustomerId&, double tokens);
     void granted(TimePoint now, const CustomerId&, double tokens);
     void shed(TimePoint now, const CustomerId&, double tokens);
@@ -46,15 +51,23 @@
     ///         be served.
     double shareRatio(TimePoint now, const CustomerId&, double capacity);
 
-    /// Detects a customer that is granted a multiple of what another one gets although the engines have room. This
-    /// happens when all callers of the other customer use one small router, which can carry only a fraction of their
-    /// requests, while this customer's callers use all routers. The fair level does not show it.
+    /// Detects a customer that is granted a multiple of what another one gets.
+    ///
+    /// The first load: the engines have room, but the other customer is refused. This happens when all callers of the
+    /// other customer use one small router, which can carry only a fraction of their requests, while this customer's
+    /// callers use all routers. The fair level does not show it.
+    ///
+    /// The second load, in fleets with relays: demand exceeds capacity, one customer floods all routers, and a customer
+    /// that requests far less gets less than half as much. By share ratios alone, all routers see the flood fall below
+    /// its share at the same time, whenever its last burst leaves the window, and admit the next burst until the
+    /// aggregate shows it. The limit then follows the level of what was granted, and it stays until the flood ends or
+    /// no such customer has unmet demand.
     ///
     /// Grants made between two aggregates are not known to other routers, and each router admits as if it were the only
     /// one. So each router gets a part of the customer's limit, proportional to its part of the customer's requests.
     /// @return whether all routers together, or this one by its part, have granted the customer as much as it may have
-    ///         beside another one that sends as much and whose requests are shed. Uses the aggregate of the last
-    ///         shareRatio().
+    ///         beside another one that sends as much and whose requests are shed, or beside an underserved one. Uses
+    ///         the aggregate of the last shareRatio().
     bool isFarAboveOthers(TimePoint now, const CustomerId&);
 
     /// @return age of the oldest report in the aggregate; absent if no other router has reported within the window.
@@ -100,6 +113,11 @@
     std::map<CustomerId, CustomerUsage> totalUsage(TimePoint now);
     void updateShedCustomers();
 
+    /// @return whether the customer is granted more than twice as much as one that requests far less; once it was,
+    ///         whether any such customer has unmet demand.
+    bool isFlooding(const CustomerId&, const CustomerUsage&) const;
+    void updateFloods();
+
     const Duration m_window;
     std::deque<Entry> m_entries;
     std::map<CustomerId, LocalUsage> m_localUsage;
@@ -107,10 +125,13 @@
     std::optional<TimePoint> m_totalUsageAt;
     std::map<CustomerId, CustomerUsage> m_totalUsage; ///< Over all routers, as of m_totalUsageAt.
     double m_level = 0;
+    double m_grantedLevel = 0; ///< Fair level of what was granted, without the bound of the configured capacity.
     double m_underservedBelow = 0; ///< A customer that was granted fewer tokens is underserved.
     /// Customers whose requests are mostly shed because routers lack CPU time.
     std::map<CustomerId, CustomerUsage> m_shedCustomers;
     std::map<CustomerId, Allowance> m_allowances;
+    bool m_isRelayed = false;
+    std::set<CustomerId> m_floods; ///< Customers whose grants are limited because they flood.
 };
 
 /// @return the max-min fair level L, for which the sum of min(requested, L) equals @p capacity; infinity if the
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -194,6 +194,7 @@
 {
     m_routerCount = n;
     m_peakRouterCount = std::max(m_peakRouterCount, n);
+    m_shares.setRelayed(isLargeFleet());
 }
 
 bool LocalDispatcher::hasTargets() const
--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -215,3 +215,34 @@
     shares.requested(later, flooding, 1e6);
     CHECK(shares.shareRatio(later, flooding, 10e6) > 1);
 }
+
+namespace {
+
+/// @return whether a router whose peers report over relays, and which handles a thirtieth of the flood, refuses it.
+bool isLimitedOverRelays(CustomerUsage floodUsage, CustomerUsage otherUsage)
+{
+    CustomerShares shares(4s);
+    shares.setRelayed(true);
+    shares.setPeerUsage(start, { "others" }, { { flooding, floodUsage }, { pinned, otherUsage } });
+    shares.requested(start, flooding, floodUsage.requested / 30);
+    shares.granted(start, flooding, floodUsage.granted / 30);
+    constexpr double configuredCapacity = 1e6;
+    shares.shareRatio(start, flooding, configuredCapacity);
+    return shares.isFarAboveOthers(start, flooding);
+}
+
+} // namespace
+
+// Guards against all routers admitting a flood at once when its last burst leaves the window.
+TEST_CASE("a flood over relays is limited beside a customer that gets less than half as much")
+{
+    CHECK(isLimitedOverRelays({ 60e6, 5e6, 0 }, { 8e6, 1e6, 0 }));
+}
+
+// Guards against leaving engines idle for the sake of customers that are served, or have the same demand.
+TEST_CASE("a customer is not limited over relays if no customer with far less demand is underserved")
+{
+    CHECK_FALSE(isLimitedOverRelays({ 60e6, 5e6, 0 }, { 1e6, 0.9e6, 0 }));
+    CHECK_FALSE(isLimitedOverRelays({ 60e6, 5e6, 0 }, { 8e6, 4e6, 0 }));
+    CHECK_FALSE(isLimitedOverRelays({ 60e6, 5e6, 0 }, { 50e6, 1e6, 0 }));
+}
