--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -97,6 +97,7 @@
     /// Fraction of its time that a home target has for the requests of one prompt, as it is the home of others too.
     constexpr double homeUtilization = 0.5;
 
+    /// More than any fleet has engines; keeps a wrong demand within the range of the number of homes.
     constexpr double maxHomes = 1000;
     constexpr double msPerSecond = 1000;
 
--- a/tests/NewsTest.cpp
+++ b/tests/NewsTest.cpp
@@ -119,11 +119,7 @@
     CHECK(toldRead({ 3, 0ms, 9, 200ms, std::nullopt }, start, start)->from == start - 200ms);
 }
 
-// Guards against live targets being dropped two seconds too early after the store was unavailable for a second time
-// while entries returned. Each router that passed on the first read after it reported an earlier start, until the break
-// seemed too short to count and ended the grace period at all routers. In the simulation, with a bound of 3 s:
-//   20.280 to 21.420 the store is unavailable  21.570 read from 21.480, before until 19.790; kept until 23.680
-//   21.820 told from 21.420; kept until 21.470  21.820 dropped; back by 23.210
+// Guards against live targets being dropped too early after the store was unavailable again while entries returned.
 TEST_CASE("a break in reading does not become shorter with each router that passes it on")
 {
     const NewsTimes times = NewsTimes::make(3s, false);
