Tell callers of a crowded router to return after 150 ms again

The order of return gave them times of up to a third of what was left of their deadlines. Those who return after 150 ms are mostly admitted, and on time; those who return after seconds are late.

This reverts the module, its tests, its metric and its pages.

--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -18,9 +18,6 @@
     /// In seconds; sums are sent several times a second and are discarded after 2 s.
     const Histogram::BucketBoundaries sumsAgeBuckets { 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5 };
 
-    /// In seconds; from the retry time of a router that stops to an hour for quarantined requests.
-    const Histogram::BucketBoundaries retryBuckets { 0.02, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 3600 };
-
     Histogram& histogram(prometheus::Registry& registry, const char* name, const char* help,
         const Histogram::BucketBoundaries& bounds = latencyBuckets)
     {
@@ -71,10 +68,6 @@
                      .Register(metrics.registry()))
     , m_homePrefill(sharedPrefillCounter(metrics.registry()).Add({ { "engine", "home" } }))
     , m_otherPrefill(sharedPrefillCounter(metrics.registry()).Add({ { "engine", "other" } }))
-    , m_refusalRetryTimes(prometheus::BuildHistogram()
-                              .Name("sagechute_edge_refusal_retry_seconds")
-                              .Help("Times after which refused callers were told to retry, by reason")
-                              .Register(metrics.registry()))
     , m_lostAnswers(
           prometheus::BuildCounter()
               .Name("sagechute_edge_lost_answers_total")
@@ -245,11 +238,9 @@
         .Increment();
 }
 
-void EdgeMetrics::recordRefusal(std::string_view reason, Duration retryAfter)
+void EdgeMetrics::recordRefusal(dispatch::RefusalReason reason)
 {
-    const prometheus::Labels labels { { "reason", std::string(reason) } };
-    m_refusals.Add(labels).Increment();
-    m_refusalRetryTimes.Add(labels, retryBuckets).Observe(seconds(retryAfter));
+    m_refusals.Add({ { "reason", std::string(toString(reason)) } }).Increment();
 }
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -27,9 +27,7 @@
 
     /// A target rejected a request because all its slots were in use.
     void recordRejectedAsFull(const ServiceId&);
-
-    /// @param retryAfter what the caller was told.
-    void recordRefusal(std::string_view reason, Duration retryAfter);
+    void recordRefusal(dispatch::RefusalReason);
 
     /// Counts the shared parts of a prompt that the engine has to prefill, as far as known.
     void recordSharedPrefill(const dispatch::Placement&);
@@ -66,7 +64,6 @@
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Counter& m_homePrefill;
     prometheus::Counter& m_otherPrefill;
-    prometheus::Family<prometheus::Histogram>& m_refusalRetryTimes;
     prometheus::Family<prometheus::Counter>& m_lostAnswers;
     prometheus::Family<prometheus::Counter>& m_closedConnections;
     prometheus::Family<prometheus::Counter>& m_targetEnds;
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -40,6 +40,12 @@
         return text.empty() ? "none" : text;
     }
 
+    TimePoint deadlineOf(const RelayOrder& order)
+    {
+        const Duration timeout = order.route->timeout;
+        return order.arrived + (order.facts.deadline ? std::min(*order.facts.deadline, timeout) : timeout);
+    }
+
     quarantine::RequestKey keyOf(const RelayOrder& order)
     {
         const net::ServerRequest& request = order.exchange->request();
@@ -50,7 +56,7 @@
     relay::RequestInfo factsOf(const RelayOrder& order, quarantine::RequestKey key)
     {
         return { order.facts.id, order.route, order.service, order.customer, order.facts.prompt,
-            order.exchange->request().body.size(), order.arrived, order.arrived + order.timeLimit(), key };
+            order.exchange->request().body.size(), order.arrived, deadlineOf(order), key };
     }
 
     class AttemptSink final : public net::TransferSink {
@@ -267,7 +273,7 @@
 void Relay::refuse(int status, std::string_view reason, std::optional<Duration> retryAfter)
 {
     if (retryAfter)
-        m_context.metrics.recordRefusal(toString(m_flow.record().refusal.reason), *retryAfter);
+        m_context.metrics.recordRefusal(m_flow.record().refusal.reason);
     sendResponse(m_context.callerProtocol.refusal(status, reason, retryAfter));
 }
 
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -30,9 +30,6 @@
     ServiceId service;
     CustomerId customer;
     TimePoint arrived;
-
-    /// @return the time from arrival until the caller's deadline or the route's timeout expires.
-    Duration timeLimit() const { return std::min(facts.deadline.value_or(route->timeout), route->timeout); }
 };
 
 /// Relays one request to targets and the response back to the caller.
--- a/apps/sagechute-edge/RequestHandler.cpp
+++ b/apps/sagechute-edge/RequestHandler.cpp
@@ -1,9 +1,5 @@
 #include "RequestHandler.h"
 
-#include "AgeText.h"
-
-#include <random>
-
 namespace sagechute::edge {
 
 namespace {
@@ -20,18 +16,14 @@
     /// Another router can accept the request at once.
     constexpr Duration stoppingRetryAfter = std::chrono::milliseconds(20);
 
+    /// Another router may accept the request at once; by then this one has worked off part of its queue.
+    constexpr Duration overloadRetryAfter = std::chrono::milliseconds(150);
+
     /// @return a number in [0, 1) for a request's identity, the same on every router.
     double hashToUnitInterval(const std::string& id) { return static_cast<double>(stableHash(id) >> 11) * 0x1.0p-53; }
 
 } // namespace
 
-RequestHandler::RequestHandler(const RelayContext& context, AdaptiveRateLimiter& overloadMeter)
-    : m_context(context)
-    , m_overloadMeter(overloadMeter)
-    , m_returnOrder(std::random_device {}())
-{
-}
-
 void RequestHandler::handle(std::shared_ptr<net::ServerExchange> exchange)
 {
     RelayOrder order;
@@ -73,8 +65,7 @@
         ++m_context.state.requestsShed;
         m_context.state.withDispatcher(
             [&](dispatch::Dispatcher& it) { it.shed(order.arrived, order.customer, order.facts.prompt); });
-        return Verdict { unavailable, "router-crowded",
-            m_returnOrder.refuse(order.arrived, order.customer, order.timeLimit(), m_overloadMeter.rate()) };
+        return Verdict { unavailable, "router-crowded", overloadRetryAfter };
     }
     ++m_context.state.requestsAccepted;
     const ServiceId* service = dispatch::RoutingTable::chooseService(*order.route, hashToUnitInterval(order.facts.id));
@@ -97,16 +88,13 @@
         response.headers.push_back({ "Connection", "close" });
     exchange.respond(std::move(response));
     const std::string version = order.table ? std::to_string(order.table->config().version) : "none";
-    if (verdict.retryAfter)
-        m_context.metrics.recordRefusal(verdict.reason, *verdict.retryAfter);
     m_context.metrics.recordRequest(order.route ? order.route->name : "none", verdict.status, Duration::zero());
     process::log(process::LogLevel::Info, "request",
         { { "id", order.facts.id }, { "route", order.route ? order.route->name : "none" },
             { "customer", order.customer.value }, { "config", version }, { "status", std::to_string(verdict.status) },
             { "outcome", std::string(verdict.reason) }, { "caller", exchange.request().peerAddress },
             { "prompt-tokens", std::to_string(order.facts.prompt.inputTokens) },
-            { "answer-tokens", std::to_string(order.facts.prompt.maxOutputTokens) },
-            { "come-back-ms", verdict.retryAfter ? formatMs(*verdict.retryAfter) : "none" } });
+            { "answer-tokens", std::to_string(order.facts.prompt.maxOutputTokens) } });
 }
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/RequestHandler.h
+++ b/apps/sagechute-edge/RequestHandler.h
@@ -7,7 +7,11 @@
 /// Validates callers' requests, determines their route, customer and service, and starts a relay for each.
 class RequestHandler {
 public:
-    RequestHandler(const RelayContext&, AdaptiveRateLimiter& overloadMeter);
+    RequestHandler(const RelayContext& context, AdaptiveRateLimiter& overloadMeter)
+        : m_context(context)
+        , m_overloadMeter(overloadMeter)
+    {
+    }
 
     void handle(std::shared_ptr<net::ServerExchange>);
 
@@ -27,7 +31,6 @@
 
     const RelayContext m_context;
     AdaptiveRateLimiter& m_overloadMeter;
-    ReturnOrder m_returnOrder;
 };
 
 } // namespace sagechute::edge
--- a/include/sagechute/Edge.h
+++ b/include/sagechute/Edge.h
@@ -10,7 +10,6 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-#include <array>
 #include <atomic>
 #include <deque>
 #include <mutex>
@@ -464,79 +463,6 @@
     std::atomic<bool> m_shouldShedConnections { false };
 };
 
-/// Decides when callers that are refused for lack of the router's own cores may come back.
-///
-/// Load pattern: for seconds at a time callers demand a multiple of what the router admits. If all are told the same
-/// short time, they return together and nearly all are refused again. The times given therefore form an order of
-/// return: a ring of slots that counts the callers told to return in each. A slot takes no more than the router admits
-/// in it, less an allowance for new requests. Not thread-safe.
-class ReturnOrder {
-public:
-    /// Never a shorter time: by then another router may have accepted the request, or this one caught up.
-    static constexpr Duration minRetryAfter = std::chrono::milliseconds(150);
-
-    /// A third of 30 s. The load now says nothing about the load after more than that.
-    static constexpr Duration maxRetryAfter = std::chrono::seconds(10);
-
-    /// Callers ignore times beyond this fraction of their remaining time.
-    static constexpr int honouredDivisor = 3;
-
-    /// Part of the admitted rate that the order leaves to new requests. Without it, nearly every request would be
-    /// refused once before it is served.
-    static constexpr double newRequestShare = 0.25;
-
-    /// Part of the admitted rate, out of newRequestShare, that is given to returning callers only while several
-    /// customers are refused. A customer that joins finds places there if another one has filled the order before.
-    static constexpr double joiningShare = 0.125;
-
-    /// @param seed of the jitter.
-    explicit ReturnOrder(std::uint64_t seed)
-        : m_random(seed)
-    {
-    }
-
-    /// Gives the earliest free time, or the end of the honoured time, less some jitter and without a place in the
-    /// order, if there is none. A customer takes places at no more than its max-min fair part of the rate, by the
-    /// refusals of all customers in the last second.
-    /// @param timeLeft until the request's deadline.
-    /// @param rate requests per second that the router admits.
-    /// @return the time to tell the caller, from @p now on: at most a third of @p timeLeft, or minRetryAfter if that is
-    /// longer.
-    Duration refuse(TimePoint now, const CustomerId&, Duration timeLeft, double rate);
-
-private:
-    static constexpr Duration slotWidth = std::chrono::milliseconds(50);
-
-    /// The times from now to maxRetryAfter touch one slot more than fit into it.
-    static constexpr std::size_t slotCount = maxRetryAfter / slotWidth + 1;
-
-    struct Slot {
-        std::int64_t index = -1; ///< Since the epoch; a slot of the ring is reused for a later time.
-        unsigned taken = 0;
-    };
-
-    struct Refused {
-        TimePoint at {}; ///< Last refusal.
-        double recent = 0; ///< Refusals per second, an exponential moving average.
-        TimePoint nextPlace {}; ///< Its next place is not before this.
-    };
-
-    Refused& count(TimePoint now, const CustomerId&, double places);
-
-    /// Forgets customers without recent refusals, and computes the fair part of the others. @param places per second.
-    void recount(TimePoint now, double places);
-
-    /// @return the first free time from @p from to @p until, which is taken with that.
-    std::optional<TimePoint> takePlace(TimePoint from, TimePoint until, double rate);
-
-    SeededRandom m_random;
-    std::array<Slot, slotCount> m_slots;
-    std::map<CustomerId, Refused> m_customers; ///< Refused recently, or with places ahead.
-    std::size_t m_active = 0; ///< Customers refused recently, as of the last recount or more.
-    double m_fairPart = 0; ///< Places per second that one customer may take, as of the last recount.
-    TimePoint m_countedAt {};
-};
-
 /// When a router reports to the platform that it is not ready for more.
 struct ReadinessSettings {
     /// Utilization in per cent from which a router is far overloaded, and how long it must last: a shorter burst is
