--- a/tools/target_signals.py
+++ b/tools/target_signals.py
@@ -1,11 +1,12 @@
-"""Checks what routers make of targets that say in their answers that they leave or ask for a pause, and of evacuations.
+"""Checks what routers make of targets that leave, by the store's word or their own, or ask for a pause, and of evacuations.
 
-Used by tests/target_signals_test.py and tools/soak.py. Times are those of the machine's monotonic clock, which the
+Used by tests/target_signals_test.py, tests/leaving_targets_test.py and tools/soak.py. Times are those of the machine's monotonic clock, which the
 stand-ins use, too.
 """
 
 import bisect
 import collections
+import json
 
 from platform_fleet import EVACUATION_BOUND_MS
 
@@ -15,6 +16,7 @@
 EVACUATION_SECONDS = EVACUATION_BOUND_MS / 1000  # From the acknowledgement until an evacuation is in force.
 STORE_READ_SECONDS = 1.0  # Half of the bound: a store that serves for so long has been read by some router.
 HELD_SECONDS = 0.5  # Until what was held up has been read.
+TOUCH_SECONDS = 3.0  # A router counts as in touch, and the store as stable, after so long without a fault.
 SIGNER = "signed-by."
 ROUTER_HEADER = "X-Trial-Router"  # Callers name in it the router that they send to; stand-ins write it down.
 
@@ -31,6 +33,8 @@
         self.held = []  # Spans in which what was sent to targets may not have come to them, or may not have been read.
         self.store_away = []  # Spans in which no router may have been answered by the store.
         self.arrivals = collections.defaultdict(list)  # By router and target's life: what came there.
+        self.words = []  # (target, acknowledged, ended): spans in which the store held that a target leaves or has gone.
+        self.known = {}  # By router and target: when the router was seen to know that it leaves or has gone.
 
     def note_send(self, request_id, sent_at):
         self.sent[request_id] = sent_at
@@ -79,6 +83,62 @@
                         found.append((router, target, round(late, 2)))
         return found
 
+    def note_store(self, records):
+        """What the stand-in store acknowledged of the list of targets, in its order; to be called once."""
+        since = {}
+        for it in records:
+            target, entry = it["key"], json.loads(it["value"]) if it["value"] else None
+            begun = since.get(target)
+            if entry is None or entry["state"] == "draining":
+                if begun is None:
+                    since[target] = (it["at"], entry)
+                elif entry is not None and begun[1] is None:
+                    since[target] = (begun[0], entry)
+            elif begun is not None and self._is_next_life(entry, begun[1]):
+                self.words.append((target, begun[0], it["at"]))
+                del since[target]
+        self.words += [(target, begun[0], float("inf")) for target, begun in since.items()]
+
+    @staticmethod
+    def _is_next_life(entry, before):
+        """Whether an entry that says ready belongs to a life after the one that left."""
+        if before is None:
+            return True  # Its entry went without a word, and is back.
+        return (entry.get("born", 0), -entry["seq"]) > (before.get("born", 0), -before["seq"])
+
+    def note_known(self, router, target, at):
+        """A router itself was seen to know that the target leaves or has gone."""
+        self.known.setdefault((router, target), at)
+
+    def after_word(self):
+        """(router, target, seconds) of requests that came to a target long after the store held that it leaves or has gone."""
+        found = []
+        for target, acknowledged, ended in self.words:
+            if overlaps(self.store_away, acknowledged - TOUCH_SECONDS, acknowledged):
+                continue
+            for router, seconds, at in self._arrivals_late(target, acknowledged, ended):
+                excused = overlaps(self.stops[router], at - TOUCH_SECONDS, at) \
+                    or overlaps(self.held, at - TOUCH_SECONDS, at) or overlaps(self.store_away, at - TOUCH_SECONDS, at)
+                if not excused:
+                    found.append((router, target, seconds))
+        return found
+
+    def after_knowing(self):
+        """(router, target, seconds) of requests that a router sent to a target long after it knew itself that it leaves.
+
+        Neither a store that is away nor a stop of the router excuses these, as long as it is the same process.
+        """
+        return [(router, target, seconds) for (router, target), known in self.known.items()
+                for sender, seconds, at in self._arrivals_late(target, known, float("inf"))
+                if sender == router and not overlaps(self.held, at - TOUCH_SECONDS, at)]
+
+    def _arrivals_late(self, target, since, ended):
+        for (router, name), lives in self.arrivals.items():
+            if name == target:
+                for life in lives:
+                    yield from ((router, round(it["at"] - since, 2), it["at"]) for it in life
+                                if since + DRAIN_SECONDS < it["at"] < ended)
+
     def after_evacuating(self):
         """(router, target, seconds) of requests that came to a target of an evacuated zone later than the bound allows."""
         found = []
