Tell how late targets that leave are heeded, and when a router stood still

A request's line had the age of what is known when the request ends, not when it left for its target, and nothing said that a router had not been running. So late requests to leaving targets could not be told apart by cause.

New: sent-ms and sent-known-ms in the request's line; target-left with the longest possible age of the word and of the last request sent after it, as a line and two histograms; stalled as a line and a histogram. No decision changes.

--- /dev/null
+++ b/apps/sagechute-edge/DepartureMonitor.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "EdgeMetrics.h"
+#include "EdgeState.h"
+
+namespace sagechute::edge {
+
+/// Reports in metrics and the log how late targets that leave were heeded, and stalls of this process.
+class DepartureMonitor {
+public:
+    DepartureMonitor(EdgeState& state, EdgeMetrics& metrics)
+        : m_state(state)
+        , m_metrics(metrics)
+    {
+    }
+
+    /// To be called at each tick.
+    void update();
+
+private:
+    EdgeState& m_state;
+    EdgeMetrics& m_metrics;
+};
+
+} // namespace sagechute::edge
--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -18,6 +18,9 @@
     /// In seconds; sums are sent several times a second and are discarded after 2 s.
     const Histogram::BucketBoundaries sumsAgeBuckets { 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5 };
 
+    /// In seconds; from a read that is answered at once to twice the longest bound of a deployment.
+    const Histogram::BucketBoundaries departureBuckets { 0.1, 0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 8 };
+
     Histogram& histogram(prometheus::Registry& registry, const char* name, const char* help,
         const Histogram::BucketBoundaries& bounds = latencyBuckets)
     {
@@ -131,6 +134,14 @@
     , m_knowledgeAgeRatio(histogram(metrics.registry(), "sagechute_edge_knowledge_age_of_bound",
           "The same as a part of the bound, looked at some times a second: how near it came between two scrapes",
           ageRatioBuckets))
+    , m_departureAge(histogram(metrics.registry(), "sagechute_edge_departure_age_seconds",
+          "Longest possible age of the word that a target leaves or has gone, when it came into force",
+          departureBuckets))
+    , m_lastSendAfterDeparture(histogram(metrics.registry(), "sagechute_edge_last_send_after_departure_seconds",
+          "Longest possible time from that word to the last request sent to the target; 0: none after it",
+          departureBuckets))
+    , m_stalls(histogram(metrics.registry(), "sagechute_edge_stall_seconds",
+          "Times in which this process did not run: it was stopped, suspended or got no processor time"))
     , m_shareLevel(prometheus::BuildGauge()
                        .Name("sagechute_edge_share_level_tokens")
                        .Help("Tokens in the window up to which all customers can be served alike; +Inf: enough for all")
@@ -152,6 +163,16 @@
     m_knowledgeAgeRatio.Observe(seconds(age) / seconds(bound));
 }
 
+void EdgeMetrics::recordDeparture(std::optional<Duration> wordAge, std::optional<Duration> lastSent)
+{
+    if (!wordAge)
+        return;
+    m_departureAge.Observe(seconds(*wordAge));
+    m_lastSendAfterDeparture.Observe(seconds(lastSent.value_or(Duration::zero())));
+}
+
+void EdgeMetrics::recordStall(Duration length) { m_stalls.Observe(seconds(length)); }
+
 void EdgeMetrics::recordShares(const dispatch::FairShareSnapshot& view)
 {
     double granted = 0;
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -51,6 +51,13 @@
     /// Records customers' shares of the engines as this router sees them.
     void recordShares(const dispatch::FairShareSnapshot&);
 
+    /// Records that a target takes no more requests. @param wordAge upper bound of the age of the store's or target's
+    /// word when it came into force. @param lastSent upper bound of the time from the word to the last request sent.
+    void recordDeparture(std::optional<Duration> wordAge, std::optional<Duration> lastSent);
+
+    /// Records that this process did not run for that long.
+    void recordStall(Duration length);
+
     /// @param age time since when changes in the store may be unknown here. @param bound the largest permitted age.
     void recordKnowledgeAge(Duration age, Duration bound);
 
@@ -79,6 +86,9 @@
     prometheus::Counter& m_unreadableRecords;
     prometheus::Gauge& m_knowledgeAge;
     prometheus::Histogram& m_knowledgeAgeRatio;
+    prometheus::Histogram& m_departureAge;
+    prometheus::Histogram& m_lastSendAfterDeparture;
+    prometheus::Histogram& m_stalls;
     prometheus::Gauge& m_shareLevel;
     prometheus::Gauge& m_grantedTokens;
     prometheus::Histogram& m_sumsAge;
--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -8,6 +8,7 @@
     , appliesEvacuations(appliesEvacuations)
     , m_roster(times.storeBreak)
     , m_dispatcher(dispatch::Dispatcher::make(settings, std::move(zone), seed))
+    , m_stallDetector(times.stall)
 {
 }
 
@@ -97,6 +98,7 @@
 news::Missing EdgeState::mergePeerKnowledge(const news::ToldKnowledge& told)
 {
     std::lock_guard lock(m_mutex);
+    noteRunningLocked();
     news::Knowledge mine = knowledgeLocked();
     const TimePoint now = unsuspendedNow();
     const news::Missing missing = news::learn(mine, told, now);
@@ -124,6 +126,64 @@
     return unknown;
 }
 
+SendCheck EdgeState::checkSend(TimePoint now, const dispatch::TargetIncarnation& target)
+{
+    std::lock_guard lock(m_mutex);
+    noteRunningLocked();
+    const TimePoint sent = unsuspendedNow();
+    SendCheck check { m_dispatcher->maySend(now, target), std::nullopt };
+    if (const auto until = m_roster.knownUntil())
+        check.knowledgeAge = sent - *until;
+    if (check.maySend)
+        m_lastSent[target] = sent;
+    return check;
+}
+
+void EdgeState::noteRunning()
+{
+    std::lock_guard lock(m_mutex);
+    noteRunningLocked();
+}
+
+void EdgeState::noteRunningLocked()
+{
+    const std::optional<news::Stall> stall = m_stallDetector.observe(unsuspendedNow());
+    if (!stall)
+        return;
+    const auto until = m_roster.knownUntil();
+    m_stalls.push_back(
+        { stall->until - stall->from, until ? std::optional<Duration>(stall->until - *until) : std::nullopt });
+}
+
+void EdgeState::recordDepartures()
+{
+    const TimePoint now = unsuspendedNow();
+    for (const news::Departure& it : m_roster.takeDepartures()) {
+        HeededDeparture heeded { it.target, it.isGone, std::nullopt, std::nullopt };
+        const auto sent = m_lastSent.find(it.target);
+        if (it.wordAfter) {
+            heeded.wordAge = now - *it.wordAfter;
+            if (sent != m_lastSent.end() && sent->second > *it.wordAfter)
+                heeded.lastSent = sent->second - *it.wordAfter;
+        }
+        if (sent != m_lastSent.end())
+            m_lastSent.erase(sent);
+        m_departures.push_back(std::move(heeded));
+    }
+}
+
+std::vector<HeededDeparture> EdgeState::takeDepartures()
+{
+    std::lock_guard lock(m_mutex);
+    return std::exchange(m_departures, {});
+}
+
+std::vector<EndedStall> EdgeState::takeStalls()
+{
+    std::lock_guard lock(m_mutex);
+    return std::exchange(m_stalls, {});
+}
+
 bool EdgeState::canServe() const
 {
     if (isStopping || !table())
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -24,6 +24,26 @@
     std::vector<news::ZoneChange> zones; ///< Evacuated or lifted zones; see news::EvacuatedZones::applyAll().
 };
 
+/// How late a departure was heeded, at most; see news::Departure.
+struct HeededDeparture {
+    dispatch::TargetIncarnation target;
+    bool isGone = false;
+    std::optional<Duration> wordAge; ///< When it came into force; absent if nothing was known before.
+    std::optional<Duration> lastSent; ///< When the last request was sent, from the word on; absent: none after it.
+};
+
+/// A stall, and how old the list of targets was at its end.
+struct EndedStall {
+    Duration length {};
+    std::optional<Duration> knowledgeAge;
+};
+
+/// Whether a request may be sent now.
+struct SendCheck {
+    bool maySend = false; ///< See dispatch::Dispatcher::maySend().
+    std::optional<Duration> knowledgeAge; ///< Age of the list of targets by which that was decided.
+};
+
 /// The configuration, the evacuated zones, the targets and the dispatcher. Thread-safe.
 ///
 /// The routing table is read without a lock. All decisions are made under one mutex, which is held for some
@@ -77,6 +97,16 @@
     dispatch::TargetSignals applyTargetSignals(
         TimePoint now, const dispatch::TargetIncarnation&, const dispatch::TargetSignals&);
 
+    /// Decides whether the target takes a request that is about to be sent, and notes the send if so.
+    SendCheck checkSend(TimePoint now, const dispatch::TargetIncarnation&);
+
+    /// Notes that the process is running; see news::StallDetector.
+    void noteRunning();
+
+    /// @return the departures and stalls since the last call.
+    std::vector<HeededDeparture> takeDepartures();
+    std::vector<EndedStall> takeStalls();
+
     /// Calls @p use with the list of targets.
     template <typename Use> auto withTargets(Use&& use) const
     {
@@ -124,12 +154,16 @@
 private:
     template <typename Change> void updateTargetsLocked(Change&& change)
     {
+        noteRunningLocked();
         const std::uint64_t before = m_roster.revision();
         change(m_roster);
+        recordDepartures();
         if (m_roster.revision() != before)
             m_dispatcher->setTargets(steadyNow(), m_roster.targets(unsuspendedNow()));
     }
 
+    void noteRunningLocked();
+    void recordDepartures();
     news::Knowledge knowledgeLocked() const;
     void extendConfigKnowledgeLocked(TimePoint until);
     bool installConfigLocked(const news::ConfigRecord&, const dispatch::FleetConfig&);
@@ -143,6 +177,10 @@
     news::EvacuatedZones m_evacuatedZones;
     news::TargetRoster m_roster;
     std::unique_ptr<dispatch::Dispatcher> m_dispatcher;
+    news::StallDetector m_stallDetector;
+    std::map<dispatch::TargetIncarnation, TimePoint> m_lastSent; ///< On the clock of unsuspendedNow().
+    std::vector<HeededDeparture> m_departures;
+    std::vector<EndedStall> m_stalls;
 };
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/Housekeeping.cpp
+++ b/apps/sagechute-edge/Housekeeping.cpp
@@ -50,12 +50,14 @@
 }
 
 Housekeeping::Housekeeping(EdgeState& state, Fleet& fleet, Listeners& listeners, ShareMonitor& shareMonitor,
-    ColdMonitor& coldMonitor, CrashMonitor& crashMonitor, TimerQueue& timers, SettingsWatcher& settingsWatcher)
+    ColdMonitor& coldMonitor, DepartureMonitor& departureMonitor, CrashMonitor& crashMonitor, TimerQueue& timers,
+    SettingsWatcher& settingsWatcher)
     : m_state(state)
     , m_fleet(fleet)
     , m_listeners(listeners)
     , m_shareMonitor(shareMonitor)
     , m_coldMonitor(coldMonitor)
+    , m_departureMonitor(departureMonitor)
     , m_crashMonitor(crashMonitor)
     , m_timers(timers)
     , m_settingsWatcher(settingsWatcher)
@@ -68,6 +70,7 @@
     TimePoint nextOverloadCheck {};
     while (!stop.wait(tickInterval)) {
         const TimePoint now = steadyNow();
+        m_departureMonitor.update();
         m_timers.runDue(now);
         m_crashMonitor.tick(now);
         m_fleet.tick(now);
@@ -104,8 +107,8 @@
             { "note", "other changed settings take effect at the next start" } });
 }
 
-void drainAndStop(EdgeState& state, Fleet& fleet, Listeners& listeners, CrashMonitor& crashMonitor, TimerQueue& timers,
-    const Options& options)
+void drainAndStop(EdgeState& state, Fleet& fleet, Listeners& listeners, DepartureMonitor& departureMonitor,
+    CrashMonitor& crashMonitor, TimerQueue& timers, const Options& options)
 {
     const TimePoint begin = steadyNow();
     const StopTimes times = stopTimes(Duration(static_cast<Duration::rep>(options.stopGraceSeconds * 1e6)));
@@ -117,6 +120,7 @@
     TimePoint idleSince = begin;
     for (;;) {
         const TimePoint now = steadyNow();
+        departureMonitor.update();
         timers.runDue(now);
         crashMonitor.tick(now);
         fleet.tick(now);
--- a/apps/sagechute-edge/Housekeeping.h
+++ b/apps/sagechute-edge/Housekeeping.h
@@ -2,6 +2,7 @@
 
 #include "ColdMonitor.h"
 #include "CrashMonitor.h"
+#include "DepartureMonitor.h"
 #include "Fleet.h"
 #include "Listeners.h"
 #include "ShareMonitor.h"
@@ -34,8 +35,8 @@
 /// control, and the reload of settings.
 class Housekeeping {
 public:
-    Housekeeping(
-        EdgeState&, Fleet&, Listeners&, ShareMonitor&, ColdMonitor&, CrashMonitor&, TimerQueue&, SettingsWatcher&);
+    Housekeeping(EdgeState&, Fleet&, Listeners&, ShareMonitor&, ColdMonitor&, DepartureMonitor&, CrashMonitor&,
+        TimerQueue&, SettingsWatcher&);
     void run(process::StopSignal&);
 
 private:
@@ -46,6 +47,7 @@
     Listeners& m_listeners;
     ShareMonitor& m_shareMonitor;
     ColdMonitor& m_coldMonitor;
+    DepartureMonitor& m_departureMonitor;
     CrashMonitor& m_crashMonitor;
     TimerQueue& m_timers;
     SettingsWatcher& m_settingsWatcher;
@@ -53,6 +55,6 @@
 
 /// Stops gracefully: the router disappears from lookup answers at once, accepts requests for a while longer, and lets
 /// requests in flight complete.
-void drainAndStop(EdgeState&, Fleet&, Listeners&, CrashMonitor&, TimerQueue&, const Options&);
+void drainAndStop(EdgeState&, Fleet&, Listeners&, DepartureMonitor&, CrashMonitor&, TimerQueue&, const Options&);
 
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -149,11 +149,15 @@
         handleEvent([](relay::RequestFlow& flow, TimePoint now) { flow.callerGone(now); });
         return false;
     }
-    const bool maySend = m_context.state.withDispatcher(
-        [&](const dispatch::Dispatcher& it) { return it.maySend(steadyNow(), target); });
-    if (!maySend)
-        handleEvent([&](relay::RequestFlow& flow, TimePoint now) { flow.withdrawn(now, number); });
-    return maySend;
+    const TimePoint now = steadyNow();
+    const SendCheck check = m_context.state.checkSend(now, target);
+    if (!check.maySend) {
+        handleEvent([&](relay::RequestFlow& flow, TimePoint at) { flow.withdrawn(at, number); });
+        return false;
+    }
+    std::lock_guard lock(m_mutex);
+    m_lastSend = { now - m_order.arrived, check.knowledgeAge };
+    return true;
 }
 
 void Relay::onHead(unsigned number, int status, const std::vector<net::Field>& fields)
@@ -321,6 +325,9 @@
             { "sums-age-ms", admission.oldestReportAge ? formatDurationMs(*admission.oldestReportAge) : "none" },
             { "come-back-ms", formatDurationMs(record.refusal.retryAfter) },
             { "targets-offset", std::to_string(known.targetsNext) },
+            { "sent-ms", m_lastSend ? formatDurationMs(m_lastSend->sinceArrival) : "none" },
+            { "sent-known-ms",
+                m_lastSend && m_lastSend->knowledgeAge ? formatDurationMs(*m_lastSend->knowledgeAge) : "none" },
             { "known-ms", formatDurationMs(unsuspendedNow() - news::knownUntil(known).value_or(TimePoint {})) } });
 }
 
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -79,6 +79,12 @@
     void sendResponse(net::ServerResponse);
     void addCloseHeader(std::vector<net::Field>&) const;
 
+    /// When the last attempt was sent to its target.
+    struct LastSend {
+        Duration sinceArrival {};
+        std::optional<Duration> knowledgeAge; ///< See SendCheck.
+    };
+
     const RelayContext m_context;
     const RelayOrder m_order;
     const quarantine::RequestKey m_key;
@@ -86,6 +92,7 @@
     std::mutex m_mutex;
     relay::RequestFlow m_flow;
     bool m_isCompleted = false;
+    std::optional<LastSend> m_lastSend;
     TimerQueue::TimerId m_timer = 0;
     std::optional<TimePoint> m_timerDue;
     std::vector<net::TransferId> m_transfers; ///< Indexed by attempt number minus one.
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -92,10 +92,12 @@
 
         ShareMonitor shareMonitor(state, edgeMetrics);
         ColdMonitor coldMonitor(state, edgeMetrics);
+        DepartureMonitor departureMonitor(state, edgeMetrics);
         CrashMonitor crashMonitor(state, **targetClient, crashJournal, edgeMetrics);
-        Housekeeping(state, **fleet, **listeners, shareMonitor, coldMonitor, crashMonitor, timers, settingsWatcher)
+        Housekeeping(state, **fleet, **listeners, shareMonitor, coldMonitor, departureMonitor, crashMonitor, timers,
+            settingsWatcher)
             .run(stop);
-        drainAndStop(state, **fleet, **listeners, crashMonitor, timers, options);
+        drainAndStop(state, **fleet, **listeners, departureMonitor, crashMonitor, timers, options);
         process::log(
             process::LogLevel::Info, "stopped", { { "cut-off", std::to_string(state.activeRequests.load()) } });
         // Threads may still be blocked on a store or a peer that does not answer, for longer than the platform waits
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -12,6 +12,8 @@
 
 #include <sagechute/Dispatch.h>
 
+#include <utility>
+
 namespace sagechute::news {
 
 // ---- Interface to the store
@@ -133,6 +135,41 @@
     bool isTold = false; ///< Reported by another router; otherwise a read of this router's own.
 };
 
+/// A target that was used and, by the store or its own word, takes no more requests.
+struct Departure {
+    dispatch::TargetIncarnation target;
+    bool isGone = false; ///< Its entry was removed; otherwise it is draining.
+
+    /// Up to when this router knew that the target did not leave, so that the store's word came later. For the target's
+    /// own word when it came; absent if nothing was known before.
+    std::optional<TimePoint> wordAfter;
+};
+
+/// An interval in which this process did not run: it was stopped, its VM was suspended, or it got no processor time.
+struct Stall {
+    TimePoint from;
+    TimePoint until;
+};
+
+/// Detects stalls by the time between two observations. Not thread-safe.
+class StallDetector {
+public:
+    /// @param limit shortest stall that is detected; well above the interval of the observations.
+    explicit StallDetector(Duration limit)
+        : m_limit(limit)
+    {
+    }
+
+    /// To be called regularly, and before anything is decided by what was known before.
+    /// @param now on a clock that goes on while the VM is suspended.
+    /// @return the stall that has just ended, if any.
+    std::optional<Stall> observe(TimePoint now);
+
+private:
+    Duration m_limit;
+    std::optional<TimePoint> m_last;
+};
+
 /// The target list of this router.
 ///
 /// Entries expire while the store is unavailable, although their targets are alive; live targets register again within
@@ -207,6 +244,9 @@
     /// if there is none.
     std::optional<TimePoint> keepsMissingUntil() const { return m_graceUntil; }
 
+    /// @return the departures since the last call.
+    std::vector<Departure> takeDepartures() { return std::exchange(m_departures, {}); }
+
     /// @return a number that changes whenever the list does.
     std::uint64_t revision() const { return m_revision; }
     std::size_t size() const { return m_entries.size(); }
@@ -231,6 +271,7 @@
         LogOffset offset = 0;
         TimePoint coldUntil; ///< As of the target's newest record; zero: it said that the target is warm.
         bool isMissing = false; ///< May have expired; retained for the grace period.
+        std::optional<TimePoint> missingAfter; ///< Of a missing entry; see Departure::wordAfter.
     };
 
     /// An interval without known reads, in which the store may have been unavailable.
@@ -250,6 +291,9 @@
 
     void set(TimePoint now, const TargetChange&);
 
+    /// Notes that the target of an entry that is about to change or go was used until now.
+    void recordDeparture(const Entry&, bool isGone, std::optional<TimePoint> wordAfter);
+
     /// @return until when the target is cold according to a change that is about to replace @p known.
     static TimePoint coldUntil(TimePoint now, const TargetChange&, const Entry& known);
 
@@ -290,6 +334,8 @@
     std::vector<ReadGap> m_readGaps; ///< Oldest first; cleared when no entry is retained for them any more.
     std::optional<TimePoint> m_graceUntil;
     std::uint64_t m_revision = 0;
+    std::optional<TimePoint> m_knownBefore; ///< knownUntil() before the read that is being applied.
+    std::vector<Departure> m_departures;
 };
 
 // ---- Evacuated availability zones
@@ -488,6 +534,9 @@
     /// by then.
     Duration storeBreak {};
 
+    /// Shortest time for which a process that does not run counts as stalled.
+    Duration stall {};
+
     /// Initial and maximum retry delay of a router that does not read for others while the store does not answer it.
     Duration firstRetry {};
     Duration maxRetry {};
--- a/src/news/ReadSchedule.cpp
+++ b/src/news/ReadSchedule.cpp
@@ -26,6 +26,10 @@
     constexpr double maxRetryFraction = 0.75;
     constexpr double firstRetryFraction = 0.4;
 
+    /// Observations come every 25 ms, and a stall matters from about half of the bound on, as the data of a router in
+    /// touch may be as old as the other half.
+    constexpr double stallFraction = 0.25;
+
     /// On a saturated local link each packet is queued for some hundred ms.
     constexpr double patienceFraction = 0.25;
 
@@ -67,6 +71,7 @@
         .spread = fractionOf(bound, spreadFraction),
         .ask = fractionOf(bound, askFraction),
         .storeBreak = std::min(fractionOf(bound, askFraction), TargetRoster::entryLapseTime),
+        .stall = fractionOf(bound, stallFraction),
         .firstRetry = fractionOf(bound, firstRetryFraction),
         .maxRetry = fractionOf(bound, maxRetryFraction),
         .askNext = fractionOf(bound, askNextFraction),
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -19,6 +19,8 @@
         m_read = told;
         return;
     }
+    if (told.until > m_read->until)
+        m_knownBefore = m_read->until;
     narrowReadGaps(told);
     // A span whose end is older than what is known here shows no gap, however late its start is estimated.
     if (told.until > m_read->until && told.from - m_read->until > m_maxReadGap) {
@@ -120,6 +122,7 @@
     const auto known = m_entries.find(told.id);
     const bool isSameLife = known != m_entries.end() && known->second.target.startedAtMs == told.target->startedAtMs;
     if (isSameLife && told.target->draining && !known->second.target.draining) {
+        recordDeparture(known->second, false, m_knownBefore);
         known->second.target.draining = true;
         ++m_revision;
     }
@@ -134,12 +137,19 @@
     known->second.at = now;
     const auto it = m_entries.find(life.id);
     if (it != m_entries.end() && it->second.target.startedAtMs == life.startedAtMs) {
+        recordDeparture(it->second, false, now);
         it->second.target.draining = true;
         ++m_revision;
     }
     return true;
 }
 
+void TargetRoster::recordDeparture(const Entry& entry, bool isGone, std::optional<TimePoint> wordAfter)
+{
+    if (!entry.target.draining)
+        m_departures.push_back({ entry.target.incarnation(), isGone, wordAfter });
+}
+
 void TargetRoster::set(TimePoint now, const TargetChange& change)
 {
     LifeRecord& life = m_lives[change.id];
@@ -151,6 +161,9 @@
     const bool isSameColdTime = coldUntil == entry.coldUntil || std::max(coldUntil, entry.coldUntil) <= now;
     entry.target.coldLeft = change.target->coldLeft;
     const bool isSame = entry.target == *change.target && isSameColdTime;
+    const bool isLeaving = change.target->draining || entry.target.incarnation() != change.target->incarnation();
+    if (isLeaving && !entry.target.id.value.empty())
+        recordDeparture(entry, !change.target->draining, m_knownBefore);
     entry = { *change.target, change.offset, coldUntil };
     if (!isSame)
         ++m_revision;
@@ -200,8 +213,10 @@
         return;
     if (!isGracePeriodOver(now) && !it->second.target.draining) {
         it->second.isMissing = true;
+        it->second.missingAfter = m_knownBefore;
         return;
     }
+    recordDeparture(it->second, true, m_knownBefore);
     m_entries.erase(it);
     ++m_revision;
 }
@@ -266,8 +281,13 @@
 bool TargetRoster::expire(TimePoint now)
 {
     removeExpiredLives(now);
-    const auto n
-        = isGracePeriodOver(now) ? std::erase_if(m_entries, [](const auto& it) { return it.second.isMissing; }) : 0;
+    if (!isGracePeriodOver(now))
+        return false;
+    const auto n = std::erase_if(m_entries, [this](const auto& it) {
+        if (it.second.isMissing)
+            recordDeparture(it.second, true, it.second.missingAfter);
+        return it.second.isMissing;
+    });
     m_revision += n;
     return n > 0;
 }
