Send nothing to entries that went while a router stood still

Callers' requests reached targets for 2.2 s after routers went on that had all been stopped together, up to 5.6 s after the store held that the target has gone. A router that knows of no read for over two seconds takes that for an absence of the store, in which entries of live targets lapse, and keeps what is missing until it may be back. But nobody had read because nobody ran; the store and the targets went on.

A router now detects when it did not run. Where its stalls explain the gap, missing entries are kept as before, but their targets get no requests, unless more than half of the service is missing: then the store was probably away as well, and too few would be left to answer.

The new case of TargetRosterTest fails without the change, as the entries are used.

--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -150,6 +150,7 @@
     const std::optional<news::Stall> stall = m_stallDetector.observe(unsuspendedNow());
     if (!stall)
         return;
+    m_roster.noteStall(*stall);
     const auto until = m_roster.knownUntil();
     m_stalls.push_back(
         { stall->until - stall->from, until ? std::optional<Duration>(stall->until - *until) : std::nullopt });
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -176,7 +176,14 @@
 /// two seconds of its return. An entry that goes missing in that time is therefore kept until the time has passed. A
 /// router that has received nothing must not conclude that the store was unavailable: others may have read it
 /// meanwhile, and a missing entry has then been removed. Routers therefore report to each other for how long the store
-/// has been read without a gap. A life of a target that was ever seen draining stays draining, whatever an older record
+/// has been read without a gap.
+///
+/// Nor may a router that did not run conclude it from its own gap, as all routers may have been stalled together. If
+/// its stalls explain a gap, entries that are missing after it are retained, but their targets get no requests, as the
+/// store was probably available and they have gone. If more than half of a service's entries are missing, the store was
+/// probably unavailable as well; without these targets callers would have too few to answer them, so they are used.
+///
+/// A life of a target that was ever seen draining stays draining, whatever an older record
 /// or another router reports. The target's next life is not affected, and once it is known reports about earlier lives
 /// are ignored.
 ///
@@ -196,6 +203,9 @@
     void known(LogOffset next, ReadSpan);
     void known(LogOffset next, TimePoint at) { known(next, ReadSpan { at, at }); }
 
+    /// Notes that this process did not run. To be called before what is read or told afterwards is applied.
+    void noteStall(const Stall&);
+
     /// @return the offset of the first record not applied yet; absent before the first known().
     std::optional<LogOffset> next() const { return m_next; }
 
@@ -234,7 +244,7 @@
     /// @param now see changesSince(). @return the present entries, each as a change that sets it.
     std::vector<TargetChange> all(std::optional<TimePoint> now = std::nullopt) const;
 
-    /// @return whether an entry expired since the last call.
+    /// @return whether the list changed by it.
     bool expire(TimePoint now);
 
     /// @param now see changesSince().
@@ -271,6 +281,7 @@
         LogOffset offset = 0;
         TimePoint coldUntil; ///< As of the target's newest record; zero: it said that the target is warm.
         bool isMissing = false; ///< May have expired; retained for the grace period.
+        bool isSuspended = false; ///< Missing, and gets no requests.
         std::optional<TimePoint> missingAfter; ///< Of a missing entry; see Departure::wordAfter.
     };
 
@@ -309,6 +320,12 @@
     /// impossible during a further gap, however short.
     void updateGracePeriod();
 
+    /// @return whether stalls of this process explain the gap: the rest is no longer than gaps that don't matter.
+    bool isExplainedByStalls(const ReadGap&) const;
+
+    /// Decides which missing entries get no requests.
+    void updateSuspended();
+
     /// @return whether missing entries had their time to be registered again. A target may have done so without this
     /// router knowing yet, so the reads known here have to cover that time.
     bool isGracePeriodOver(TimePoint now) const;
@@ -333,6 +350,8 @@
     bool m_isGapWitnessed = false; ///< Another router has reported reads after the last gap.
     std::vector<ReadGap> m_readGaps; ///< Oldest first; cleared when no entry is retained for them any more.
     std::optional<TimePoint> m_graceUntil;
+    bool m_isGraceByStall = false; ///< Stalls explain all gaps that the grace period is for.
+    std::vector<Stall> m_stalls; ///< The most recent ones, oldest first.
     std::uint64_t m_revision = 0;
     std::optional<TimePoint> m_knownBefore; ///< knownUntil() before the read that is being applied.
     std::vector<Departure> m_departures;
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -10,8 +10,18 @@
     /// another router, as late as that router was partitioned.
     constexpr Duration lifeRetention = std::chrono::minutes(10);
 
+    /// More stalls than one gap may have; each lasts for seconds.
+    constexpr std::size_t maxStalls = 16;
+
 } // namespace
 
+void TargetRoster::noteStall(const Stall& stall)
+{
+    if (m_stalls.size() >= maxStalls)
+        m_stalls.erase(m_stalls.begin());
+    m_stalls.push_back(stall);
+}
+
 void TargetRoster::known(LogOffset next, ReadSpan told)
 {
     m_next = std::max(m_next.value_or(0), next);
@@ -51,11 +61,14 @@
 void TargetRoster::updateGracePeriod()
 {
     m_graceUntil.reset();
+    m_isGraceByStall = true;
     for (const ReadGap& it : m_readGaps) {
         const bool mayHaveLapsed = it.after - it.before > entryLapseTime;
         const bool blocksReregistration = m_graceUntil && it.before < *m_graceUntil;
-        if (mayHaveLapsed || blocksReregistration)
-            m_graceUntil = it.after + reregistrationGrace;
+        if (!mayHaveLapsed && !blocksReregistration)
+            continue;
+        m_graceUntil = it.after + reregistrationGrace;
+        m_isGraceByStall = m_isGraceByStall && isExplainedByStalls(it);
     }
     if (!m_graceUntil || m_read->until >= *m_graceUntil) {
         m_graceUntil.reset();
@@ -63,6 +76,39 @@
     }
 }
 
+bool TargetRoster::isExplainedByStalls(const ReadGap& gap) const
+{
+    Duration rest = gap.after - gap.before;
+    for (const Stall& it : m_stalls)
+        rest -= std::max(Duration::zero(), Duration(std::min(it.until, gap.after) - std::max(it.from, gap.before)));
+    return rest <= m_maxReadGap;
+}
+
+void TargetRoster::updateSuspended()
+{
+    struct Count {
+        std::size_t missing = 0;
+        std::size_t all = 0;
+    };
+    const bool isAfterStall = m_graceUntil && m_isGraceByStall;
+    std::map<ServiceId, Count> counts;
+    for (const auto& [id, entry] : m_entries) {
+        Count& count = counts[entry.target.service];
+        ++count.all;
+        count.missing += entry.isMissing ? 1 : 0;
+    }
+    for (auto& [id, entry] : m_entries) {
+        const Count& count = counts[entry.target.service];
+        const bool isSuspended = isAfterStall && entry.isMissing && 2 * count.missing <= count.all;
+        if (isSuspended == entry.isSuspended)
+            continue;
+        if (isSuspended)
+            recordDeparture(entry, true, entry.missingAfter);
+        entry.isSuspended = isSuspended;
+        ++m_revision;
+    }
+}
+
 std::optional<TimePoint> TargetRoster::witnessedUntil() const
 {
     const bool isUnwitnessed = m_graceUntil && !m_isGapWitnessed;
@@ -146,7 +192,7 @@
 
 void TargetRoster::recordDeparture(const Entry& entry, bool isGone, std::optional<TimePoint> wordAfter)
 {
-    if (!entry.target.draining)
+    if (!entry.target.draining && !entry.isSuspended)
         m_departures.push_back({ entry.target.incarnation(), isGone, wordAfter });
 }
 
@@ -160,10 +206,10 @@
     const TimePoint coldUntil = TargetRoster::coldUntil(now, change, entry);
     const bool isSameColdTime = coldUntil == entry.coldUntil || std::max(coldUntil, entry.coldUntil) <= now;
     entry.target.coldLeft = change.target->coldLeft;
-    const bool isSame = entry.target == *change.target && isSameColdTime;
+    const bool isSame = entry.target == *change.target && isSameColdTime && !entry.isSuspended;
     const bool isLeaving = change.target->draining || entry.target.incarnation() != change.target->incarnation();
     if (isLeaving && !entry.target.id.value.empty())
-        recordDeparture(entry, !change.target->draining, m_knownBefore);
+        recordDeparture(entry, !change.target->draining, entry.isMissing ? entry.missingAfter : m_knownBefore);
     entry = { *change.target, change.offset, coldUntil };
     if (!isSame)
         ++m_revision;
@@ -184,6 +230,7 @@
 dispatch::Target TargetRoster::targetAt(const Entry& entry, std::optional<TimePoint> now)
 {
     dispatch::Target target = entry.target;
+    target.draining = target.draining || entry.isSuspended;
     if (now)
         target.coldLeft = std::max(Duration::zero(), entry.coldUntil - *now);
     return target;
@@ -200,6 +247,7 @@
     }
     for (const auto& [id, change] : last)
         apply(now, change);
+    updateSuspended();
 }
 
 void TargetRoster::remove(TimePoint now, const TargetId& id, LogOffset offset)
@@ -238,6 +286,7 @@
         remove(now, id, end);
     // Targets that were added and removed unnoticed are missing here; routers that know them need the full list.
     m_completeFrom = std::max(m_completeFrom, end);
+    updateSuspended();
 }
 
 std::optional<std::vector<TargetChange>> TargetRoster::changesSince(LogOffset from, std::optional<TimePoint> now) const
@@ -281,15 +330,17 @@
 bool TargetRoster::expire(TimePoint now)
 {
     removeExpiredLives(now);
+    const std::uint64_t before = m_revision;
+    updateSuspended();
     if (!isGracePeriodOver(now))
-        return false;
+        return m_revision != before;
     const auto n = std::erase_if(m_entries, [this](const auto& it) {
         if (it.second.isMissing)
             recordDeparture(it.second, true, it.second.missingAfter);
         return it.second.isMissing;
     });
     m_revision += n;
-    return n > 0;
+    return m_revision != before;
 }
 
 std::vector<dispatch::Target> TargetRoster::targets(std::optional<TimePoint> now) const
--- a/tests/NewsWorld.h
+++ b/tests/NewsWorld.h
@@ -149,6 +149,7 @@
         std::optional<TimePoint> configUntil;
         EvacuatedZones zones;
         TargetRoster roster { TargetRoster::entryLapseTime };
+        std::optional<StallDetector> stalls;
         std::array<ReadCursor, topics> cursors;
         std::array<std::optional<Call>, topics> calls;
         std::array<std::optional<TimePoint>, topics> failedAt;
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -685,3 +685,77 @@
     CHECK_FALSE(roster.saidDraining(start, { { "t" }, 1000 }));
     CHECK_FALSE(roster.targets().front().draining);
 }
+
+// Guards against a target that went while all routers stood still getting requests for two seconds after they go on.
+TEST_CASE("after a stall a missing entry gets no requests, unless most of its service is missing")
+{
+    TargetRoster roster;
+    const auto enter = [&](const std::string& id, const std::string& service, LogOffset offset) {
+        TargetChange change = entry(id, false, 1000, offset);
+        change.target->service = { service };
+        roster.apply(start, change);
+    };
+    enter("t1", "s", 0);
+    enter("t2", "s", 1);
+    enter("t3", "s", 2);
+    enter("only", "other", 3);
+    roster.known(4, start);
+    const auto usable = [&] {
+        std::set<std::string> ids;
+        for (const dispatch::Target& it : roster.targets()) {
+            if (!it.draining)
+                ids.insert(it.id.value);
+        }
+        return ids;
+    };
+    using Ids = std::set<std::string>;
+    const TimePoint woken = start + 4s;
+    const auto wakeAndRead = [&](const std::vector<TargetChange>& changes) {
+        roster.known(4 + changes.size(), woken + 10ms);
+        roster.applyAll(woken + 20ms, changes);
+    };
+    SECTION("the router did not run: what is missing has gone")
+    {
+        roster.noteStall({ start + 100ms, woken });
+        const std::uint64_t revision = roster.revision();
+        wakeAndRead({ gone("t1", 4) });
+        CHECK(usable() == Ids { "t2", "t3", "only" });
+        CHECK(roster.revision() > revision);
+        SECTION("until most of the service is missing")
+        {
+            roster.applyAll(woken + 1s, { gone("t2", 5) });
+            CHECK(usable() == Ids { "t1", "t2", "t3", "only" });
+        }
+        SECTION("or it is back")
+        {
+            TargetChange change = entry("t1", false, 1000, 5);
+            change.target->service = { "s" };
+            const std::uint64_t before = roster.revision();
+            roster.applyAll(woken + 1s, { change });
+            CHECK(usable() == Ids { "t1", "t2", "t3", "only" });
+            CHECK(roster.revision() > before);
+        }
+        SECTION("or its time to register again is over")
+        {
+            roster.known(5, ReadSpan { woken + 10ms, woken + 3s });
+            CHECK(roster.expire(woken + 3s));
+            CHECK(roster.size() == 3);
+        }
+    }
+    SECTION("the same by a full list")
+    {
+        roster.noteStall({ start + 100ms, woken });
+        roster.known(5, woken + 10ms);
+        TargetChange second = entry("t2", false, 1000, 1);
+        TargetChange third = entry("t3", false, 1000, 2);
+        second.target->service = third.target->service = { "s" };
+        roster.replace(woken + 20ms, { second, third }, 5);
+        CHECK(usable() == Ids { "t2", "t3", "only" });
+    }
+    SECTION("the router ran for most of the gap: entries may have lapsed")
+    {
+        roster.noteStall({ start + 100ms, start + 700ms });
+        wakeAndRead({ gone("t1", 4) });
+        CHECK(usable() == Ids { "t1", "t2", "t3", "only" });
+    }
+}
