Let requests wait after a stall until the list of targets is new enough

A router that goes on after a stall has requests that arrived meanwhile. It placed and sent them within milliseconds, by what it knew before, to targets that had left for longer than the bound: the answer of the store or of another router came a moment later. Callers' requests reached targets up to 3.2 s after the store's word.

Without a stall nothing changes. A reader that catches up no longer lets the store hold its call, as the list would become newer only at its end.

The new cases of NewsTest check the decisions without processes.

--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -45,6 +45,7 @@
     prometheus::Gauge& coldTargets() { return m_coldTargets; }
     prometheus::Counter& coldPlacements() { return m_coldPlacements; }
 
+    prometheus::Counter& heldSends() { return m_heldSends; }
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
 
@@ -89,6 +90,7 @@
     prometheus::Histogram& m_departureAge;
     prometheus::Histogram& m_lastSendAfterDeparture;
     prometheus::Histogram& m_stalls;
+    prometheus::Counter& m_heldSends;
     prometheus::Gauge& m_shareLevel;
     prometheus::Gauge& m_grantedTokens;
     prometheus::Histogram& m_sumsAge;
--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -8,6 +8,7 @@
     , appliesEvacuations(appliesEvacuations)
     , m_roster(times.storeBreak)
     , m_dispatcher(dispatch::Dispatcher::make(settings, std::move(zone), seed))
+    , m_times(times)
     , m_stallDetector(times.stall)
 {
 }
@@ -131,7 +132,7 @@
     std::lock_guard lock(m_mutex);
     noteRunningLocked();
     const TimePoint sent = unsuspendedNow();
-    SendCheck check { m_dispatcher->maySend(now, target), std::nullopt };
+    SendCheck check { !isRenewalAwaitedLocked() && m_dispatcher->maySend(now, target), std::nullopt };
     if (const auto until = m_roster.knownUntil())
         check.knowledgeAge = sent - *until;
     if (check.maySend)
@@ -139,6 +140,18 @@
     return check;
 }
 
+bool EdgeState::isRenewalAwaited()
+{
+    std::lock_guard lock(m_mutex);
+    noteRunningLocked();
+    return isRenewalAwaitedLocked();
+}
+
+bool EdgeState::isRenewalAwaitedLocked() const
+{
+    return m_stalledUntil && news::isRenewalAwaited(unsuspendedNow(), m_stalledUntil, m_roster.knownUntil(), m_times);
+}
+
 void EdgeState::noteRunning()
 {
     std::lock_guard lock(m_mutex);
@@ -151,6 +164,7 @@
     if (!stall)
         return;
     m_roster.noteStall(*stall);
+    m_stalledUntil = stall->until;
     const auto until = m_roster.knownUntil();
     m_stalls.push_back(
         { stall->until - stall->from, until ? std::optional<Duration>(stall->until - *until) : std::nullopt });
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -100,6 +100,9 @@
     /// Decides whether the target takes a request that is about to be sent, and notes the send if so.
     SendCheck checkSend(TimePoint now, const dispatch::TargetIncarnation&);
 
+    /// @return whether requests should wait before they are sent; see news::isRenewalAwaited().
+    bool isRenewalAwaited();
+
     /// Notes that the process is running; see news::StallDetector.
     void noteRunning();
 
@@ -163,6 +166,7 @@
     }
 
     void noteRunningLocked();
+    bool isRenewalAwaitedLocked() const;
     void recordDepartures();
     news::Knowledge knowledgeLocked() const;
     void extendConfigKnowledgeLocked(TimePoint until);
@@ -177,7 +181,9 @@
     news::EvacuatedZones m_evacuatedZones;
     news::TargetRoster m_roster;
     std::unique_ptr<dispatch::Dispatcher> m_dispatcher;
+    const news::NewsTimes m_times;
     news::StallDetector m_stallDetector;
+    std::optional<TimePoint> m_stalledUntil; ///< On the clock of unsuspendedNow().
     std::map<dispatch::TargetIncarnation, TimePoint> m_lastSent; ///< On the clock of unsuspendedNow().
     std::vector<HeededDeparture> m_departures;
     std::vector<EndedStall> m_stalls;
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -18,6 +18,9 @@
     /// of the memory of the smallest VMs.
     constexpr std::size_t maxReservedBytes = 32 << 20;
 
+    /// Interval at which a held attempt is looked at again; the timers' resolution.
+    constexpr Duration heldCheckInterval = std::chrono::milliseconds(25);
+
     constexpr double percent = 100;
 
     /// @return the last admission decision on a request: that of its refusal, if any, else of its placement.
@@ -233,17 +236,56 @@
 }
 
 void Relay::send(const relay::OutgoingAttempt& order)
+{
+    m_transfers.push_back(0);
+    if (!m_context.state.isRenewalAwaited()) {
+        startTransfer(order);
+        return;
+    }
+    m_context.metrics.heldSends().Increment();
+    m_held.emplace(order.number, HeldAttempt { order, steadyNow() });
+    armHeldTimer(order.number);
+}
+
+void Relay::armHeldTimer(unsigned number)
+{
+    // Without a transfer nothing else owns this relay.
+    m_context.timers.add(
+        steadyNow() + heldCheckInterval, [relay = shared_from_this(), number] { relay->sendHeld(number); });
+}
+
+void Relay::sendHeld(unsigned number)
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_held.find(number);
+    if (it == m_held.end())
+        return;
+    if (m_context.state.isRenewalAwaited()) {
+        armHeldTimer(number);
+        return;
+    }
+    HeldAttempt held = std::move(it->second);
+    m_held.erase(it);
+    held.attempt.timeLeft -= steadyNow() - held.since;
+    startTransfer(held.attempt);
+}
+
+void Relay::startTransfer(const relay::OutgoingAttempt& order)
 {
     net::ClientRequest request = m_context.targetProtocol.encode(
         { &m_order.exchange->request(), &order.placement.target, m_order.customer, order.timeLeft, order.resumeAfter });
     request.connectTimeout = connectTimeout;
     request.unackedTimeout = unackedTimeout;
     request.sendOnce = true;
-    m_transfers.push_back(m_context.client.start(std::move(request),
-        std::make_unique<AttemptSink>(shared_from_this(), order.number, order.placement.target.incarnation())));
+    m_transfers.at(order.number - 1) = m_context.client.start(std::move(request),
+        std::make_unique<AttemptSink>(shared_from_this(), order.number, order.placement.target.incarnation()));
 }
 
-void Relay::cancel(unsigned number) { m_context.client.cancel(m_transfers.at(number - 1)); }
+void Relay::cancel(unsigned number)
+{
+    if (!m_held.erase(number))
+        m_context.client.cancel(m_transfers.at(number - 1));
+}
 
 void Relay::addCloseHeader(std::vector<net::Field>& fields) const
 {
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -77,6 +77,13 @@
     void armTimer();
     void complete();
     void sendResponse(net::ServerResponse);
+
+    /// Looks at a held attempt again after a while.
+    void armHeldTimer(unsigned number);
+
+    /// Sends a held attempt unless newer data is still awaited.
+    void sendHeld(unsigned number);
+    void startTransfer(const relay::OutgoingAttempt&);
     void addCloseHeader(std::vector<net::Field>&) const;
 
     /// When the last attempt was sent to its target.
@@ -95,7 +102,14 @@
     std::optional<LastSend> m_lastSend;
     TimerQueue::TimerId m_timer = 0;
     std::optional<TimePoint> m_timerDue;
-    std::vector<net::TransferId> m_transfers; ///< Indexed by attempt number minus one.
+    std::vector<net::TransferId> m_transfers; ///< Indexed by attempt number minus one; 0: not sent.
+
+    /// An attempt that is sent once the list of targets is new enough.
+    struct HeldAttempt {
+        relay::OutgoingAttempt attempt;
+        TimePoint since;
+    };
+    std::map<unsigned, HeldAttempt> m_held; ///< By attempt number.
 };
 
 } // namespace sagechute::edge
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -614,6 +614,20 @@
 /// @return when to read; may be in the past.
 TimePoint readDue(const ReadOccasion&, const NewsTimes&);
 
+/// @return for how long the store may hold a read while there is nothing new. Zero for a router that only catches up,
+/// also if it is the reader, as after a stall: a call that is held would not make its data newer until it ends.
+Duration readWait(TimePoint now, const ReadOccasion&, const NewsTimes&);
+
+/// Decides whether requests wait for newer data before they are sent.
+///
+/// Load pattern: a router goes on after a stall with requests that arrived meanwhile. It would place and send them by
+/// what it knew before, to targets that may have left for longer than the bound. The store or another router tells it
+/// more within milliseconds; if neither does, the requests are sent nevertheless after NewsTimes::patience, as the
+/// store may be unavailable.
+/// @param stalledUntil end of this process's last stall. @param knownUntil time up to which the targets are known.
+bool isRenewalAwaited(
+    TimePoint now, std::optional<TimePoint> stalledUntil, std::optional<TimePoint> knownUntil, const NewsTimes&);
+
 /// Schedules requests for data to other routers. At most one request per router is outstanding.
 ///
 /// Load pattern: the store refuses this router while many others are paused or partitioned, as after host failures that
--- a/tests/NewsTest.cpp
+++ b/tests/NewsTest.cpp
@@ -219,6 +219,46 @@
     CHECK(readDue(it, times) == start + 10500ms);
 }
 
+// Guards against a router that goes on after a stall and waits for half a second for a call that the store holds.
+TEST_CASE("a reader whose data is old reads without waiting for news")
+{
+    ReadOccasion it;
+    it.knownUntil = start;
+    it.standing = { true, 0 };
+    CHECK(readWait(start + times.wait, it, times) == times.wait);
+    CHECK(readWait(start + times.ownRead + 1ms, it, times) == 0s);
+    it.knownUntil.reset();
+    CHECK(readWait(start, it, times) == times.wait);
+    it.standing = { false, 1 };
+    CHECK(readWait(start, it, times) == 0s);
+}
+
+// Guards against requests that a router sends after a stall by what it knew before, and against requests that wait for
+// a store that is away.
+TEST_CASE("after a stall requests wait for newer data, but not for long, and otherwise never")
+{
+    const TimePoint woken = start + 4s;
+    CHECK(isRenewalAwaited(woken, woken, start, times));
+    CHECK(isRenewalAwaited(woken, woken, std::nullopt, times));
+    CHECK_FALSE(isRenewalAwaited(woken + 20ms, woken, woken + 10ms, times));
+    CHECK_FALSE(isRenewalAwaited(woken + times.patience, woken, start, times));
+    CHECK_FALSE(isRenewalAwaited(woken, std::nullopt, start, times));
+    // What was known just before a short stall is new enough.
+    CHECK_FALSE(isRenewalAwaited(woken, woken, woken - times.ask, times));
+}
+
+TEST_CASE("a stall is a time without observations that is longer than their interval allows")
+{
+    StallDetector detector(times.stall);
+    CHECK_FALSE(detector.observe(start));
+    CHECK_FALSE(detector.observe(start + times.stall - 1ms));
+    const auto stall = detector.observe(start + 5s);
+    REQUIRE(stall);
+    CHECK(stall->from == start + times.stall - 1ms);
+    CHECK(stall->until == start + 5s);
+    CHECK_FALSE(detector.observe(start + 5s));
+}
+
 // Load pattern: hundreds of routers start at once, and each reads the whole store.
 TEST_CASE("at a start the seeds read at once, and the others only if they receive nothing from them")
 {
