Use a target without a start time again after it left and started under its id

Entries of some deployments don't say when their targets started. All lives of an id were then one, and a life that was ever seen draining stays so: a target that left and started again under its id got no request again, while others were overloaded.

Without a start time a life that was seen draining now ends with two later records in a row that say ready; a single one may be a late write of the target that leaves. If only the target's own answer said that it leaves, its entry must also have gone before, as its records go on saying ready. With a start time nothing changes.

New cases of TargetRosterTest.

--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -185,7 +185,9 @@
 ///
 /// A life of a target that was ever seen draining stays draining, whatever an older record
 /// or another router reports. The target's next life is not affected, and once it is known reports about earlier lives
-/// are ignored.
+/// are ignored. Where entries don't say when their targets started, a life that was seen draining ends with two later
+/// records in a row that say otherwise: a single one may be a late write of the draining target. If only the target
+/// said so itself, its entry must also have gone before.
 ///
 /// Routers exchange changes with the offsets of their records instead of lists: lists cannot be ordered by age when one
 /// router retains an entry that another has dropped, and each router decides on retention by itself.
@@ -298,8 +300,13 @@
         TimePoint at;
         LogOffset offset = 0; ///< Offset of the last record applied.
         bool isGone = false; ///< That record removed the entry.
+        LogOffset leavingAt = 0; ///< Offset of the last record that said that it is draining, or removed its entry.
+        std::optional<LogOffset> readyAt; ///< Offset of the first record after that, which said otherwise.
+        bool isLeavingByItself = false; ///< It said so itself, and its entry has not gone since.
     };
 
+    /// Applies a change that is recorded for the target's life already.
+    void applyToEntry(TimePoint now, const TargetChange&);
     void set(TimePoint now, const TargetChange&);
 
     /// Notes that the target of an entry that is about to change or go was used until now.
@@ -332,7 +339,13 @@
 
     /// Records a reported life of a target, and marks it as draining if it ever was.
     /// @return false if the life is older than the newest known one.
-    bool recordLife(TimePoint now, dispatch::Target&);
+    bool recordLife(TimePoint now, TargetChange&);
+
+    /// Decides whether a record that has no start time and says ready belongs to the life after one that is leaving.
+    static bool isNextLife(LifeRecord&, const TargetChange&);
+
+    /// Notes for the target's life that a record removed its entry.
+    void recordRemoval(const TargetChange&);
 
     /// @return whether a later record for that target has been applied already.
     bool isOutdated(const TargetChange&) const;
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -121,21 +121,48 @@
         || (now >= *m_graceUntil && m_read->until >= *m_graceUntil - (reregistrationGrace - reregistrationTime));
 }
 
-bool TargetRoster::recordLife(TimePoint now, dispatch::Target& target)
+bool TargetRoster::recordLife(TimePoint now, TargetChange& change)
 {
+    dispatch::Target& target = *change.target;
     LifeRecord& newest = m_lives[target.id];
     newest.at = now;
     if (target.startedAtMs < newest.startedAtMs)
         return false;
-    if (target.startedAtMs > newest.startedAtMs) {
+    if (target.startedAtMs > newest.startedAtMs || isNextLife(newest, change)) {
         newest.startedAtMs = target.startedAtMs;
-        newest.isLeaving = false;
+        newest.isLeaving = newest.isLeavingByItself = false;
+        newest.readyAt.reset();
+    }
+    if (target.draining) {
+        newest.isLeaving = true;
+        newest.leavingAt = std::max(newest.leavingAt, change.offset);
+        newest.readyAt.reset();
     }
-    newest.isLeaving = newest.isLeaving || target.draining;
     target.draining = newest.isLeaving;
     return true;
 }
 
+bool TargetRoster::isNextLife(LifeRecord& life, const TargetChange& change)
+{
+    const dispatch::Target& target = *change.target;
+    if (target.startedAtMs != 0 || target.draining || !life.isLeaving || life.isLeavingByItself
+        || change.offset <= life.leavingAt)
+        return false;
+    if (!life.readyAt)
+        life.readyAt = change.offset;
+    return change.offset > *life.readyAt;
+}
+
+void TargetRoster::recordRemoval(const TargetChange& change)
+{
+    const auto it = m_lives.find(change.id);
+    if (it == m_lives.end() || change.offset < it->second.offset)
+        return;
+    it->second.leavingAt = std::max(it->second.leavingAt, change.offset);
+    it->second.readyAt.reset();
+    it->second.isLeavingByItself = false;
+}
+
 bool TargetRoster::isOutdated(const TargetChange& change) const
 {
     const auto it = m_lives.find(change.id);
@@ -151,16 +178,19 @@
 {
     if (isOmittedFromFullList(change))
         return;
-    if (!change.target) {
-        if (!isOutdated(change))
-            remove(now, change.id, change.offset);
-        return;
-    }
     TargetChange told = change;
-    const bool isOld = isOutdated(change);
-    if (!recordLife(now, *told.target))
+    if (!told.target || recordLife(now, told))
+        applyToEntry(now, told);
+}
+
+void TargetRoster::applyToEntry(TimePoint now, const TargetChange& told)
+{
+    if (!told.target) {
+        if (!isOutdated(told))
+            remove(now, told.id, told.offset);
         return;
-    if (!isOld) {
+    }
+    if (!isOutdated(told)) {
         set(now, told);
         return;
     }
@@ -179,7 +209,7 @@
     const auto known = m_lives.find(life.id);
     if (known == m_lives.end() || known->second.startedAtMs != life.startedAtMs || known->second.isLeaving)
         return false;
-    known->second.isLeaving = true;
+    known->second.isLeaving = known->second.isLeavingByItself = true;
     known->second.at = now;
     const auto it = m_entries.find(life.id);
     if (it != m_entries.end() && it->second.target.startedAtMs == life.startedAtMs) {
@@ -242,17 +272,20 @@
     for (TargetChange it : changes) {
         if (isOmittedFromFullList(it))
             continue;
-        if (!it.target || recordLife(now, *it.target))
+        if (!it.target)
+            recordRemoval(it);
+        if (!it.target || recordLife(now, it))
             last[it.id] = std::move(it);
     }
     for (const auto& [id, change] : last)
-        apply(now, change);
+        applyToEntry(now, change);
     updateSuspended();
 }
 
 void TargetRoster::remove(TimePoint now, const TargetId& id, LogOffset offset)
 {
     LifeRecord& life = m_lives[id];
+    recordRemoval({ id, std::nullopt, offset });
     life.at = now;
     life.offset = std::max(life.offset, offset);
     life.isGone = true;
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -759,3 +759,57 @@
         CHECK(usable() == Ids { "t1", "t2", "t3", "only" });
     }
 }
+
+// Guards against a target without a start time that never gets a request again after it left and started again under
+// its id, and against one that gets some while it leaves.
+TEST_CASE("without a start time a life that leaves ends with two later records in a row that say ready")
+{
+    TargetRoster roster;
+    const auto say
+        = [&](bool isDraining, LogOffset offset) { roster.applyAll(start, { entry("t", isDraining, 0, offset) }); };
+    const auto isDraining = [&] { return roster.targets().front().draining; };
+    say(false, 4);
+    SECTION("by its entry")
+    {
+        say(true, 5);
+        say(false, 6);
+        CHECK(isDraining());
+        say(false, 6);
+        CHECK(isDraining());
+        say(false, 7);
+        CHECK_FALSE(isDraining());
+    }
+    SECTION("after its entry has gone")
+    {
+        roster.applyAll(start, { entry("t", true, 0, 5), gone("t", 6) });
+        CHECK(roster.size() == 0);
+        roster.replace(start, { entry("t", false, 0, 9) }, 10);
+        CHECK(isDraining());
+        roster.replace(start, { entry("t", false, 0, 12) }, 13);
+        CHECK_FALSE(isDraining());
+    }
+    SECTION("not with a late record before the next one that says that it leaves")
+    {
+        say(true, 5);
+        say(false, 6);
+        say(true, 7);
+        say(false, 8);
+        CHECK(isDraining());
+    }
+    SECTION("not with earlier records")
+    {
+        say(true, 9);
+        say(false, 6);
+        say(false, 7);
+        CHECK(isDraining());
+    }
+    SECTION("by its own word: not before its entry has gone")
+    {
+        CHECK(roster.saidDraining(start, { { "t" }, 0 }));
+        say(false, 5);
+        say(false, 6);
+        CHECK(isDraining());
+        roster.applyAll(start, { gone("t", 7), entry("t", false, 0, 8), entry("t", false, 0, 9) });
+        CHECK_FALSE(isDraining());
+    }
+}
