Keep no entry whose target had said that it leaves when the entry goes

While missing entries are kept, as they may have lapsed, an entry whose target had said that it leaves is to go at once. That was known by the entry alone: when one read brought both the word and the removal, or another router told of the removal, of which it passes on only the last record, the target got requests for up to 2.2 s more.

The target's life is asked in place of the entry, and a router tells of a removed entry together with the word before it, as two changes that former releases understand as well.

The new case of TargetRosterTest fails in both sections without the change.

--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -13,6 +13,16 @@
     /// More stalls than one gap may have; each lasts for seconds.
     constexpr std::size_t maxStalls = 16;
 
+    /// @return what another router has to know of a life before the removal of its entry.
+    dispatch::Target leavingTarget(const TargetId& id, std::int64_t startedAtMs)
+    {
+        dispatch::Target target;
+        target.id = id;
+        target.startedAtMs = startedAtMs;
+        target.draining = true;
+        return target;
+    }
+
 } // namespace
 
 void TargetRoster::noteStall(const Stall& stall)
@@ -292,7 +302,7 @@
     const auto it = m_entries.find(id);
     if (it == m_entries.end() || it->second.isMissing)
         return;
-    if (!isGracePeriodOver(now) && !it->second.target.draining) {
+    if (!isGracePeriodOver(now) && !it->second.target.draining && !life.isLeaving) {
         it->second.isMissing = true;
         it->second.missingAfter = m_knownBefore;
         return;
@@ -331,6 +341,8 @@
         if (life.offset < from)
             continue;
         const auto it = m_entries.find(id);
+        if (life.isGone && life.isLeaving)
+            changes.push_back({ id, leavingTarget(id, life.startedAtMs), life.leavingAt });
         if (life.isGone)
             changes.push_back({ id, std::nullopt, life.offset });
         else if (it != m_entries.end())
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -813,3 +813,29 @@
         CHECK_FALSE(isDraining());
     }
 }
+
+// Guards against a target that said that it leaves getting requests for two seconds, as if its entry had only lapsed.
+TEST_CASE("an entry that goes in a grace period isn't retained if its target had said that it leaves")
+{
+    TargetRoster roster;
+    roster.apply(start, entry("t", false, 1000, 0));
+    roster.known(1, start);
+    const TimePoint back = start + 5s;
+    SECTION("both in one read")
+    {
+        roster.known(3, back);
+        roster.applyAll(back, { entry("t", true, 1000, 1), gone("t", 2) });
+    }
+    SECTION("by a router that read both")
+    {
+        TargetRoster other;
+        other.apply(start, entry("t", false, 1000, 0));
+        other.known(1, start);
+        other.apply(start, entry("t", true, 1000, 1));
+        other.apply(start, gone("t", 2));
+        other.known(3, back);
+        roster.known(3, ReadSpan { back, back, true });
+        roster.applyAll(back, *other.changesSince(1));
+    }
+    CHECK(roster.size() == 0);
+}
