Let the soak meet targets that leave by the store's word alone

The soak's targets that leave said so in their answers, and nothing judged what reached them by the store's word.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -43,9 +43,11 @@
 CRASHING_INTERVALS_SECONDS = (0.3, 0.9)
 DOWN_SECONDS = (1.0, 3.0)  # Of a target that crashed.
 EVACUATED_SECONDS = (3.0, 6.0)  # More than the bound within which an evacuation is in force.
+LEAVING_SECONDS = (2.5, 5.0)  # More than the bound within which the store's word is in force.
+REGISTERING_SECONDS = 0.3  # Until a registration of a target that was on its way has come.
 RESTART_SECONDS = 0.3  # After a process has ended, until the platform starts it again.
 ZONES = ("a", "b", "c")
-EXTRAS = ("signals", "answers", "silences", "parts", "zones")  # What came to the soak later; each has chances of its own.
+EXTRAS = ("signals", "answers", "silences", "parts", "zones", "leavings")  # What came to the soak later; each has chances of its own.
 HERE = os.path.dirname(os.path.abspath(__file__))
 SEEDS_FILE = os.path.join(HERE, "..", "tests", "soak-seeds.txt")
 
@@ -78,6 +80,7 @@
         self._revoked = None  # When the extra key's removal was acknowledged; None while it is there.
         self._revocations = []
         self._evacuations = 0
+        self._leaving = {}  # By target: held while it leaves and returns.
         self._fleet = Fleet(build, self._sizes["routers"], self._sizes["engines"], self._sizes["applications"],
                             proxy=self._proxied, worker_arguments=("--crash-part", CRASHING_PART),
                             zones=ZONES if "zones" in extras else ZONES[:1])
@@ -126,7 +129,7 @@
     def _disturb(self):
         end = time.monotonic() + self._seconds
         beside = {"signals": self._signal, "answers": self._spoil_answers, "silences": self._silence,
-                  "zones": self._evacuate}
+                  "zones": self._evacuate, "leavings": self._leave_by_store}
         pending = [threading.Thread(target=beside[it], args=(end,), daemon=True) for it in beside
                    if it in self._extras]
         for thread in pending:
@@ -152,6 +155,16 @@
             signal_of(name, lasts)
             time.sleep(rng.uniform(0.1, 1.0))
 
+    def _leave_by_store(self, end):
+        """Beside the other faults, as _signal: targets that leave by the store's word alone."""
+        rng = random.Random(f"leavings of {self.seed}")
+        while time.monotonic() < end:
+            name, word = rng.choice(sorted(self._fleet.workers)), rng.choice(("told", "gone"))
+            lasts = rng.uniform(*LEAVING_SECONDS)
+            self._history.append(f"{name} leaves by the store alone ({word}) for {lasts:.1f} s")
+            self._leave_and_return(name, lasts, word, "untold")
+            time.sleep(rng.uniform(0.1, 1.0))
+
     def _spoil_answers(self, end):
         """Beside the other faults, as _signal."""
         rng = self._stage.rng
@@ -277,10 +290,17 @@
         self._silences.append((begun, time.monotonic()))
         self.signals.note_held(*self._silences[-1])
 
-    def _leave_and_return(self, name, lasts):
+    def _leave_and_return(self, name, lasts, word=None, answers="told"):
+        """word: what the store says of it, or nothing if that is to follow from how long it lasts."""
+        with self._leaving.setdefault(name, threading.Lock()):
+            self._leave_and_return_alone(name, lasts, word or ("told" if lasts < 2 else "untold"), answers)
+
+    def _leave_and_return_alone(self, name, lasts, word, answers):
         worker = self._fleet.workers[name]
-        told = "told" if lasts < 2 else "untold"
-        call(worker["address"], "POST", f"/standin/drain?store={told}")
+        call(worker["address"], "POST", f"/standin/drain?store={word}&answers={answers}")
+        if word == "gone":
+            time.sleep(REGISTERING_SECONDS)
+            self._fleet.command(self._fleet.store, f"/standin/drop?topic=keyed.servers&key={name}")
         time.sleep(lasts)
         self._stage.read_ledger(name)
         self._unplanned_for(0)
@@ -473,6 +493,10 @@
                                         self._may_arrive_late)
         for router, target, seconds in self.signals.after_draining():
             self.breaches.append(f"{target} got a request {seconds} s after {router} had passed on that it leaves")
+        history = self._fleet.command(self._fleet.store, "/standin/acknowledged?topic=keyed.servers")
+        self.signals.note_store(history["records"])
+        for router, target, seconds in self.signals.after_word():
+            self.breaches.append(f"DRAIN {target} got a request of {router} {seconds} s after the store held that it leaves")
         for router, target, count in self.signals.in_backoff():
             self.breaches.append(f"{target} got {count} requests of {router} in the pause that it had asked for")
         for router, target, seconds in self.signals.after_evacuating():
