--- a/apps/sagechute-edge/DepartureMonitor.cpp
+++ b/apps/sagechute-edge/DepartureMonitor.cpp
@@ -23,10 +23,10 @@
                 { "reason", "this process did not run: it was stopped, suspended or got no processor time" } });
     }
     for (const HeededDeparture& it : m_state.takeDepartures()) {
-        m_metrics.recordDeparture(it.wordAge, it.lastSent);
+        m_metrics.recordDeparture(it.noticeAge, it.lastSent);
         process::log(process::LogLevel::Info, "target-left",
             { { "target", toString(it.target) }, { "by", it.isGone ? "removal" : "draining" },
-                { "word-age-at-most-ms", formatMsOr(it.wordAge, "unknown") },
+                { "notice-age-at-most-ms", formatMsOr(it.noticeAge, "unknown") },
                 { "last-sent-after-at-most-ms", formatMsOr(it.lastSent, "none") } });
     }
 }
--- a/apps/sagechute-edge/EdgeMetrics.cpp
+++ b/apps/sagechute-edge/EdgeMetrics.cpp
@@ -135,10 +135,10 @@
           "The same as a part of the bound, looked at some times a second: how near it came between two scrapes",
           ageRatioBuckets))
     , m_departureAge(histogram(metrics.registry(), "sagechute_edge_departure_age_seconds",
-          "Longest possible age of the word that a target leaves or has gone, when it came into force",
+          "Longest possible age of the notice that a target leaves or has gone, when it came into force",
           departureBuckets))
     , m_lastSendAfterDeparture(histogram(metrics.registry(), "sagechute_edge_last_send_after_departure_seconds",
-          "Longest possible time from that word to the last request sent to the target; 0: none after it",
+          "Longest possible time from that notice to the last request sent to the target; 0: none after it",
           departureBuckets))
     , m_stalls(histogram(metrics.registry(), "sagechute_edge_stall_seconds",
           "Times in which this process did not run: it was stopped, suspended or got no processor time"))
@@ -168,11 +168,11 @@
     m_knowledgeAgeRatio.Observe(seconds(age) / seconds(bound));
 }
 
-void EdgeMetrics::recordDeparture(std::optional<Duration> wordAge, std::optional<Duration> lastSent)
+void EdgeMetrics::recordDeparture(std::optional<Duration> noticeAge, std::optional<Duration> lastSent)
 {
-    if (!wordAge)
+    if (!noticeAge)
         return;
-    m_departureAge.Observe(seconds(*wordAge));
+    m_departureAge.Observe(seconds(*noticeAge));
     m_lastSendAfterDeparture.Observe(seconds(lastSent.value_or(Duration::zero())));
 }
 
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -52,9 +52,9 @@
     /// Records customers' shares of the engines as this router sees them.
     void recordShares(const dispatch::FairShareSnapshot&);
 
-    /// Records that a target takes no more requests. @param wordAge upper bound of the age of the store's or target's
-    /// word when it came into force. @param lastSent upper bound of the time from the word to the last request sent.
-    void recordDeparture(std::optional<Duration> wordAge, std::optional<Duration> lastSent);
+    /// Records that a target takes no more requests. @param noticeAge upper bound of the age of the store's or target's
+    /// notice when it came into force. @param lastSent upper bound of the time from then to the last request sent.
+    void recordDeparture(std::optional<Duration> noticeAge, std::optional<Duration> lastSent);
 
     /// Records that this process did not run for that long.
     void recordStall(Duration length);
--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -176,10 +176,10 @@
     for (const news::Departure& it : m_roster.takeDepartures()) {
         HeededDeparture heeded { it.target, it.isGone, std::nullopt, std::nullopt };
         const auto sent = m_lastSent.find(it.target);
-        if (it.wordAfter) {
-            heeded.wordAge = now - *it.wordAfter;
-            if (sent != m_lastSent.end() && sent->second > *it.wordAfter)
-                heeded.lastSent = sent->second - *it.wordAfter;
+        if (it.noticeAfter) {
+            heeded.noticeAge = now - *it.noticeAfter;
+            if (sent != m_lastSent.end() && sent->second > *it.noticeAfter)
+                heeded.lastSent = sent->second - *it.noticeAfter;
         }
         if (sent != m_lastSent.end())
             m_lastSent.erase(sent);
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -28,8 +28,8 @@
 struct HeededDeparture {
     dispatch::TargetIncarnation target;
     bool isGone = false;
-    std::optional<Duration> wordAge; ///< When it came into force; absent if nothing was known before.
-    std::optional<Duration> lastSent; ///< When the last request was sent, from the word on; absent: none after it.
+    std::optional<Duration> noticeAge; ///< Of the notice when it came into force; absent if nothing was known before.
+    std::optional<Duration> lastSent; ///< Time from the notice to the last request sent; absent: none after it.
 };
 
 /// A stall, and how old the list of targets was at its end.
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -135,14 +135,14 @@
     bool isTold = false; ///< Reported by another router; otherwise a read of this router's own.
 };
 
-/// A target that was used and, by the store or its own word, takes no more requests.
+/// A target that was used and takes no more requests, as the store or the target itself says.
 struct Departure {
     dispatch::TargetIncarnation target;
     bool isGone = false; ///< Its entry was removed; otherwise it is draining.
 
-    /// Up to when this router knew that the target did not leave, so that the store's word came later. For the target's
-    /// own word when it came; absent if nothing was known before.
-    std::optional<TimePoint> wordAfter;
+    /// The store has held the notice only since some time after this: until then this router knew its records, and the
+    /// target was not leaving. If the target itself said so, when it did; absent if nothing was known before.
+    std::optional<TimePoint> noticeAfter;
 };
 
 /// An interval in which this process did not run: it was stopped, its VM was suspended, or it got no processor time.
@@ -284,7 +284,7 @@
         TimePoint coldUntil; ///< As of the target's newest record; zero: it said that the target is warm.
         bool isMissing = false; ///< May have expired; retained for the grace period.
         bool isSuspended = false; ///< Missing, and gets no requests.
-        std::optional<TimePoint> missingAfter; ///< Of a missing entry; see Departure::wordAfter.
+        std::optional<TimePoint> missingAfter; ///< Of a missing entry; see Departure::noticeAfter.
     };
 
     /// An interval without known reads, in which the store may have been unavailable.
@@ -310,7 +310,7 @@
     void set(TimePoint now, const TargetChange&);
 
     /// Notes that the target of an entry that is about to change or go was used until now.
-    void recordDeparture(const Entry&, bool isGone, std::optional<TimePoint> wordAfter);
+    void recordDeparture(const Entry&, bool isGone, std::optional<TimePoint> noticeAfter);
 
     /// @return until when the target is cold according to a change that is about to replace @p known.
     static TimePoint coldUntil(TimePoint now, const TargetChange&, const Entry& known);
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -230,10 +230,10 @@
     return true;
 }
 
-void TargetRoster::recordDeparture(const Entry& entry, bool isGone, std::optional<TimePoint> wordAfter)
+void TargetRoster::recordDeparture(const Entry& entry, bool isGone, std::optional<TimePoint> noticeAfter)
 {
     if (!entry.target.draining && !entry.isSuspended)
-        m_departures.push_back({ entry.target.incarnation(), isGone, wordAfter });
+        m_departures.push_back({ entry.target.incarnation(), isGone, noticeAfter });
 }
 
 void TargetRoster::set(TimePoint now, const TargetChange& change)
