Test since when the store can have held the notice of a departure

The metrics of targets that leave give upper bounds. A kept entry is heeded seconds after its removal was read; its departure has to count from the read before that.

--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -839,3 +839,32 @@
     }
     CHECK(roster.size() == 0);
 }
+
+// Guards against metrics that take a late notice for a fresh one, as where its entry was kept before it was heeded.
+TEST_CASE("a departure tells since when the store can have held its notice, once for each life")
+{
+    TargetRoster roster;
+    roster.apply(start, entry("t", false, 1000, 0));
+    roster.apply(start, entry("u", false, 1000, 1));
+    roster.known(2, start);
+    roster.known(2, start + 1s);
+    roster.known(3, start + 2s);
+    roster.applyAll(start + 2s, { entry("t", true, 1000, 2) });
+    std::vector<Departure> departures = roster.takeDepartures();
+    REQUIRE(departures.size() == 1);
+    CHECK(departures.front().target.id.value == "t");
+    CHECK_FALSE(departures.front().isGone);
+    CHECK(departures.front().noticeAfter == start + 1s);
+
+    // The store was away: u is kept until it may have registered again.
+    roster.known(5, start + 8s);
+    roster.applyAll(start + 8s, { gone("t", 3), gone("u", 4) });
+    CHECK(roster.takeDepartures().empty());
+    roster.known(5, ReadSpan { start + 8s, start + 11s });
+    CHECK(roster.expire(start + 11s));
+    departures = roster.takeDepartures();
+    REQUIRE(departures.size() == 1);
+    CHECK(departures.front().target.id.value == "u");
+    CHECK(departures.front().isGone);
+    CHECK(departures.front().noticeAfter == start + 2s);
+}
