Keep a target suspended until its entry is dropped

Found on reading the change once more. An entry that went while a router stood still gets no requests; but when the time for which it is kept was over, the next read took the suspension back, and the entry was dropped only up to 200 ms later. StalledRoutersTest missed it, as its target came back before that time.

Suspensions are now decided within the grace period only. That also ends the second departure that metrics and log got for such a target, and the count over all entries that each read and each expiry made without need.

The new section of TargetRosterTest failed in two checks before. NewsTest, EdgeTest and PeerTargetsTest pass whole.

--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -96,11 +96,13 @@
 
 void TargetRoster::updateSuspended()
 {
+    // When the grace period is over, what is still missing is about to be dropped and must not be used until then.
+    if (!m_graceUntil)
+        return;
     struct Count {
         std::size_t missing = 0;
         std::size_t all = 0;
     };
-    const bool isAfterStall = m_graceUntil && m_isGraceByStall;
     std::map<ServiceId, Count> counts;
     for (const auto& [id, entry] : m_entries) {
         Count& count = counts[entry.target.service];
@@ -109,7 +111,7 @@
     }
     for (auto& [id, entry] : m_entries) {
         const Count& count = counts[entry.target.service];
-        const bool isSuspended = isAfterStall && entry.isMissing && 2 * count.missing <= count.all;
+        const bool isSuspended = m_isGraceByStall && entry.isMissing && 2 * count.missing <= count.all;
         if (isSuspended == entry.isSuspended)
             continue;
         if (isSuspended)
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -741,6 +741,17 @@
             CHECK(roster.expire(woken + 3s));
             CHECK(roster.size() == 3);
         }
+        SECTION("nor when that time is over and it has not been dropped yet")
+        {
+            roster.takeDepartures();
+            roster.known(5, ReadSpan { woken + 10ms, woken + 3s });
+            TargetChange renewed = entry("t2", false, 1000, 6);
+            renewed.target->service = { "s" };
+            roster.applyAll(woken + 3s, { renewed });
+            CHECK(usable() == Ids { "t2", "t3", "only" });
+            CHECK(roster.expire(woken + 3s));
+            CHECK(roster.takeDepartures().empty());
+        }
     }
     SECTION("the same by a full list")
     {
--- a/tests/leaving_targets_test.py
+++ b/tests/leaving_targets_test.py
@@ -21,6 +21,7 @@
 CALLERS = 32
 CALLERS_PAUSE_SECONDS = 0.02
 STOP_SECONDS = DRAIN_SECONDS + 1.5  # Of a router: longer than the word that it misses may be without force.
+ENTRIES_KEPT_SECONDS = 2.2  # For which routers keep what may have lapsed while the store was away.
 ROUNDS = 4
 
 
@@ -170,7 +171,7 @@
         for i in range(ROUNDS):
             worker, store = self.busiest("engine"), ("told", "gone")[i % 2]
             self.pause(self.fleet.routers, lambda it=worker, word=store: self.leave(it, word))
-            time.sleep(1.5)
+            time.sleep(ENTRIES_KEPT_SECONDS + 0.8)
             self.come_back(worker)
             time.sleep(1)
         self.finish()
