Let trials take one function for a target that leaves

The new test and the soak each told a stand-in target to leave, waited for a registration that was on its way and dropped its entry. Both call Fleet.leave() now.

--- a/tests/leaving_targets_test.py
+++ b/tests/leaving_targets_test.py
@@ -40,13 +40,6 @@
             it.start()
         time.sleep(1)
 
-    def leave(self, worker, store="told"):
-        """store: told, the entry says that it leaves; gone, the entry goes without that."""
-        self.fleet.command(self.fleet.workers[worker]["address"], f"/standin/drain?store={store}&answers=untold")
-        if store == "gone":
-            time.sleep(0.3)  # A registration that was on its way has come.
-            self.fleet.command(self.fleet.store, f"/standin/drop?topic=keyed.servers&key={worker}")
-
     def come_back(self, worker):
         """Under its id, as a new process."""
         self.check.note_ledger(worker, self.arrivals(worker))
@@ -110,7 +103,7 @@
         for store in ("told", "gone"):
             leaving = [self.busiest("engine"), self.busiest("app")]
             for worker in leaving:
-                self.leave(worker, store)
+                self.fleet.leave(worker, store, "untold")
             time.sleep(DRAIN_SECONDS + 2)
             for worker in leaving:
                 self.come_back(worker)
@@ -122,7 +115,7 @@
         self.start(worker_arguments=("--no-start-time",))
         leaving = [self.busiest("engine"), self.busiest("app")]
         for worker in leaving:
-            self.leave(worker)
+            self.fleet.leave(worker, "told", "untold")
         for worker in leaving:
             self.wait_until_known(worker)
         self.fleet.command(self.fleet.store, "/standin/fault?kind=silent")
@@ -141,7 +134,7 @@
         self.start(worker_arguments=("--no-start-time",))
         for store in ("told", "gone"):
             for worker in (self.busiest("engine"), self.busiest("app")):
-                self.leave(worker, store)
+                self.fleet.leave(worker, store, "untold")
                 time.sleep(DRAIN_SECONDS + 0.5)
                 self.come_back(worker)
                 for router in self.fleet.routers:
@@ -158,7 +151,7 @@
         self.start()
         for i in range(ROUNDS):
             worker = self.busiest("engine")
-            self.pause([self.fleet.routers[i % len(self.fleet.routers)]], lambda it=worker: self.leave(it))
+            self.pause([self.fleet.routers[i % len(self.fleet.routers)]], lambda it=worker: self.fleet.leave(it, "told", "untold"))
             time.sleep(1)
             self.come_back(worker)
             time.sleep(1)
@@ -170,7 +163,7 @@
         begun = time.monotonic()
         for i in range(ROUNDS):
             worker, store = self.busiest("engine"), ("told", "gone")[i % 2]
-            self.pause(self.fleet.routers, lambda it=worker, word=store: self.leave(it, word))
+            self.pause(self.fleet.routers, lambda it=worker, word=store: self.fleet.leave(it, word, "untold"))
             time.sleep(ENTRIES_KEPT_SECONDS + 0.8)
             self.come_back(worker)
             time.sleep(1)
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -22,6 +22,7 @@
 EVACUATION_BOUND_MS = 2000
 READY_SECONDS = 20
 STOP_SECONDS = 15
+REGISTERING_SECONDS = 0.3  # Until a registration of a worker that was on its way has come.
 
 
 def first_ephemeral_port():
@@ -293,6 +294,16 @@
         assert status == 200, (path, status)
         return json.loads(answer or b"{}")
 
+    def leave(self, worker, store="told", answers="told"):
+        """Lets a worker leave. answers: untold, these say nothing of it.
+
+        store: told, its entry says so; untold, it doesn't; gone, it goes without that. The worker may be starting again.
+        """
+        call(self.workers[worker]["address"], "POST", f"/standin/drain?store={store}&answers={answers}")
+        if store == "gone":
+            time.sleep(REGISTERING_SECONDS)
+            self.command(self.store, f"/standin/drop?topic=keyed.servers&key={worker}")
+
     def fault(self, worker, kind, count=1):
         self.command(self.workers[worker]["address"], f"/standin/fault?kind={kind}&count={count}")
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -44,7 +44,6 @@
 DOWN_SECONDS = (1.0, 3.0)  # Of a target that crashed.
 EVACUATED_SECONDS = (3.0, 6.0)  # More than the bound within which an evacuation is in force.
 LEAVING_SECONDS = (2.5, 5.0)  # More than the bound within which the store's word is in force.
-REGISTERING_SECONDS = 0.3  # Until a registration of a target that was on its way has come.
 RESTART_SECONDS = 0.3  # After a process has ended, until the platform starts it again.
 ZONES = ("a", "b", "c")
 EXTRAS = ("signals", "answers", "silences", "parts", "zones", "leavings")  # What came to the soak later; each has chances of its own.
@@ -297,10 +296,7 @@
 
     def _leave_and_return_alone(self, name, lasts, word, answers):
         worker = self._fleet.workers[name]
-        call(worker["address"], "POST", f"/standin/drain?store={word}&answers={answers}")
-        if word == "gone":
-            time.sleep(REGISTERING_SECONDS)
-            self._fleet.command(self._fleet.store, f"/standin/drop?topic=keyed.servers&key={name}")
+        self._fleet.leave(name, word, answers)
         time.sleep(lasts)
         self._stage.read_ledger(name)
         self._unplanned_for(0)
