Say what the store has where a read finds its records missing, and of which era it is

The line's reason has them now; metrics: sagechute_edge_store_era and sagechute_edge_store_history_losses_total. No logic is changed.

--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -47,6 +47,8 @@
 
     prometheus::Counter& heldSends() { return m_heldSends; }
     prometheus::Counter& storeCalls() { return m_storeCalls; }
+    prometheus::Gauge& storeEra() { return m_storeEra; }
+    prometheus::Counter& historyLosses() { return m_historyLosses; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
 
     /// Records customers' shares of the engines as this router sees them.
@@ -84,6 +86,8 @@
     prometheus::Histogram& m_firstEvent;
     prometheus::Histogram& m_predictionError;
     prometheus::Counter& m_storeCalls;
+    prometheus::Gauge& m_storeEra;
+    prometheus::Counter& m_historyLosses;
     prometheus::Counter& m_unreadableRecords;
     prometheus::Gauge& m_knowledgeAge;
     prometheus::Histogram& m_knowledgeAgeRatio;
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -97,6 +97,7 @@
 bool StoreFollower::recordRead(Topic& topic, const absl::Status& status, LogOffset next)
 {
     m_metrics.storeCalls().Increment();
+    m_metrics.storeEra().Set(static_cast<double>(m_store.era()));
     const TimePoint now = unsuspendedNow();
     if (status.ok()) {
         topic.readAt->store(now);
@@ -107,7 +108,9 @@
     }
     if (errorKind(status) == ErrorKind::RetentionExceeded) {
         topic.cursor.historyLost();
-        process::log(process::LogLevel::Warning, "store-history-lost", { { "topic", topic.name } });
+        m_metrics.historyLosses().Increment();
+        process::log(process::LogLevel::Warning, "store-history-lost",
+            { { "topic", topic.name }, { "reason", std::string(status.message()) } });
     } else if (topic.cursor.readFailed(now)) {
         process::log(process::LogLevel::Warning, "store-lost",
             { { "topic", topic.name }, { "reason", std::string(status.message()) } });
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -18,6 +18,10 @@
 
 // ---- Interface to the store
 
+/// Number of a store's history. It rises by one each time the store returns from a copy that may lack what it has
+/// acknowledged; offsets are then given out again. Zero: unknown, or a store that doesn't report it.
+using StoreEra = std::uint64_t;
+
 /// The newest configuration in the store.
 struct ConfigRecord {
     std::uint64_t version = 0;
@@ -121,6 +125,9 @@
 
     /// @return the number of calls made so far, including refused ones.
     virtual std::uint64_t calls() const = 0;
+
+    /// @return the newest era reported by an answer so far.
+    virtual StoreEra era() const = 0;
 };
 
 // ---- Target list
--- a/tests/StoreTest.cpp
+++ b/tests/StoreTest.cpp
@@ -105,3 +105,21 @@
         == std::vector<news::ZoneChange> { { { "a" }, true, 3 }, { { "b" }, true, 5 }, { { "c" }, true, 0 } });
     CHECK(all->unreadable.size() == 2);
 }
+
+// Guards against a loss of history of which nobody can tell whether records were dropped or offsets went back.
+TEST_CASE("a read that finds its records missing says what the store has instead, and of which era it is")
+{
+    const auto server = net::makeServer([](const net::ExchangePointer& exchange) {
+        exchange->respond({ 410, { { "Store-Era", "4" } }, R"({"first":30})" });
+    });
+    auto client = net::makeClient();
+    const auto store = platform::makeStore(*client, toString(server->endpoint()));
+    CHECK(store->era() == 0);
+    const auto news = store->followTargets(7, 0ms);
+    REQUIRE_FALSE(news.ok());
+    CHECK(errorKind(news.status()) == ErrorKind::RetentionExceeded);
+    CHECK_THAT(std::string(news.status().message()),
+        Catch::Matchers::Contains("from offset 7") && Catch::Matchers::Contains("first retained 30")
+            && Catch::Matchers::Contains("era 4"));
+    CHECK(store->era() == 4);
+}
