Play the store's return from an older copy before real routers

In a drill the store returns from a copy some seconds old: offsets go back and are given out again. Routers order what they know by offsets and ignore the era, so that they pass over words that are given a lower offset than they hold, or never read them.

--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -128,6 +128,7 @@
         self.directory = tempfile.mkdtemp(prefix="sagechute-edge-")
         self.processes = []
         self.version = 0
+        self.newest_document = ""
         self.configuring = threading.Lock()  # Versions are written in their order.
         others = others or {}
         ports = iter(free_ports(1 + engines + applications + len(others) + 8 * routers))
@@ -257,6 +258,45 @@
     def lift_evacuation(self, zone):
         self.command(self.store, f"/standin/drop?topic=keyed.op&key=evacuate/{zone}")
 
+    def restore_store(self, older_ms, away_s=1.5, kind="busy", meanwhile=lambda: None):
+        """Takes the store away and lets it return from a copy; returns when that began and ended.
+
+        older_ms: age of the copy when the store goes away. kind: what routers get from the store that is away.
+        meanwhile: called when the store holds the copy and doesn't answer routers yet, for what is written again at once.
+        What the operator wrote is lost until configure_again() and evacuate(); targets write their entries again by
+        themselves, and the end of an entry is written again by remove_entry().
+        """
+        begin = time.monotonic()
+        self.command(self.store, f"/standin/fault?kind={kind}")
+        time.sleep(away_s)
+        age_ms = older_ms + (time.monotonic() - begin) * 1000
+        self.command(self.store, f"/standin/restore?olderMs={age_ms:.0f}")
+        meanwhile()
+        self.command(self.store, "/standin/fault?kind=none")
+        return begin, time.monotonic()
+
+    def remove_entry(self, worker):
+        self.command(self.store, f"/standin/drop?topic=keyed.servers&key={worker}")
+
+    def write_entry(self, worker, **changes):
+        """Writes the newest entry of a worker once more, with another number and these changes."""
+        records = self.command(self.store, "/standin/acknowledged?topic=keyed.servers")["records"]
+        entry = json.loads(next(it["value"] for it in reversed(records) if it["key"] == worker and it["value"]))
+        entry.update({"seq": entry["seq"] + 1, **changes})
+        self.command(self.store, f"/standin/put?topic=keyed.servers&key={worker}", json.dumps(entry))
+
+    def silence(self, worker, seconds):
+        """For so long the worker doesn't write its entry."""
+        self.command(self.workers[worker]["address"], f"/standin/silence?ms={seconds * 1000:.0f}")
+
+    def store_counts(self):
+        return self.command(self.store, "/standin/counts")
+
+    def configure_again(self):
+        """Writes the newest version of the configuration once more."""
+        with self.configuring:
+            self.command(self.store, "/standin/put?topic=keyed.op&key=config", self.newest_document)
+
     def configure(self, keys=(KEY,), extra_routes=(), change=lambda document: None, timeout_ms=3000, **limits):
         """Writes the next version of the configuration.
 
@@ -287,7 +327,8 @@
             "tenants": [{"name": "teller", "apiKeys": list(keys)}],
         }
         change(document)
-        self.command(self.store, "/standin/put?topic=keyed.op&key=config", json.dumps(document))
+        self.newest_document = json.dumps(document)
+        self.command(self.store, "/standin/put?topic=keyed.op&key=config", self.newest_document)
 
     def command(self, address, path, body=""):
         status, _, answer = call(address, "POST", path, body)
@@ -302,7 +343,7 @@
         call(self.workers[worker]["address"], "POST", f"/standin/drain?store={store}&answers={answers}")
         if store == "gone":
             time.sleep(REGISTERING_SECONDS)
-            self.command(self.store, f"/standin/drop?topic=keyed.servers&key={worker}")
+            self.remove_entry(worker)
 
     def fault(self, worker, kind, count=1):
         self.command(self.workers[worker]["address"], f"/standin/fault?kind={kind}&count={count}")
--- a/tools/target_signals.py
+++ b/tools/target_signals.py
@@ -1,7 +1,7 @@
 """Checks what routers make of targets that leave, by the store's word or their own, or ask for a pause, and of evacuations.
 
-Used by tests/target_signals_test.py, tests/leaving_targets_test.py and tools/soak.py. Times are those of the machine's monotonic clock, which the
-stand-ins use, too.
+Used by tests/target_signals_test.py, tests/leaving_targets_test.py, tests/restored_store_test.py and tools/soak.py. Times are
+those of the machine's monotonic clock, which the stand-ins use, too.
 """
 
 import bisect
