--- a/apps/sagechute-edge/ConfigIntake.cpp
+++ b/apps/sagechute-edge/ConfigIntake.cpp
@@ -14,7 +14,7 @@
         const std::string& formerAge)
     {
         process::log(process::LogLevel::Info, "configuration-in-force",
-            { { "version", std::to_string(record.version) }, { "offset", std::to_string(record.offset) },
+            { { "version", std::to_string(record.version) }, { "offset", std::to_string(record.position.offset) },
                 { "source", source }, { "routes", std::to_string(config.routes.size()) },
                 { "customers", std::to_string(config.customers.size()) },
                 { "tokens-per-second", std::to_string(static_cast<std::uint64_t>(config.tokensPerSecond)) },
@@ -35,7 +35,7 @@
                 { { "version", std::to_string(news.config->version) },
                     { "reason", std::string(decoded.status().message()) } });
             // The record counts as unknown, so that it is read from the store.
-            news.next = std::min(news.next, news.config->offset);
+            news.next = std::min(news.next, news.config->position);
         }
     }
     const TimePoint now = unsuspendedNow();
@@ -43,8 +43,12 @@
     const OperatorChanges changes = m_state.installOperatorNews(now, news, config);
     for (const news::ZoneChange& it : changes.zones)
         process::log(process::LogLevel::Warning, it.isEvacuated ? "zone-evacuated" : "zone-returned",
-            { { "zone", it.zone.value }, { "offset", std::to_string(it.offset) }, { "source", source },
+            { { "zone", it.zone.value }, { "offset", std::to_string(it.position.offset) }, { "source", source },
                 { "former-age-ms", formerAge }, { "in-force", m_state.appliesEvacuations ? "yes" : "no" } });
+    if (news.hasAllZones && news.config && news.config->version < m_state.configVersion())
+        process::log(process::LogLevel::Info, "older-configuration-ignored",
+            { { "version", std::to_string(news.config->version) }, { "source", source },
+                { "in-force", std::to_string(m_state.configVersion()) } });
     if (changes.isConfigInstalled)
         logInstalled(*news.config, *config, source, formerAge);
 }
--- a/apps/sagechute-edge/CrashJournal.h
+++ b/apps/sagechute-edge/CrashJournal.h
@@ -103,7 +103,7 @@
     Subjects m_parts;
     Releases m_releases;
     ReleaseId m_lastReleaseId = 0;
-    std::optional<LogOffset> m_nextOffset; ///< Used by the reading thread only.
+    std::optional<news::LogPosition> m_nextOffset; ///< Used by the reading thread only.
     std::vector<std::thread> m_threads;
 };
 
--- a/apps/sagechute-edge/DepartureMonitor.cpp
+++ b/apps/sagechute-edge/DepartureMonitor.cpp
@@ -22,6 +22,15 @@
             { { "ms", formatMs(it.length) }, { "targets-age-ms", formatMsOr(it.knowledgeAge, "unknown") },
                 { "reason", "this process did not run: it was stopped, suspended or got no processor time" } });
     }
+    if (const std::optional<news::StoreReturn> it = m_state.takeStoreReturn()) {
+        m_metrics.storeReturns().Increment();
+        process::log(process::LogLevel::Warning, "store-returned",
+            { { "era", std::to_string(it->current.era) }, { "former-era", std::to_string(it->former.era) },
+                { "targets-offset", std::to_string(it->current.offset) },
+                { "former-targets-offset", std::to_string(it->former.offset) },
+                { "targets-listed", std::to_string(it->listed) }, { "targets-kept", std::to_string(it->kept) },
+                { "reason", "the store came back from a copy that may lack what it had acknowledged" } });
+    }
     for (const HeededDeparture& it : m_state.takeDepartures()) {
         m_metrics.recordDeparture(it.noticeAge, it.lastSent);
         process::log(process::LogLevel::Info, "target-left",
--- a/apps/sagechute-edge/EdgeMetrics.h
+++ b/apps/sagechute-edge/EdgeMetrics.h
@@ -49,6 +49,7 @@
     prometheus::Counter& storeCalls() { return m_storeCalls; }
     prometheus::Gauge& storeEra() { return m_storeEra; }
     prometheus::Counter& historyLosses() { return m_historyLosses; }
+    prometheus::Counter& storeReturns() { return m_storeReturns; }
     prometheus::Counter& unreadableRecords() { return m_unreadableRecords; }
 
     /// Records customers' shares of the engines as this router sees them.
@@ -88,6 +89,7 @@
     prometheus::Counter& m_storeCalls;
     prometheus::Gauge& m_storeEra;
     prometheus::Counter& m_historyLosses;
+    prometheus::Counter& m_storeReturns;
     prometheus::Counter& m_unreadableRecords;
     prometheus::Gauge& m_knowledgeAge;
     prometheus::Histogram& m_knowledgeAgeRatio;
--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -18,19 +18,34 @@
 {
     OperatorChanges changes;
     std::lock_guard lock(m_mutex);
-    if (news.next > 0)
+    if (news.next > news::LogPosition {})
         changes.zones = news.hasAllZones ? m_evacuatedZones.replace(now, news.zones, news.next)
                                          : m_evacuatedZones.applyAll(now, news.zones, news.next);
-    if (!changes.zones.empty() && appliesEvacuations) {
-        std::set<ZoneId> zones;
-        for (const auto& [zone, entry] : m_evacuatedZones.zones())
-            zones.insert(zone);
-        m_dispatcher->setEvacuatedZones(steadyNow(), zones);
-    }
+    if (!changes.zones.empty())
+        applyEvacuationsLocked();
     changes.isConfigInstalled = news.config && config && installConfigLocked(*news.config, *config);
     return changes;
 }
 
+void EdgeState::applyEvacuationsLocked()
+{
+    if (!appliesEvacuations)
+        return;
+    std::set<ZoneId> zones;
+    for (const auto& [zone, entry] : m_evacuatedZones.zones())
+        zones.insert(zone);
+    m_dispatcher->setEvacuatedZones(steadyNow(), zones);
+}
+
+std::vector<news::ZoneChange> EdgeState::expireEvacuations(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<news::ZoneChange> lifted = m_evacuatedZones.expire(now);
+    if (!lifted.empty())
+        applyEvacuationsLocked();
+    return lifted;
+}
+
 bool EdgeState::installConfigLocked(const news::ConfigRecord& record, const dispatch::FleetConfig& config)
 {
     // The configuration never goes back to an older version, whatever an old record or a lagging router sends.
@@ -79,8 +94,8 @@
 news::Knowledge EdgeState::knowledgeLocked() const
 {
     // Targets count as known, even as an empty list, once the whole topic has been read.
-    return { m_configVersion.load(), m_configKnownUntil, m_roster.next().value_or(0), m_roster.knownUntil(),
-        m_roster.readSince(), m_evacuatedZones.next().value_or(0) };
+    return { m_configVersion.load(), m_configKnownUntil, m_roster.next().value_or(news::LogPosition {}),
+        m_roster.knownUntil(), m_roster.readSince(), m_evacuatedZones.next().value_or(news::LogPosition {}) };
 }
 
 news::Knowledge EdgeState::knowledge() const
@@ -193,6 +208,12 @@
     return std::exchange(m_departures, {});
 }
 
+std::optional<news::StoreReturn> EdgeState::takeStoreReturn()
+{
+    std::lock_guard lock(m_mutex);
+    return m_roster.takeStoreReturn();
+}
+
 std::vector<EndedStall> EdgeState::takeStalls()
 {
     std::lock_guard lock(m_mutex);
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -15,7 +15,7 @@
     std::optional<news::ConfigRecord> config; ///< Absent: there is none, or no new one.
     std::vector<news::ZoneChange> zones;
     bool hasAllZones = false; ///< Whether the zones are the full list, not only changes.
-    LogOffset next = 0; ///< All records before this offset are included or known already; 0: unknown.
+    news::LogPosition next; ///< All records before this position are included or known already; {}: unknown.
 };
 
 /// What changed by operator records.
@@ -83,6 +83,10 @@
     /// @param sent when that state was requested, on the clock of unsuspendedNow().
     void extendConfigKnowledge(const news::ToldKnowledge&, TimePoint sent);
 
+    /// Lifts evacuations that the store no longer holds since its return; see news::EvacuatedZones::expire().
+    /// @return those that were lifted.
+    std::vector<news::ZoneChange> expireEvacuations(TimePoint now);
+
     /// @return the evacuated zones, in force or not.
     news::EvacuatedZones evacuatedZones() const;
 
@@ -110,6 +114,9 @@
     std::vector<HeededDeparture> takeDepartures();
     std::vector<EndedStall> takeStalls();
 
+    /// @return the last return of the store from a copy since the last call, as the list of targets met it.
+    std::optional<news::StoreReturn> takeStoreReturn();
+
     /// Calls @p use with the list of targets.
     template <typename Use> auto withTargets(Use&& use) const
     {
@@ -167,6 +174,7 @@
 
     void noteRunningLocked();
     bool isRenewalAwaitedLocked() const;
+    void applyEvacuationsLocked();
     void recordDepartures();
     news::Knowledge knowledgeLocked() const;
     void extendConfigKnowledgeLocked(TimePoint until);
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -229,7 +229,7 @@
     nlohmann::json evacuatedZones = nlohmann::json::array();
     const news::EvacuatedZones evacuated = m_context.state.evacuatedZones();
     for (const auto& [zone, entry] : evacuated.zones())
-        evacuatedZones.push_back({ { "zone", zone.value }, { "offset", entry.offset },
+        evacuatedZones.push_back({ { "zone", zone.value }, { "offset", entry.position.offset },
             { "sinceMs", wallClockMs(entry.since) }, { "inForce", m_context.state.appliesEvacuations } });
     const news::ToldKnowledge known = m_context.state.knowledgeForPeers();
     return { { "vm", m_context.state.vm.value }, { "configVersion", m_context.state.configVersion() },
@@ -237,8 +237,10 @@
         { "usePercent", m_context.state.utilizationPercent.load() }, { "configAgeMs", ageMs(known.configAge) },
         { "targetsAgeMs", ageMs(known.targetsAge) }, { "readAgeMs", ageMs(known.readAge) },
         { "activeRequests", m_context.state.activeRequests.load() }, { "droppedLogLines", process::droppedLogLines() },
-        { "operatorNext", known.operatorNext }, { "evacuatedZones", std::move(evacuatedZones) },
-        { "targets", targetsJson() }, { "coldTargets", std::move(coldTargets) }, { "peers", std::move(peers) } };
+        { "operatorNext", known.operatorNext.offset }, { "operatorEra", known.operatorNext.era },
+        { "targetsNext", known.targetsNext.offset }, { "targetsEra", known.targetsNext.era },
+        { "evacuatedZones", std::move(evacuatedZones) }, { "targets", targetsJson() },
+        { "coldTargets", std::move(coldTargets) }, { "peers", std::move(peers) } };
 }
 
 void Listeners::handleQuarantine(const ExchangePointer& exchange)
--- a/apps/sagechute-edge/PeerFollower.cpp
+++ b/apps/sagechute-edge/PeerFollower.cpp
@@ -50,11 +50,20 @@
             handleResponse(it);
         fetchIfDue(events->source);
         m_state.updateTargets([&](news::TargetRoster& roster) { roster.expire(unsuspendedNow()); });
+        expireEvacuations();
         logRetainedTargets();
         reportKnowledgeAge();
     }
 }
 
+void PeerFollower::expireEvacuations()
+{
+    for (const news::ZoneChange& it : m_state.expireEvacuations(unsuspendedNow()))
+        process::log(process::LogLevel::Warning, "zone-returned",
+            { { "zone", it.zone.value }, { "source", "store" },
+                { "reason", "the store lacks the evacuation since its return and it was not written again" } });
+}
+
 std::optional<TimePoint> PeerFollower::witnessedUntil() const
 {
     const news::Knowledge known = m_state.knowledge();
@@ -128,7 +137,7 @@
     }
     const news::ToldKnowledge& told = state->knowledge;
     m_configIntake.install(
-        { std::move(state->config), std::move(state->evacuatedZones), told.operatorNext > 0, told.operatorNext },
+        { std::move(state->config), std::move(state->evacuatedZones), told.operatorNext.offset > 0, told.operatorNext },
         response.peer.vm.value);
     // Ages count from when the request was sent, as the response's transit time is unknown.
     m_state.extendConfigKnowledge(told, response.sentAt);
@@ -140,16 +149,25 @@
 {
     const news::ToldKnowledge& told = state.knowledge;
     const TimePoint now = unsuspendedNow();
+    bool isOfOlderEra = false;
     m_state.updateTargets([&](news::TargetRoster& roster) {
+        isOfOlderEra = roster.next() && told.targetsNext.era < roster.next()->era;
+        if (isOfOlderEra)
+            return;
         roster.known(told.targetsNext, *news::toldRead(told, response.sentAt, now));
         if (state.hasAllTargets)
             roster.replace(now, state.targets, told.targetsNext);
         else
             roster.applyAll(now, state.targets);
     });
-    if (state.hasAllTargets || !state.targets.empty())
+    if (isOfOlderEra)
+        process::log(process::LogLevel::Info, "targets-of-older-era",
+            { { "peer", response.peer.vm.value }, { "era", std::to_string(told.targetsNext.era) },
+                { "reason",
+                    "the store has returned from a copy since; routers of a former release don't tell eras" } });
+    else if (state.hasAllTargets || !state.targets.empty())
         process::log(process::LogLevel::Info, "targets-from-peer",
-            { { "peer", response.peer.vm.value }, { "offset", std::to_string(told.targetsNext) },
+            { { "peer", response.peer.vm.value }, { "offset", std::to_string(told.targetsNext.offset) },
                 { "changes", std::to_string(state.targets.size()) }, { "all", state.hasAllTargets ? "yes" : "no" },
                 { "age-ms", formatMs(*told.targetsAge) } });
 }
@@ -190,9 +208,10 @@
     const news::ReadStanding standing = m_fleet.readStanding(m_times);
     process::log(isLate ? process::LogLevel::Warning : process::LogLevel::Info,
         isLate ? "knowledge-late" : "knowledge-in-time",
-        { { "config", std::to_string(known.configVersion) }, { "operator-offset", std::to_string(known.operatorNext) },
+        { { "config", std::to_string(known.configVersion) },
+            { "operator-offset", std::to_string(known.operatorNext.offset) },
             { "config-age-ms", formatAgeMs(known.configUntil, now) },
-            { "targets-offset", std::to_string(known.targetsNext) },
+            { "targets-offset", std::to_string(known.targetsNext.offset) },
             { "targets-age-ms", formatAgeMs(known.targetsUntil, now) }, { "bound-ms", formatMs(m_times.bound) },
             { "reader", standing.isReader ? "yes" : "no" }, { "rank", std::to_string(standing.rank) },
             { "peers-answered", std::to_string(fetchCounts().answered) },
--- a/apps/sagechute-edge/PeerFollower.h
+++ b/apps/sagechute-edge/PeerFollower.h
@@ -45,6 +45,7 @@
     FetchCounts& fetchCounts();
     void reportKnowledgeAge();
     void logRetainedTargets();
+    void expireEvacuations();
 
     EdgeState& m_state;
     Fleet& m_fleet;
--- a/apps/sagechute-edge/PeerState.cpp
+++ b/apps/sagechute-edge/PeerState.cpp
@@ -13,6 +13,7 @@
 
     constexpr const char* configField = "config";
     constexpr const char* targetsField = "targets";
+    constexpr const char* targetsEraField = "targets-era"; ///< A release that doesn't know eras sends none: era 0.
 
     /// Position of the evacuated zones in an encoded state. A release without them sends a shorter array.
     constexpr std::size_t evacuatedZonesIndex = 4;
@@ -26,7 +27,7 @@
 
     json encodeChange(const news::TargetChange& change)
     {
-        json item = json::array({ change.id.value, change.offset });
+        json item = json::array({ change.id.value, change.position.offset });
         if (!change.target)
             return item;
         const dispatch::Target& target = *change.target;
@@ -37,9 +38,11 @@
         return item;
     }
 
-    news::TargetChange decodeChange(const json& item)
+    /// @param era of all changes in the response.
+    news::TargetChange decodeChange(const json& item, news::StoreEra era)
     {
-        news::TargetChange change { { item.at(0).get<std::string>() }, std::nullopt, item.at(1).get<LogOffset>() };
+        news::TargetChange change { { item.at(0).get<std::string>() }, std::nullopt,
+            { item.at(1).get<LogOffset>(), era } };
         if (item.size() == 2)
             return change;
         change.target = dispatch::Target { change.id, { item.at(2).get<std::string>() }, item.at(3).get<std::string>(),
@@ -58,19 +61,25 @@
 {
     std::string path = std::string(peerStatePath) + "?" + configField + "=" + std::to_string(request.configVersion);
     if (request.targetsNext)
-        path += std::string("&") + targetsField + "=" + std::to_string(*request.targetsNext);
+        path += std::string("&") + targetsField + "=" + std::to_string(request.targetsNext->offset) + "&"
+            + targetsEraField + "=" + std::to_string(request.targetsNext->era);
     return path;
 }
 
 PeerStateRequest decodePeerStateRequest(const std::vector<net::Field>& query)
 {
     PeerStateRequest request;
+    news::StoreEra era = 0;
     for (const net::Field& it : query) {
         if (it.name == configField)
             request.configVersion = parseNumber(it.value).value_or(0);
-        else if (it.name == targetsField)
-            request.targetsNext = parseNumber(it.value);
+        else if (it.name == targetsEraField)
+            era = parseNumber(it.value).value_or(0);
+        else if (const auto offset = parseNumber(it.value); it.name == targetsField && offset)
+            request.targetsNext = news::LogPosition { *offset, 0 };
     }
+    if (request.targetsNext)
+        request.targetsNext->era = era;
     return request;
 }
 
@@ -99,13 +108,14 @@
 {
     json config = nullptr;
     if (state.config)
-        config = { state.config->version, state.config->offset, state.config->document };
+        config = { state.config->version, state.config->position.offset, state.config->document,
+            state.config->position.era };
     json targets = json::array();
     for (const news::TargetChange& it : state.targets)
         targets.push_back(encodeChange(it));
     json zones = json::array();
     for (const news::ZoneChange& it : state.evacuatedZones)
-        zones.push_back(json::array({ it.zone.value, it.offset }));
+        zones.push_back(json::array({ it.zone.value, it.position.offset }));
     return encodeCbor(json::array({ encodeKnowledge(state.knowledge), std::move(config), state.hasAllTargets,
         std::move(targets), std::move(zones) }));
 }
@@ -118,14 +128,18 @@
     try {
         PeerState state;
         state.knowledge = decodeKnowledge(document->at(0));
-        if (const json& config = document->at(1); !config.is_null())
-            state.config = news::ConfigRecord { config.at(0), config.at(1), config.at(2).get<std::string>() };
+        if (const json& config = document->at(1); !config.is_null()) {
+            const news::StoreEra era = config.size() > 3 ? config.at(3).get<news::StoreEra>() : 0;
+            state.config = news::ConfigRecord { config.at(0), { config.at(1).get<LogOffset>(), era },
+                config.at(2).get<std::string>() };
+        }
         state.hasAllTargets = document->at(2).get<bool>();
         for (const json& it : document->at(3))
-            state.targets.push_back(decodeChange(it));
+            state.targets.push_back(decodeChange(it, state.knowledge.targetsNext.era));
         if (document->size() > evacuatedZonesIndex) {
             for (const json& it : document->at(evacuatedZonesIndex))
-                state.evacuatedZones.push_back({ { it.at(0).get<std::string>() }, true, it.at(1).get<LogOffset>() });
+                state.evacuatedZones.push_back({ { it.at(0).get<std::string>() }, true,
+                    { it.at(1).get<LogOffset>(), state.knowledge.operatorNext.era } });
         }
         return state;
     } catch (const json::exception& problem) {
--- a/apps/sagechute-edge/PeerState.h
+++ b/apps/sagechute-edge/PeerState.h
@@ -10,7 +10,7 @@
 /// What the requesting router already has.
 struct PeerStateRequest {
     std::uint64_t configVersion = 0;
-    std::optional<LogOffset> targetsNext; ///< Absent: it has no targets.
+    std::optional<news::LogPosition> targetsNext; ///< Absent: it has no targets.
 };
 
 struct PeerState {
@@ -20,7 +20,7 @@
     std::vector<news::TargetChange> targets;
 
     /// All evacuated zones; complete up to the operatorNext of the knowledge. Empty from a release without evacuations,
-    /// whose operatorNext is 0.
+    /// whose operatorNext has offset 0.
     std::vector<news::ZoneChange> evacuatedZones;
 };
 
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -366,7 +366,7 @@
             { "size-helped", admission.isSizeBoosted ? "yes" : "no" },
             { "sums-age-ms", admission.oldestReportAge ? formatDurationMs(*admission.oldestReportAge) : "none" },
             { "come-back-ms", formatDurationMs(record.refusal.retryAfter) },
-            { "targets-offset", std::to_string(known.targetsNext) },
+            { "targets-offset", std::to_string(known.targetsNext.offset) },
             { "sent-ms", m_lastSend ? formatDurationMs(m_lastSend->sinceArrival) : "none" },
             { "sent-known-ms",
                 m_lastSend && m_lastSend->knowledgeAge ? formatDurationMs(*m_lastSend->knowledgeAge) : "none" },
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -88,13 +88,14 @@
         } else {
             topic.sentAt = unsuspendedNow();
             const bool isRead = (this->*topic.read)(topic, now.standing.isReader ? m_times.wait : Duration::zero());
-            topic.failedAt = isRead ? std::nullopt : topic.sentAt;
+            // A store that lacks the records has answered, and a full read can follow at once.
+            topic.failedAt = isRead || topic.cursor.isHistoryLost() ? std::nullopt : topic.sentAt;
             delay = Duration::zero();
         }
     }
 }
 
-bool StoreFollower::recordRead(Topic& topic, const absl::Status& status, LogOffset next)
+bool StoreFollower::recordRead(Topic& topic, const absl::Status& status, news::LogPosition next)
 {
     m_metrics.storeCalls().Increment();
     m_metrics.storeEra().Set(static_cast<double>(m_store.era()));
@@ -120,13 +121,13 @@
 
 bool StoreFollower::readConfig(Topic& topic, Duration wait)
 {
-    if (const LogOffset known = m_state.knowledge().operatorNext)
+    if (const news::LogPosition known = m_state.knowledge().operatorNext; known > news::LogPosition {})
         topic.cursor.toldByPeer(known);
-    const std::optional<LogOffset> from = topic.cursor.next();
+    const std::optional<news::LogPosition> from = topic.cursor.next();
     const TimePoint sent = unsuspendedNow();
     absl::StatusOr<news::ConfigNews> found
         = from ? m_store.followConfig(*from, toMilliseconds(wait)) : m_store.readConfig();
-    if (!recordRead(topic, found.status(), found.ok() ? found->next : 0))
+    if (!recordRead(topic, found.status(), found.ok() ? found->next : news::LogPosition {}))
         return false;
     reportUnreadable(topic.name, found->unreadable);
     const bool isEmpty = from && found->next == *from;
@@ -139,11 +140,11 @@
 {
     if (const auto known = m_state.withTargets([](const news::TargetRoster& it) { return it.next(); }))
         topic.cursor.toldByPeer(*known);
-    const std::optional<LogOffset> from = topic.cursor.next();
+    const std::optional<news::LogPosition> from = topic.cursor.next();
     const TimePoint sent = unsuspendedNow();
     const absl::StatusOr<news::TargetNews> found
         = from ? m_store.followTargets(*from, toMilliseconds(wait)) : m_store.readTargets();
-    if (!recordRead(topic, found.status(), found.ok() ? found->next : 0))
+    if (!recordRead(topic, found.status(), found.ok() ? found->next : news::LogPosition {}))
         return false;
     const TimePoint now = unsuspendedNow();
     const bool isEmpty = from && found->next == *from;
@@ -161,7 +162,7 @@
         if (!it.target || it.target->draining)
             process::log(process::LogLevel::Info, it.target ? "target-draining" : "target-gone",
                 { { "target", it.target ? toString(it.target->incarnation()) : it.id.value },
-                    { "offset", std::to_string(it.offset) } });
+                    { "offset", std::to_string(it.position.offset) } });
     }
     return true;
 }
--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -38,7 +38,7 @@
     news::ReadOccasion occasion(const Topic&) const;
     bool readConfig(Topic&, Duration wait);
     bool readTargets(Topic&, Duration wait);
-    bool recordRead(Topic&, const absl::Status&, LogOffset next);
+    bool recordRead(Topic&, const absl::Status&, news::LogPosition next);
     void reportUnreadable(const char* topic, const std::vector<news::UnreadableRecord>&);
 
     EdgeState& m_state;
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -12,6 +12,7 @@
 
 #include <sagechute/Dispatch.h>
 
+#include <compare>
 #include <utility>
 
 namespace sagechute::news {
@@ -22,10 +23,24 @@
 /// acknowledged; offsets are then given out again. Zero: unknown, or a store that doesn't report it.
 using StoreEra = std::uint64_t;
 
+/// Position in a topic of the store. Offsets are given out again in each era, so a position of a newer era is later
+/// than any of an older one.
+struct LogPosition {
+    LogOffset offset = 0;
+    StoreEra era = 0;
+
+    bool operator==(const LogPosition&) const = default;
+    std::strong_ordering operator<=>(const LogPosition& other) const
+    {
+        const auto byEra = era <=> other.era;
+        return byEra != 0 ? byEra : offset <=> other.offset;
+    }
+};
+
 /// The newest configuration in the store.
 struct ConfigRecord {
     std::uint64_t version = 0;
-    LogOffset offset = 0;
+    LogPosition position;
     std::string document; ///< As stored; routers forward it without decoding it.
 };
 
@@ -39,7 +54,7 @@
 struct ZoneChange {
     ZoneId zone;
     bool isEvacuated = false;
-    LogOffset offset = 0; ///< Offset of the record. Of two records for one zone the later takes precedence.
+    LogPosition position; ///< Of the record. Of two records for one zone the later takes precedence.
 
     bool operator==(const ZoneChange&) const = default;
 };
@@ -47,7 +62,7 @@
 /// Result of reading the operator's topic, which holds the configuration and the evacuations.
 struct ConfigNews {
     std::optional<ConfigRecord> newest; ///< The newest readable configuration; absent if there is nothing new.
-    LogOffset next = 0; ///< Offset to continue reading from.
+    LogPosition next; ///< Position to continue reading from.
     std::vector<UnreadableRecord> unreadable;
     std::vector<ZoneChange> zones; ///< In log order; after a full read, all evacuated zones.
 };
@@ -56,12 +71,12 @@
 struct TargetChange {
     TargetId id;
     std::optional<dispatch::Target> target; ///< Absent if the entry was removed.
-    LogOffset offset = 0; ///< Offset of the record. Of two records for one target the later takes precedence.
+    LogPosition position; ///< Of the record. Of two records for one target the later takes precedence.
 };
 
 struct TargetNews {
     std::vector<TargetChange> changes; ///< In log order; unreadable entries are reported as removed.
-    LogOffset next = 0; ///< Offset to continue reading from.
+    LogPosition next; ///< Position to continue reading from.
     std::vector<UnreadableRecord> unreadable;
 };
 
@@ -81,11 +96,12 @@
 /// Crash records of requests and of parts.
 struct CrashNews : SubjectCrashNews {
     SubjectCrashNews parts;
-    LogOffset next = 0; ///< Offset to continue reading from.
+    LogPosition next; ///< Position to continue reading from.
 };
 
 /// The platform's store. All calls block for a bounded time and are thread-safe. Errors are LogUnavailable, or
-/// RetentionExceeded when the requested records are no longer retained, in which case everything has to be read again.
+/// RetentionExceeded when the requested records are no longer retained or the store has returned from a copy, in which
+/// case everything has to be read again.
 class FleetStore {
 public:
     virtual ~FleetStore() = default;
@@ -93,7 +109,7 @@
     virtual absl::StatusOr<ConfigNews> readConfig() = 0;
 
     /// @param wait long-poll time: how long the store may hold the call while there is nothing new.
-    virtual absl::StatusOr<ConfigNews> followConfig(LogOffset from, std::chrono::milliseconds wait) = 0;
+    virtual absl::StatusOr<ConfigNews> followConfig(LogPosition from, std::chrono::milliseconds wait) = 0;
 
     /// @return the decoded configuration, or BadRequest.
     virtual absl::StatusOr<dispatch::FleetConfig> decodeConfig(const std::string& document) const = 0;
@@ -102,7 +118,7 @@
     virtual absl::StatusOr<TargetNews> readTargets() = 0;
 
     /// @param wait see followConfig().
-    virtual absl::StatusOr<TargetNews> followTargets(LogOffset from, std::chrono::milliseconds wait) = 0;
+    virtual absl::StatusOr<TargetNews> followTargets(LogPosition from, std::chrono::milliseconds wait) = 0;
 
     virtual absl::Status announce(const RouterAnnouncement&) = 0;
     virtual absl::StatusOr<std::vector<RouterAnnouncement>> announcements() = 0;
@@ -111,7 +127,7 @@
     virtual absl::StatusOr<CrashNews> readCrashes() = 0;
 
     /// @param wait see followConfig().
-    virtual absl::StatusOr<CrashNews> followCrashes(LogOffset from, std::chrono::milliseconds wait) = 0;
+    virtual absl::StatusOr<CrashNews> followCrashes(LogPosition from, std::chrono::milliseconds wait) = 0;
 
     /// Writes records for followers; only some are retained permanently. A cleared subject is released from quarantine.
     virtual absl::Status writeCrashes(
@@ -152,6 +168,14 @@
     std::optional<TimePoint> noticeAfter;
 };
 
+/// A return of the store from a copy, as a target list met it.
+struct StoreReturn {
+    LogPosition former; ///< Known up to here before.
+    LogPosition current; ///< Known up to here by the first list after the return.
+    std::size_t listed = 0; ///< Entries in that list.
+    std::size_t kept = 0; ///< Entries that were not in it and are kept for the time that targets have to return.
+};
+
 /// An interval in which this process did not run: it was stopped, its VM was suspended, or it got no processor time.
 struct Stall {
     TimePoint from;
@@ -196,8 +220,14 @@
 /// records in a row that say otherwise: a single one may be a late write of the draining target. If only the target
 /// said so itself, its entry must also have gone before.
 ///
-/// Routers exchange changes with the offsets of their records instead of lists: lists cannot be ordered by age when one
-/// router retains an entry that another has dropped, and each router decides on retention by itself.
+/// When the store returns from a copy, what is known from before stays in force until newer records say otherwise: the
+/// copy may lack a removal or a draining state that was acknowledged. Offsets below the copy's end still denote the
+/// same records, so positions known before are carried over to the new era, at most up to the end of the first list
+/// read in it. A listed entry that would be older is ignored, and an entry that is not listed is kept for the time that
+/// live targets have to register again.
+///
+/// Routers exchange changes with the positions of their records instead of lists: lists cannot be ordered by age when
+/// one router retains an entry that another has dropped, and each router decides on retention by itself.
 class TargetRoster {
 public:
     /// @param storeBreak see NewsTimes.
@@ -208,15 +238,16 @@
 
     /// Notes that everything the store acknowledged up to the end of this interval has been applied, up to the record
     /// before @p next. A gap before the interval means that no router is known to have reached the store, so entries
-    /// may have expired.
-    void known(LogOffset next, ReadSpan);
-    void known(LogOffset next, TimePoint at) { known(next, ReadSpan { at, at }); }
+    /// may have expired. Does nothing if @p next is of an older era than next(); if it is of a newer one, the full list
+    /// has to follow by replace().
+    void known(LogPosition next, ReadSpan);
+    void known(LogPosition next, TimePoint at) { known(next, ReadSpan { at, at }); }
 
     /// Notes that this process did not run. To be called before what is read or told afterwards is applied.
     void noteStall(const Stall&);
 
-    /// @return the offset of the first record not applied yet; absent before the first known().
-    std::optional<LogOffset> next() const { return m_next; }
+    /// @return the position of the first record not applied yet; absent before the first known().
+    std::optional<LogPosition> next() const { return m_next; }
 
     /// @return see known(); absent before its first call.
     std::optional<TimePoint> knownUntil() const { return m_read ? std::optional(m_read->until) : std::nullopt; }
@@ -241,14 +272,15 @@
     /// @return whether this was new.
     bool saidDraining(TimePoint now, const dispatch::TargetIncarnation&);
 
-    /// Replaces everything by a full list. @param end entries missing from the list were removed before this record.
-    void replace(TimePoint now, const std::vector<TargetChange>& all, LogOffset end);
+    /// Replaces everything by a full list. @param end entries missing from the list were removed before this record. A
+    /// list of an older era than next() is ignored.
+    void replace(TimePoint now, const std::vector<TargetChange>& all, LogPosition end);
 
     /// @param now if given, the targets' coldLeft is the time left then; otherwise as their records say.
     /// @return the last change of each target whose record is at or after @p from; absent if some may have been
     /// discarded, in which case all() has to be sent.
     std::optional<std::vector<TargetChange>> changesSince(
-        LogOffset from, std::optional<TimePoint> now = std::nullopt) const;
+        LogPosition from, std::optional<TimePoint> now = std::nullopt) const;
 
     /// @param now see changesSince(). @return the present entries, each as a change that sets it.
     std::vector<TargetChange> all(std::optional<TimePoint> now = std::nullopt) const;
@@ -263,6 +295,10 @@
     /// if there is none.
     std::optional<TimePoint> keepsMissingUntil() const { return m_graceUntil; }
 
+    /// @return the store's return from a copy that was noticed since the last call; the last one, if there were
+    /// several.
+    std::optional<StoreReturn> takeStoreReturn() { return std::exchange(m_storeReturn, std::nullopt); }
+
     /// @return the departures since the last call.
     std::vector<Departure> takeDepartures() { return std::exchange(m_departures, {}); }
 
@@ -287,7 +323,7 @@
 private:
     struct Entry {
         dispatch::Target target;
-        LogOffset offset = 0;
+        LogPosition position; ///< Of the record, in the era in which it was read.
         TimePoint coldUntil; ///< As of the target's newest record; zero: it said that the target is warm.
         bool isMissing = false; ///< May have expired; retained for the grace period.
         bool isSuspended = false; ///< Missing, and gets no requests.
@@ -305,10 +341,10 @@
         std::int64_t startedAtMs = 0;
         bool isLeaving = false;
         TimePoint at;
-        LogOffset offset = 0; ///< Offset of the last record applied.
+        LogPosition position; ///< Of the last record applied.
         bool isGone = false; ///< That record removed the entry.
-        LogOffset leavingAt = 0; ///< Offset of the last record that said that it is draining, or removed its entry.
-        std::optional<LogOffset> readyAt; ///< Offset of the first record after that, which said otherwise.
+        LogPosition leavingAt; ///< Of the last record that said that it is draining, or removed its entry.
+        std::optional<LogPosition> readyAt; ///< Of the first record after that, which said otherwise.
         bool isLeavingByItself = false; ///< It said so itself, and its entry has not gone since.
     };
 
@@ -319,12 +355,16 @@
     /// Notes that the target of an entry that is about to change or go was used until now.
     void recordDeparture(const Entry&, bool isGone, std::optional<TimePoint> noticeAfter);
 
+    /// @param isSameRecord whether the change is the record that @p known was made of.
     /// @return until when the target is cold according to a change that is about to replace @p known.
-    static TimePoint coldUntil(TimePoint now, const TargetChange&, const Entry& known);
+    static TimePoint coldUntil(TimePoint now, const TargetChange&, const Entry& known, bool isSameRecord);
 
     /// @return the entry's target. @param now see changesSince().
     static dispatch::Target targetAt(const Entry&, std::optional<TimePoint> now);
-    void remove(TimePoint now, const TargetId&, LogOffset);
+    void remove(TimePoint now, const TargetId&, LogPosition);
+
+    /// Carries over to a new era what is known of lives. @param end of the first list known in it.
+    void beginEra(LogPosition end, TimePoint returnedBy);
     void removeExpiredLives(TimePoint now);
 
     /// Removes from the gaps an interval in which another router knows the store to have been read.
@@ -364,8 +404,8 @@
     Duration m_maxReadGap;
     std::map<TargetId, Entry> m_entries;
     std::map<TargetId, LifeRecord> m_lives;
-    std::optional<LogOffset> m_next;
-    LogOffset m_completeFrom = 0; ///< All changes from this offset on are retained.
+    std::optional<LogPosition> m_next;
+    LogPosition m_completeFrom; ///< All changes from this position on are retained.
     std::optional<ReadSpan> m_read;
     bool m_isGapWitnessed = false; ///< Another router has reported reads after the last gap.
     std::vector<ReadGap> m_readGaps; ///< Oldest first; cleared when no entry is retained for them any more.
@@ -375,6 +415,8 @@
     std::uint64_t m_revision = 0;
     std::optional<TimePoint> m_knownBefore; ///< knownUntil() before the read that is being applied.
     std::vector<Departure> m_departures;
+    std::optional<TimePoint> m_returnedBy; ///< The store had returned from a copy; absent after the grace period.
+    std::optional<StoreReturn> m_storeReturn;
 };
 
 // ---- Evacuated availability zones
@@ -382,32 +424,40 @@
 /// The evacuated zones known to this router, and the operator records up to which they are complete.
 ///
 /// Routers exchange the whole list, as an evacuation is rare and few zones are evacuated at a time. A list is complete
-/// up to an offset, so that the older of two lists never takes back what the newer one states, and the removal of a
+/// up to a position, so that the older of two lists never takes back what the newer one states, and the removal of a
 /// record needs no entry of its own.
+///
+/// When the store returns from a copy, an evacuation that the copy lacks stays in force for the time that the operator
+/// has to write it again.
 class EvacuatedZones {
 public:
     struct Entry {
-        LogOffset offset = 0; ///< Offset of the newest record that evacuates the zone.
+        LogPosition position; ///< Of the newest record that evacuates the zone.
         TimePoint since; ///< When this router learned of the evacuation.
+        std::optional<TimePoint> keptUntil; ///< The store doesn't hold it since its return from a copy.
     };
 
     /// Applies the changes returned by one read that continued from next() or before. Records before next() are known
     /// already and change nothing. @param next offset after the last record read.
     /// @return the zones that were evacuated or lifted by these changes, each with its newest record.
-    std::vector<ZoneChange> applyAll(TimePoint now, const std::vector<ZoneChange>&, LogOffset next);
+    std::vector<ZoneChange> applyAll(TimePoint now, const std::vector<ZoneChange>&, LogPosition next);
 
-    /// Replaces the zones by a full list, unless it is complete only up to an offset older than next().
-    /// @param end all records before this offset are taken into account; the list may contain later ones as well.
+    /// Replaces the zones by a full list, unless it is complete only up to a position older than next().
+    /// @param end all records before this position are taken into account; the list may contain later ones as well.
     /// @return see applyAll(). A zone that is missing from the list has @p end as the offset of its change, as its last
     /// record was written before.
-    std::vector<ZoneChange> replace(TimePoint now, const std::vector<ZoneChange>& all, LogOffset end);
+    std::vector<ZoneChange> replace(TimePoint now, const std::vector<ZoneChange>& all, LogPosition end);
+
+    /// Lifts evacuations that the store lacks since its return and that were not written again in time.
+    /// @return the zones that were lifted.
+    std::vector<ZoneChange> expire(TimePoint now);
 
-    /// @return the offset of the first operator record that is not known yet; absent before the first update.
-    std::optional<LogOffset> next() const { return m_next; }
+    /// @return the position of the first operator record that is not known yet; absent before the first update.
+    std::optional<LogPosition> next() const { return m_next; }
 
     const std::map<ZoneId, Entry>& zones() const { return m_zones; }
 
-    /// @return the evacuated zones, each as the change that evacuated it.
+    /// @return the evacuated zones that the store holds, each as the change that evacuated it.
     std::vector<ZoneChange> all() const;
 
     /// @return a number that changes whenever the set of evacuated zones does.
@@ -418,7 +468,7 @@
     bool apply(TimePoint now, const ZoneChange&);
 
     std::map<ZoneId, Entry> m_zones;
-    std::optional<LogOffset> m_next;
+    std::optional<LogPosition> m_next;
     std::uint64_t m_revision = 0;
 };
 
@@ -427,11 +477,11 @@
 /// Position of a router in one topic of the store, and the outcome of its reads.
 class ReadCursor {
 public:
-    /// @return the offset to continue from; absent if everything has to be read.
-    std::optional<LogOffset> next() const { return m_next; }
+    /// @return the position to continue from; absent if everything has to be read.
+    std::optional<LogPosition> next() const { return m_next; }
 
     /// @return how long reads had been failing before this one, if they had.
-    std::optional<Duration> readDone(TimePoint now, LogOffset next);
+    std::optional<Duration> readDone(TimePoint now, LogPosition next);
 
     /// @return whether this is the first of consecutive failures.
     bool readFailed(TimePoint now);
@@ -440,12 +490,15 @@
     /// Otherwise a router that the store refused for a long time would retry late once those others are lost.
     void renewed() { m_failures = 0; }
 
-    /// The records at the cursor are no longer retained.
+    /// The records at the cursor are no longer retained, or are of an older era.
     void historyLost();
 
+    /// @return whether everything has to be read since historyLost().
+    bool isHistoryLost() const { return m_lost.has_value(); }
+
     /// Another router has supplied everything before @p next. It must not be read again: old records would bring back
     /// targets that have been removed since.
-    void toldByPeer(LogOffset next);
+    void toldByPeer(LogPosition next);
 
     /// @return consecutive failures since the last successful read or renewed().
     unsigned failures() const { return m_failures; }
@@ -454,8 +507,8 @@
     Duration retryDelay() const;
 
 private:
-    std::optional<LogOffset> m_next;
-    std::optional<LogOffset> m_lost; ///< Offset whose records were no longer retained.
+    std::optional<LogPosition> m_next;
+    std::optional<LogPosition> m_lost; ///< Position whose records were no longer retained.
     std::optional<TimePoint> m_failingSince;
     unsigned m_failures = 0;
 };
@@ -467,21 +520,21 @@
 struct Knowledge {
     std::uint64_t configVersion = 0;
     std::optional<TimePoint> configUntil; ///< Every operator record acknowledged before this time is known.
-    LogOffset targetsNext = 0; ///< Target records before this offset are known.
+    LogPosition targetsNext; ///< Target records before this position are known.
     std::optional<TimePoint> targetsUntil; ///< As configUntil, for the targets.
     std::optional<TimePoint> targetsFrom; ///< The store has been read without a gap since then; see ReadSpan.
-    LogOffset operatorNext = 0; ///< Operator records before this offset are known: configurations and evacuations.
+    LogPosition operatorNext; ///< Operator records before this position are known: configurations and evacuations.
 };
 
 /// Knowledge as reported to other routers: ages instead of times, since clocks differ.
 struct ToldKnowledge {
     std::uint64_t configVersion = 0;
     std::optional<Duration> configAge; ///< Absent if no configuration is known.
-    LogOffset targetsNext = 0;
+    LogPosition targetsNext; ///< Era 0 from a router of a release that doesn't know eras.
     std::optional<Duration> targetsAge;
     std::optional<Duration> readAge; ///< Time since the last successful reads of its own, the older of both topics.
     std::optional<Duration> targetsFromAge; ///< How long the store has been read without a gap.
-    LogOffset operatorNext = 0; ///< Zero from a router of a release that doesn't know evacuations.
+    LogPosition operatorNext; ///< Offset 0 from a router of a release that doesn't know evacuations.
 };
 
 /// Estimates the queueing delay of messages from the sender's and the receiver's timestamps.
@@ -525,7 +578,8 @@
 /// one is known.
 bool knowsOperatorRecordsOf(const Knowledge&, const ToldKnowledge&);
 
-/// Adopts the freshness reported by another router, for each topic where the local data is as recent as its own.
+/// Adopts the freshness reported by another router, for each topic where the local data is as recent as its own and of
+/// the same era: reads of an older era say nothing of what the store holds now.
 /// @return the topics where the other router has newer data, which has to be fetched first.
 Missing learn(Knowledge&, const ToldKnowledge&, TimePoint now);
 
--- a/src/edge/Peers.cpp
+++ b/src/edge/Peers.cpp
@@ -92,8 +92,8 @@
 
     // Wire format of a heartbeat. Ages and times are in microseconds; an unknown age is -1. Fields that a former
     // release doesn't send are last in their tuple and zero when absent; it ignores fields that it doesn't know.
-    using WireKnowledge
-        = std::tuple<std::uint64_t, std::int64_t, std::uint64_t, std::int64_t, std::int64_t, std::int64_t, LogOffset>;
+    using WireKnowledge = std::tuple<std::uint64_t, std::int64_t, LogOffset, std::int64_t, std::int64_t, std::int64_t,
+        LogOffset, news::StoreEra, news::StoreEra>;
     using WireUtilization = std::tuple<std::map<std::string, std::uint32_t>, std::map<std::string, std::uint32_t>>;
     using WireHead = std::tuple<std::string, Incarnation, std::string, std::string, std::string, bool, WireKnowledge,
         std::uint32_t, std::uint32_t, unsigned, std::int64_t, WireUtilization, std::string>;
@@ -125,8 +125,9 @@
     {
         const news::ToldKnowledge& known = it.knowledge;
         return { it.vm.value, it.incarnation, it.callerAddress, it.controlAddress, it.zone.value, it.isReady,
-            { known.configVersion, toWire(known.configAge), known.targetsNext, toWire(known.targetsAge),
-                toWire(known.readAge), toWire(known.targetsFromAge), known.operatorNext },
+            { known.configVersion, toWire(known.configAge), known.targetsNext.offset, toWire(known.targetsAge),
+                toWire(known.readAge), toWire(known.targetsFromAge), known.operatorNext.offset, known.targetsNext.era,
+                known.operatorNext.era },
             it.capacity, it.utilizationPercent, static_cast<unsigned>(it.scope), it.sentAt.time_since_epoch().count(),
             { toWire(it.use.zones), toWire(it.use.busyRouters) }, it.load };
     }
@@ -142,9 +143,10 @@
         it.controlAddress = std::move(control);
         it.zone = { std::move(zone) };
         it.isReady = isReady;
-        it.knowledge = { std::get<0>(known), ageFromWire(std::get<1>(known)), std::get<2>(known),
-            ageFromWire(std::get<3>(known)), ageFromWire(std::get<4>(known)), ageFromWire(std::get<5>(known)),
-            std::get<6>(known) };
+        it.knowledge
+            = { std::get<0>(known), ageFromWire(std::get<1>(known)), { std::get<2>(known), std::get<7>(known) },
+                  ageFromWire(std::get<3>(known)), ageFromWire(std::get<4>(known)), ageFromWire(std::get<5>(known)),
+                  { std::get<6>(known), std::get<8>(known) } };
         it.capacity = capacity;
         it.utilizationPercent = use;
         it.scope = static_cast<HeartbeatScope>(std::min(scope, lastScope));
@@ -178,14 +180,17 @@
 
 nlohmann::json encodeKnowledge(const news::ToldKnowledge& told)
 {
-    return json::array({ told.configVersion, encodeAge(told.configAge), told.targetsNext, encodeAge(told.targetsAge),
-        encodeAge(told.readAge), encodeAge(told.targetsFromAge), told.operatorNext });
+    return json::array({ told.configVersion, encodeAge(told.configAge), told.targetsNext.offset,
+        encodeAge(told.targetsAge), encodeAge(told.readAge), encodeAge(told.targetsFromAge), told.operatorNext.offset,
+        told.targetsNext.era, told.operatorNext.era });
 }
 
 news::ToldKnowledge decodeKnowledge(const json& item)
 {
-    return { item.at(0).get<std::uint64_t>(), decodeAge(item.at(1)), item.at(2).get<LogOffset>(), decodeAge(item.at(3)),
-        decodeAge(item.at(4)), decodeAge(item.at(5)), item.size() > 6 ? item.at(6).get<LogOffset>() : 0 };
+    // Former releases send fewer fields.
+    const auto number = [&](std::size_t i) { return item.size() > i ? item.at(i).get<std::uint64_t>() : 0; };
+    return { item.at(0).get<std::uint64_t>(), decodeAge(item.at(1)), { item.at(2).get<LogOffset>(), number(7) },
+        decodeAge(item.at(3)), decodeAge(item.at(4)), decodeAge(item.at(5)), { number(6), number(8) } };
 }
 
 std::string encodeCommonPart(const Heartbeat& heartbeat)
--- a/src/news/EvacuatedZones.cpp
+++ b/src/news/EvacuatedZones.cpp
@@ -9,24 +9,26 @@
     const auto known = m_zones.find(change.zone);
     const bool wasEvacuated = known != m_zones.end();
     // A full list may contain records after its end, which are then read again along with older ones.
-    if (wasEvacuated && known->second.offset > change.offset)
+    if (wasEvacuated && known->second.position > change.position)
         return false;
     if (!change.isEvacuated)
         return m_zones.erase(change.zone) > 0;
     Entry& entry = m_zones[change.zone];
-    entry.offset = change.offset;
+    entry.position = change.position;
+    entry.keptUntil.reset();
     if (!wasEvacuated)
         entry.since = now;
     return !wasEvacuated;
 }
 
-std::vector<ZoneChange> EvacuatedZones::applyAll(TimePoint now, const std::vector<ZoneChange>& changes, LogOffset next)
+std::vector<ZoneChange> EvacuatedZones::applyAll(
+    TimePoint now, const std::vector<ZoneChange>& changes, LogPosition next)
 {
     // Only the last record of each zone counts: a zone that was evacuated and lifted while nothing was read must not be
     // evacuated for a moment.
     std::map<ZoneId, ZoneChange> last;
     for (const ZoneChange& it : changes) {
-        if (it.offset >= m_next.value_or(0))
+        if (it.position >= m_next.value_or(LogPosition {}))
             last[it.zone] = it;
     }
     std::vector<ZoneChange> changed;
@@ -34,15 +36,16 @@
         if (apply(now, change))
             changed.push_back(change);
     }
-    m_next = std::max(m_next.value_or(0), next);
+    m_next = std::max(m_next.value_or(LogPosition {}), next);
     m_revision += changed.size();
     return changed;
 }
 
-std::vector<ZoneChange> EvacuatedZones::replace(TimePoint now, const std::vector<ZoneChange>& all, LogOffset end)
+std::vector<ZoneChange> EvacuatedZones::replace(TimePoint now, const std::vector<ZoneChange>& all, LogPosition end)
 {
     if (m_next && end < *m_next)
         return {};
+    const bool isNewEra = m_next && end.era > m_next->era;
     std::vector<ZoneChange> changed;
     std::set<ZoneId> listed;
     for (const ZoneChange& it : all) {
@@ -52,9 +55,13 @@
         if (apply(now, it))
             changed.push_back(it);
     }
-    for (const auto& [zone, entry] : m_zones) {
+    for (auto& [zone, entry] : m_zones) {
         // A zone whose record is later was evacuated after the list was made.
-        if (!listed.contains(zone) && entry.offset < end)
+        if (listed.contains(zone) || entry.position >= end)
+            continue;
+        if (isNewEra)
+            entry.keptUntil = now + TargetRoster::reregistrationGrace;
+        else if (!entry.keptUntil)
             changed.push_back({ zone, false, end });
     }
     for (const ZoneChange& it : changed) {
@@ -66,12 +73,27 @@
     return changed;
 }
 
+std::vector<ZoneChange> EvacuatedZones::expire(TimePoint now)
+{
+    std::vector<ZoneChange> lifted;
+    for (const auto& [zone, entry] : m_zones) {
+        if (entry.keptUntil && *entry.keptUntil <= now)
+            lifted.push_back({ zone, false, m_next.value_or(LogPosition {}) });
+    }
+    for (const ZoneChange& it : lifted)
+        m_zones.erase(it.zone);
+    m_revision += lifted.size();
+    return lifted;
+}
+
 std::vector<ZoneChange> EvacuatedZones::all() const
 {
     std::vector<ZoneChange> result;
     result.reserve(m_zones.size());
-    for (const auto& [zone, entry] : m_zones)
-        result.push_back({ zone, true, entry.offset });
+    for (const auto& [zone, entry] : m_zones) {
+        if (!entry.keptUntil)
+            result.push_back({ zone, true, entry.position });
+    }
     return result;
 }
 
--- a/src/news/Knowledge.cpp
+++ b/src/news/Knowledge.cpp
@@ -62,8 +62,10 @@
 
 bool knowsOperatorRecordsOf(const Knowledge& mine, const ToldKnowledge& told)
 {
-    const bool tellsOffset = told.operatorNext > 0 || mine.operatorNext == 0;
-    return tellsOffset && told.configVersion <= mine.configVersion && told.operatorNext <= mine.operatorNext;
+    const bool tellsOffset = told.operatorNext.offset > 0 || mine.operatorNext.offset == 0;
+    const bool isSameEra = told.operatorNext.era == mine.operatorNext.era;
+    return tellsOffset && isSameEra && told.configVersion <= mine.configVersion
+        && told.operatorNext <= mine.operatorNext;
 }
 
 Missing learn(Knowledge& mine, const ToldKnowledge& told, TimePoint now)
@@ -74,7 +76,7 @@
     missing.targets = told.targetsAge && (told.targetsNext > mine.targetsNext || !mine.targetsUntil);
     if (told.configAge && !missing.config && knowsOperatorRecordsOf(mine, told))
         advance(mine.configUntil, now - *told.configAge);
-    if (told.targetsAge && !missing.targets)
+    if (told.targetsAge && !missing.targets && told.targetsNext.era == mine.targetsNext.era)
         advance(mine.targetsUntil, now - *told.targetsAge);
     return missing;
 }
--- a/src/news/ReadCursor.cpp
+++ b/src/news/ReadCursor.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-std::optional<Duration> ReadCursor::readDone(TimePoint now, LogOffset next)
+std::optional<Duration> ReadCursor::readDone(TimePoint now, LogPosition next)
 {
     std::optional<Duration> away;
     if (m_failingSince)
@@ -41,7 +41,7 @@
     m_next.reset();
 }
 
-void ReadCursor::toldByPeer(LogOffset next)
+void ReadCursor::toldByPeer(LogPosition next)
 {
     // Records that were no longer retained are still gone; reading can only continue after them.
     if (m_lost && next <= *m_lost)
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -32,9 +32,13 @@
     m_stalls.push_back(stall);
 }
 
-void TargetRoster::known(LogOffset next, ReadSpan told)
+void TargetRoster::known(LogPosition next, ReadSpan told)
 {
-    m_next = std::max(m_next.value_or(0), next);
+    if (m_next && next.era < m_next->era)
+        return;
+    if (m_next && next.era > m_next->era)
+        beginEra(next, told.until);
+    m_next = std::max(m_next.value_or(LogPosition {}), next);
     if (!m_read) {
         m_read = told;
         return;
@@ -55,6 +59,18 @@
     m_isGapWitnessed = m_isGapWitnessed || (told.isTold && isAfterGap);
 }
 
+void TargetRoster::beginEra(LogPosition end, TimePoint returnedBy)
+{
+    m_storeReturn = StoreReturn { *m_next, end };
+    m_returnedBy = returnedBy;
+    const auto carryOver = [&](LogPosition& it) { it = { std::min(it.offset, end.offset), end.era }; };
+    for (auto& [id, life] : m_lives) {
+        carryOver(life.position);
+        carryOver(life.leavingAt);
+        life.readyAt.reset();
+    }
+}
+
 void TargetRoster::narrowReadGaps(ReadSpan told)
 {
     std::erase_if(m_readGaps, [&](ReadGap& it) {
@@ -80,8 +96,13 @@
         m_graceUntil = it.after + reregistrationGrace;
         m_isGraceByStall = m_isGraceByStall && isExplainedByStalls(it);
     }
+    if (m_returnedBy) {
+        m_graceUntil = std::max(m_graceUntil.value_or(TimePoint {}), *m_returnedBy + reregistrationGrace);
+        m_isGraceByStall = false;
+    }
     if (!m_graceUntil || m_read->until >= *m_graceUntil) {
         m_graceUntil.reset();
+        m_returnedBy.reset();
         m_readGaps.clear();
     }
 }
@@ -123,7 +144,7 @@
 
 std::optional<TimePoint> TargetRoster::witnessedUntil() const
 {
-    const bool isUnwitnessed = m_graceUntil && !m_isGapWitnessed;
+    const bool isUnwitnessed = m_graceUntil && !m_readGaps.empty() && !m_isGapWitnessed;
     return isUnwitnessed ? std::optional(m_readGaps.back().before) : knownUntil();
 }
 
@@ -147,7 +168,7 @@
     }
     if (target.draining) {
         newest.isLeaving = true;
-        newest.leavingAt = std::max(newest.leavingAt, change.offset);
+        newest.leavingAt = std::max(newest.leavingAt, change.position);
         newest.readyAt.reset();
     }
     target.draining = newest.isLeaving;
@@ -158,19 +179,19 @@
 {
     const dispatch::Target& target = *change.target;
     if (target.startedAtMs != 0 || target.draining || !life.isLeaving || life.isLeavingByItself
-        || change.offset <= life.leavingAt)
+        || change.position <= life.leavingAt)
         return false;
     if (!life.readyAt)
-        life.readyAt = change.offset;
-    return change.offset > *life.readyAt;
+        life.readyAt = change.position;
+    return change.position > *life.readyAt;
 }
 
 void TargetRoster::recordRemoval(const TargetChange& change)
 {
     const auto it = m_lives.find(change.id);
-    if (it == m_lives.end() || change.offset < it->second.offset)
+    if (it == m_lives.end() || change.position < it->second.position)
         return;
-    it->second.leavingAt = std::max(it->second.leavingAt, change.offset);
+    it->second.leavingAt = std::max(it->second.leavingAt, change.position);
     it->second.readyAt.reset();
     it->second.isLeavingByItself = false;
 }
@@ -178,12 +199,12 @@
 bool TargetRoster::isOutdated(const TargetChange& change) const
 {
     const auto it = m_lives.find(change.id);
-    return it != m_lives.end() && change.offset < it->second.offset;
+    return it != m_lives.end() && change.position < it->second.position;
 }
 
 bool TargetRoster::isOmittedFromFullList(const TargetChange& change) const
 {
-    return change.offset < m_completeFrom && !m_lives.contains(change.id);
+    return change.position < m_completeFrom && !m_lives.contains(change.id);
 }
 
 void TargetRoster::apply(TimePoint now, const TargetChange& change)
@@ -199,7 +220,7 @@
 {
     if (!told.target) {
         if (!isOutdated(told))
-            remove(now, told.id, told.offset);
+            remove(now, told.id, told.position);
         return;
     }
     if (!isOutdated(told)) {
@@ -241,30 +262,31 @@
 void TargetRoster::set(TimePoint now, const TargetChange& change)
 {
     LifeRecord& life = m_lives[change.id];
+    const bool isSameRecord = life.position == change.position;
     life.at = now;
-    life.offset = change.offset;
+    life.position = change.position;
     life.isGone = false;
     Entry& entry = m_entries[change.id];
-    const TimePoint coldUntil = TargetRoster::coldUntil(now, change, entry);
+    const TimePoint coldUntil = TargetRoster::coldUntil(now, change, entry, isSameRecord);
     const bool isSameColdTime = coldUntil == entry.coldUntil || std::max(coldUntil, entry.coldUntil) <= now;
     entry.target.coldLeft = change.target->coldLeft;
     const bool isSame = entry.target == *change.target && isSameColdTime && !entry.isSuspended;
     const bool isLeaving = change.target->draining || entry.target.incarnation() != change.target->incarnation();
     if (isLeaving && !entry.target.id.value.empty())
         recordDeparture(entry, !change.target->draining, entry.isMissing ? entry.missingAfter : m_knownBefore);
-    entry = { *change.target, change.offset, coldUntil };
+    entry = { *change.target, change.position, coldUntil };
     if (!isSame)
         ++m_revision;
 }
 
-TimePoint TargetRoster::coldUntil(TimePoint now, const TargetChange& change, const Entry& known)
+TimePoint TargetRoster::coldUntil(TimePoint now, const TargetChange& change, const Entry& known, bool isSameRecord)
 {
     const dispatch::Target& target = *change.target;
     const TimePoint told = target.coldLeft > Duration::zero() ? now + target.coldLeft : TimePoint {};
     if (known.target.incarnation() != target.incarnation())
         return told;
     // The same record again, from a full read or another router: what was said first was said with less delay.
-    if (change.offset == known.offset)
+    if (isSameRecord)
         return std::min(told, known.coldUntil);
     return told < known.coldUntil && known.coldUntil - told <= coldEndTolerance ? known.coldUntil : told;
 }
@@ -294,12 +316,12 @@
     updateSuspended();
 }
 
-void TargetRoster::remove(TimePoint now, const TargetId& id, LogOffset offset)
+void TargetRoster::remove(TimePoint now, const TargetId& id, LogPosition position)
 {
     LifeRecord& life = m_lives[id];
-    recordRemoval({ id, std::nullopt, offset });
+    recordRemoval({ id, std::nullopt, position });
     life.at = now;
-    life.offset = std::max(life.offset, offset);
+    life.position = std::max(life.position, position);
     life.isGone = true;
     const auto it = m_entries.find(id);
     if (it == m_entries.end() || it->second.isMissing)
@@ -314,8 +336,10 @@
     ++m_revision;
 }
 
-void TargetRoster::replace(TimePoint now, const std::vector<TargetChange>& all, LogOffset end)
+void TargetRoster::replace(TimePoint now, const std::vector<TargetChange>& all, LogPosition end)
 {
+    if (m_next && end.era < m_next->era)
+        return;
     std::set<TargetId> present;
     for (const TargetChange& it : all) {
         present.insert(it.id);
@@ -324,31 +348,37 @@
     std::vector<TargetId> missing;
     for (const auto& [id, entry] : m_entries) {
         // Entries from later records were written after the list was made.
-        if (!present.contains(id) && entry.offset < end)
+        if (!present.contains(id) && entry.position < end)
             missing.push_back(id);
     }
     for (const TargetId& id : missing)
         remove(now, id, end);
     // Targets that were added and removed unnoticed are missing here; routers that know them need the full list.
     m_completeFrom = std::max(m_completeFrom, end);
+    if (m_storeReturn && m_storeReturn->current.era == end.era) {
+        m_storeReturn->listed = present.size();
+        m_storeReturn->kept = static_cast<std::size_t>(
+            std::count_if(m_entries.begin(), m_entries.end(), [](const auto& it) { return it.second.isMissing; }));
+    }
     updateSuspended();
 }
 
-std::optional<std::vector<TargetChange>> TargetRoster::changesSince(LogOffset from, std::optional<TimePoint> now) const
+std::optional<std::vector<TargetChange>> TargetRoster::changesSince(
+    LogPosition from, std::optional<TimePoint> now) const
 {
     if (from < m_completeFrom)
         return std::nullopt;
     std::vector<TargetChange> changes;
     for (const auto& [id, life] : m_lives) {
-        if (life.offset < from)
+        if (life.position < from)
             continue;
         const auto it = m_entries.find(id);
         if (life.isGone && life.isLeaving)
             changes.push_back({ id, leavingTarget(id, life.startedAtMs), life.leavingAt });
         if (life.isGone)
-            changes.push_back({ id, std::nullopt, life.offset });
+            changes.push_back({ id, std::nullopt, life.position });
         else if (it != m_entries.end())
-            changes.push_back({ id, targetAt(it->second, now), life.offset });
+            changes.push_back({ id, targetAt(it->second, now), life.position });
     }
     return changes;
 }
@@ -359,7 +389,7 @@
     result.reserve(m_entries.size());
     for (const auto& [id, entry] : m_entries) {
         if (!entry.isMissing)
-            result.push_back({ id, targetAt(entry, now), entry.offset });
+            result.push_back({ id, targetAt(entry, now), m_lives.at(id).position });
     }
     return result;
 }
@@ -369,7 +399,8 @@
     std::erase_if(m_lives, [&](const auto& it) {
         if (m_entries.contains(it.first) || now - it.second.at <= lifeRetention)
             return false;
-        m_completeFrom = std::max(m_completeFrom, it.second.offset + 1);
+        const LogPosition last = it.second.position;
+        m_completeFrom = std::max(m_completeFrom, { last.offset + 1, last.era });
         return true;
     });
 }
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -20,7 +20,8 @@
 TEST_CASE("a heartbeat survives encoding and decoding, and malformed datagrams are rejected")
 {
     const Heartbeat sent { { { "vm" }, 5, "127.0.0.1:1", "127.0.0.1:2", { "z" }, true,
-                               { 9, 1500ms, 77, 250ms, std::nullopt, 90s, 31 }, 500, 70, HeartbeatScope::Zone },
+                               { 9, 1500ms, { 77, 4 }, 250ms, std::nullopt, 90s, { 31, 5 } }, 500, 70,
+                               HeartbeatScope::Zone },
         start, { { { { "z" }, 55 } }, { { { "vm" }, 70 } } }, std::string("\0\xFF", 2), 41 };
     const auto read = decodeHeartbeat(encode(sent));
     REQUIRE(read.ok());
@@ -28,11 +29,11 @@
     CHECK(read->load == sent.load);
     CHECK(read->knowledge.configVersion == 9);
     CHECK(read->knowledge.configAge == Duration(1500ms));
-    CHECK(read->knowledge.targetsNext == 77);
+    CHECK(read->knowledge.targetsNext == news::LogPosition { 77, 4 });
     CHECK(read->knowledge.targetsAge == Duration(250ms));
     CHECK_FALSE(read->knowledge.readAge);
     CHECK(read->knowledge.targetsFromAge == Duration(90s));
-    CHECK(read->knowledge.operatorNext == 31);
+    CHECK(read->knowledge.operatorNext == news::LogPosition { 31, 5 });
     CHECK(read->sentAt == start);
     CHECK(read->includedSerial == 41);
     CHECK(read->scope == HeartbeatScope::Zone);
@@ -64,24 +65,30 @@
     REQUIRE(read.ok());
     CHECK(read->knowledge.configVersion == 9);
     CHECK(read->knowledge.targetsFromAge == Duration(90us));
-    CHECK(read->knowledge.operatorNext == 0);
+    CHECK(read->knowledge.operatorNext == news::LogPosition { 0 });
     CHECK(read->load == "load");
-    nlohmann::json item = encodeKnowledge({ 9, 1500ms, 77, 250ms, std::nullopt, 90s, 31 });
-    CHECK(decodeKnowledge(item).operatorNext == 31);
+    nlohmann::json item = encodeKnowledge({ 9, 1500ms, { 77, 4 }, 250ms, std::nullopt, 90s, { 31, 5 } });
+    CHECK(decodeKnowledge(item).targetsNext == news::LogPosition { 77, 4 });
+    CHECK(decodeKnowledge(item).operatorNext == news::LogPosition { 31, 5 });
+    // A release without eras, and one without evacuations.
     item.erase(item.size() - 1);
-    CHECK(decodeKnowledge(item).operatorNext == 0);
+    item.erase(item.size() - 1);
+    CHECK(decodeKnowledge(item).targetsNext == news::LogPosition { 77, 0 });
+    CHECK(decodeKnowledge(item).operatorNext == news::LogPosition { 31, 0 });
+    item.erase(item.size() - 1);
+    CHECK(decodeKnowledge(item).operatorNext == news::LogPosition {});
     CHECK(decodeKnowledge(item).targetsFromAge == Duration(90s));
 }
 
 TEST_CASE("the state for another router carries its evacuated zones; that of a former release has none")
 {
     PeerState state;
-    state.knowledge = { 9, 1500ms, 77, 250ms, std::nullopt, 90s, 31 };
-    state.evacuatedZones = { { { "a" }, true, 12 }, { { "b" }, true, 30 } };
+    state.knowledge = { 9, 1500ms, { 77, 4 }, 250ms, std::nullopt, 90s, { 31, 5 } };
+    state.evacuatedZones = { { { "a" }, true, { 12, 5 } }, { { "b" }, true, { 30, 5 } } };
     const auto read = decodePeerState(encode(state));
     REQUIRE(read.ok());
     CHECK(read->evacuatedZones == state.evacuatedZones);
-    CHECK(read->knowledge.operatorNext == 31);
+    CHECK(read->knowledge.operatorNext == news::LogPosition { 31, 5 });
     nlohmann::json former = *decodeCbor(encode(state));
     former.erase(former.size() - 1);
     const auto formerRead = decodePeerState(encodeCbor(former));
@@ -126,26 +133,26 @@
     EdgeState state = makeEdgeState(true);
     list(state, targetInZoneA);
     CHECK(maySend(state, targetInZoneA));
-    const OperatorNews peer { news::ConfigRecord { 2, 3, "" }, { { { "a" }, true, 5 } }, true, 8 };
+    const OperatorNews peer { news::ConfigRecord { 2, { 3 }, "" }, { { { "a" }, true, { 5 } } }, true, { 8 } };
     const OperatorChanges changes = state.installOperatorNews(start, peer, configOf(2));
     CHECK(changes.isConfigInstalled);
     CHECK(changes.zones.size() == 1);
     CHECK_FALSE(maySend(state, targetInZoneA));
-    CHECK(state.knowledge().operatorNext == 8);
-    CHECK(state.evacuatedZones().next() == LogOffset { 8 });
+    CHECK(state.knowledge().operatorNext == news::LogPosition { 8 });
+    CHECK(state.evacuatedZones().next() == news::LogPosition { 8 });
     SECTION("the end of the evacuation is in the next record")
     {
-        state.installOperatorNews(start, { std::nullopt, { { { "a" }, false, 8 } }, false, 9 }, std::nullopt);
+        state.installOperatorNews(start, { std::nullopt, { { { "a" }, false, { 8 } } }, false, { 9 } }, std::nullopt);
         CHECK(maySend(state, targetInZoneA));
     }
     SECTION("a router that tells no offset changes nothing but the configuration")
     {
-        CHECK(state.installOperatorNews(start, { news::ConfigRecord { 3, 9, "" }, {}, false, 0 }, configOf(3))
+        CHECK(state.installOperatorNews(start, { news::ConfigRecord { 3, { 9 }, "" }, {}, false, {} }, configOf(3))
                   .isConfigInstalled);
         CHECK_FALSE(maySend(state, targetInZoneA));
-        CHECK(state.knowledge().operatorNext == 8);
+        CHECK(state.knowledge().operatorNext == news::LogPosition { 8 });
         // Its age says nothing of evacuations.
-        state.extendConfigKnowledge({ 3, 0ms, 0, std::nullopt, std::nullopt, std::nullopt, 0 }, start);
+        state.extendConfigKnowledge({ 3, 0ms, {}, std::nullopt, std::nullopt, std::nullopt, {} }, start);
         CHECK_FALSE(state.knowledge().configUntil);
     }
 }
@@ -154,7 +161,7 @@
 {
     EdgeState state = makeEdgeState(false);
     list(state, targetInZoneA);
-    state.installOperatorNews(start, { std::nullopt, { { { "a" }, true, 5 } }, true, 8 }, std::nullopt);
+    state.installOperatorNews(start, { std::nullopt, { { { "a" }, true, { 5 } } }, true, { 8 } }, std::nullopt);
     CHECK(maySend(state, targetInZoneA));
     CHECK(state.evacuatedZones().all().size() == 1);
 }
--- a/tests/NewsStore.cpp
+++ b/tests/NewsStore.cpp
@@ -38,7 +38,7 @@
 
 void NewsStore::write(const TargetId& id, bool isListed, std::optional<TimePoint> acknowledged)
 {
-    TargetChange change { id, std::nullopt, m_records.size() };
+    TargetChange change { id, std::nullopt, targetsEnd() };
     if (isListed) {
         change.target = dispatch::Target {};
         change.target->id = id;
--- a/tests/NewsStore.h
+++ b/tests/NewsStore.h
@@ -33,7 +33,7 @@
     void changeZone(TimePoint now, const ZoneId&, bool isEvacuated);
 
     /// Discards the operator records written so far; only the present keys can be read from then on.
-    void truncateOperatorHistory() { m_operatorFirst = operatorEnd(); }
+    void truncateOperatorHistory() { m_operatorFirst = m_operator.size(); }
 
     /// Sets the behavior towards all routers. @param until when the store serves again.
     void setBehavior(TimePoint now, StoreBehavior, TimePoint until, SeededRandom&);
@@ -46,7 +46,8 @@
     TimePoint behaviorUntil() const { return m_behaviorUntil; }
 
     std::uint64_t configVersions() const { return m_configAcknowledged.size(); }
-    LogOffset operatorEnd() const { return m_operator.size(); }
+    StoreEra era() const { return m_era; }
+    LogPosition operatorEnd() const { return { m_operator.size(), m_era }; }
     LogOffset operatorFirst() const { return m_operatorFirst; }
 
     /// @return the zone changes among the operator records in [from, end).
@@ -61,7 +62,7 @@
     /// @return when the first operator record at or after @p next was acknowledged; absent if there is none.
     std::optional<TimePoint> operatorMissingSince(LogOffset next) const;
 
-    LogOffset targetsEnd() const { return m_records.size(); }
+    LogPosition targetsEnd() const { return { m_records.size(), m_era }; }
 
     /// @return all target records at or after @p from.
     std::vector<TargetChange> targetsSince(LogOffset from) const;
@@ -100,6 +101,7 @@
     };
 
     const Duration m_stableTime;
+    StoreEra m_era = 1;
     std::vector<OperatorRecord> m_operator;
     LogOffset m_operatorFirst = 0;
     std::vector<TimePoint> m_configAcknowledged;
--- a/tests/NewsTest.cpp
+++ b/tests/NewsTest.cpp
@@ -15,6 +15,8 @@
 constexpr TimePoint start { 100s };
 const NewsTimes times = NewsTimes::make(2s, true);
 
+LogPosition position(LogOffset offset) { return { offset, 1 }; }
+
 ReaderPeer reader(const std::string& vm, std::optional<Duration> readAge, std::uint32_t capacity = 250)
 {
     return { { vm }, capacity, readAge };
@@ -58,16 +60,16 @@
 
 TEST_CASE("an age is adopted only by a router whose data is as recent")
 {
-    Knowledge mine { 7, start, 40, start };
+    Knowledge mine { 7, start, position(40), start };
     SECTION("the other knows as much: what it knows until when holds here")
     {
-        CHECK_FALSE(learn(mine, { 7, 100ms, 40, 200ms, std::nullopt }, start + 1s).any());
+        CHECK_FALSE(learn(mine, { 7, 100ms, position(40), 200ms, std::nullopt }, start + 1s).any());
         CHECK(mine.configUntil == start + 900ms);
         CHECK(mine.targetsUntil == start + 800ms);
     }
     SECTION("the other knows more of one topic")
     {
-        const Missing missing = learn(mine, { 7, 100ms, 41, 200ms, std::nullopt }, start + 1s);
+        const Missing missing = learn(mine, { 7, 100ms, position(41), 200ms, std::nullopt }, start + 1s);
         CHECK_FALSE(missing.config);
         CHECK(missing.targets);
         CHECK(mine.configUntil == start + 900ms);
@@ -75,37 +77,37 @@
     }
     SECTION("the other knows less, or nothing")
     {
-        CHECK_FALSE(learn(mine, { 6, 100ms, 39, 200ms, std::nullopt }, start + 1s).any());
+        CHECK_FALSE(learn(mine, { 6, 100ms, position(39), 200ms, std::nullopt }, start + 1s).any());
         CHECK(mine.configUntil == start + 900ms);
-        CHECK_FALSE(learn(mine, { 0, std::nullopt, 0, std::nullopt, std::nullopt }, start + 2s).any());
+        CHECK_FALSE(learn(mine, { 0, std::nullopt, position(0), std::nullopt, std::nullopt }, start + 2s).any());
         CHECK(mine.configUntil == start + 900ms);
     }
     SECTION("an older age takes nothing back")
     {
-        CHECK_FALSE(learn(mine, { 7, 5s, 40, 5s, std::nullopt }, start + 1s).any());
+        CHECK_FALSE(learn(mine, { 7, 5s, position(40), 5s, std::nullopt }, start + 1s).any());
         CHECK(knownUntil(mine) == start);
     }
     SECTION("a router that knows no targets yet lacks them even where there are none")
     {
-        Knowledge none { 7, start, 0, std::nullopt };
-        CHECK(learn(none, { 7, 0ms, 0, 0ms, std::nullopt }, start).targets);
+        Knowledge none { 7, start, position(0), std::nullopt };
+        CHECK(learn(none, { 7, 0ms, position(0), 0ms, std::nullopt }, start).targets);
     }
 }
 
 TEST_CASE("ages are reported for known topics only")
 {
-    const ToldKnowledge told = tell({ 3, start, 9, std::nullopt }, start - 1s, start + 500ms);
+    const ToldKnowledge told = tell({ 3, start, position(9), std::nullopt }, start - 1s, start + 500ms);
     CHECK(told.configVersion == 3);
     CHECK(told.configAge == Duration(500ms));
-    CHECK(told.targetsNext == 9);
+    CHECK(told.targetsNext == position(9));
     CHECK_FALSE(told.targetsAge);
     CHECK(told.readAge == Duration(1500ms));
-    CHECK_FALSE(knownUntil({ 3, start, 9, std::nullopt }));
+    CHECK_FALSE(knownUntil({ 3, start, position(9), std::nullopt }));
 }
 
 TEST_CASE("the interval in which another router knows the store to have been read is reported as ages")
 {
-    const Knowledge known { 3, start, 9, start + 1s, start - 5s };
+    const Knowledge known { 3, start, position(9), start + 1s, start - 5s };
     const ToldKnowledge told = tell(known, std::nullopt, start + 2s);
     CHECK(told.targetsFromAge == Duration(7s));
     // Transit time increases the age of the data, but not how long the store has been read.
@@ -114,9 +116,9 @@
     REQUIRE(read);
     CHECK(read->until == start + 9s);
     CHECK(read->from == start + 4s);
-    CHECK_FALSE(toldRead(tell({ 3, start, 0, std::nullopt }, std::nullopt, start), start, start));
+    CHECK_FALSE(toldRead(tell({ 3, start, position(0), std::nullopt }, std::nullopt, start), start, start));
     // Start unknown: the interval is that single time.
-    CHECK(toldRead({ 3, 0ms, 9, 200ms, std::nullopt }, start, start)->from == start - 200ms);
+    CHECK(toldRead({ 3, 0ms, position(9), 200ms, std::nullopt }, start, start)->from == start - 200ms);
 }
 
 // Guards against live targets being dropped too early after the store was unavailable again while entries returned.
@@ -127,24 +129,24 @@
     const TimePoint away = back + 500ms;
     const TimePoint backAgain = away + times.storeBreak + 30ms;
     TargetRoster roster(times.storeBreak);
-    roster.known(1, start);
-    roster.known(1, back);
-    roster.known(1, away);
+    roster.known(position(1), start);
+    roster.known(position(1), back);
+    roster.known(position(1), away);
     const TimePoint until = backAgain + TargetRoster::reregistrationGrace;
-    Knowledge other { 0, backAgain, 1, backAgain, backAgain };
+    Knowledge other { 0, backAgain, position(1), backAgain, backAgain };
     TimePoint now = backAgain;
     for (int i = 0; i < 5; ++i) {
         const ToldKnowledge told = delayed(tell(other, std::nullopt, now), 0ms);
         now += 2ms;
         const auto read = toldRead(told, now, now);
         REQUIRE(read);
-        roster.known(1, *read);
+        roster.known(position(1), *read);
         CHECK(roster.keepsMissingUntil() >= until);
         other.targetsUntil = read->until;
         other.targetsFrom = read->from;
     }
     // Its own read finds the same break.
-    roster.known(1, now);
+    roster.known(position(1), now);
     CHECK(roster.keepsMissingUntil() >= until);
 }
 
@@ -153,11 +155,12 @@
 TEST_CASE("a queued report of a short time of reading neither reveals a gap nor takes back what is known")
 {
     TargetRoster roster;
-    roster.known(1, start);
-    const ToldKnowledge told = delayed({ 0, 0ms, 1, 0ms, std::nullopt, 100ms, 0 }, TransitMeter::unknownDelay);
+    roster.known(position(1), start);
+    const ToldKnowledge told
+        = delayed({ 0, 0ms, position(1), 0ms, std::nullopt, 100ms, position(0) }, TransitMeter::unknownDelay);
     const auto read = toldRead(told, start + 3s, start + 3s);
     REQUIRE(read);
-    roster.known(1, *read);
+    roster.known(position(1), *read);
     CHECK(roster.knownUntil() == start);
     CHECK(roster.readSince() == start);
     CHECK_FALSE(roster.keepsMissingUntil());
@@ -342,16 +345,16 @@
 TEST_CASE("a topic whose records are no longer retained is read whole, whatever others supplied before")
 {
     ReadCursor cursor;
-    cursor.readDone(start, 10);
+    cursor.readDone(start, position(10));
     cursor.historyLost();
     CHECK_FALSE(cursor.next());
-    cursor.toldByPeer(10);
+    cursor.toldByPeer(position(10));
     CHECK_FALSE(cursor.next());
-    cursor.toldByPeer(12);
-    CHECK(cursor.next() == LogOffset { 12 });
-    cursor.readDone(start + 1s, 20);
-    cursor.toldByPeer(11);
-    CHECK(cursor.next() == LogOffset { 20 });
+    cursor.toldByPeer(position(12));
+    CHECK(cursor.next() == position(12));
+    cursor.readDone(start + 1s, position(20));
+    cursor.toldByPeer(position(11));
+    CHECK(cursor.next() == position(20));
 }
 
 // Guards against a revoked key being accepted and a removed target being used three seconds after the store's
@@ -494,8 +497,8 @@
 
 namespace {
 
-ZoneChange evacuation(const std::string& zone, LogOffset offset) { return { { zone }, true, offset }; }
-ZoneChange lifting(const std::string& zone, LogOffset offset) { return { { zone }, false, offset }; }
+ZoneChange evacuation(const std::string& zone, LogOffset offset) { return { { zone }, true, position(offset) }; }
+ZoneChange lifting(const std::string& zone, LogOffset offset) { return { { zone }, false, position(offset) }; }
 
 } // namespace
 
@@ -503,28 +506,28 @@
 {
     EvacuatedZones zones;
     CHECK_FALSE(zones.next());
-    CHECK(zones.replace(start, { evacuation("a", 3) }, 10).size() == 1);
-    CHECK(zones.next() == LogOffset { 10 });
+    CHECK(zones.replace(start, { evacuation("a", 3) }, position(10)).size() == 1);
+    CHECK(zones.next() == position(10));
     CHECK(zones.zones().at({ "a" }).since == start);
     const std::uint64_t revision = zones.revision();
     SECTION("a late response to an earlier read")
     {
-        CHECK(zones.applyAll(start + 1s, { lifting("a", 4), evacuation("b", 9) }, 10).empty());
-        CHECK(zones.replace(start + 1s, { evacuation("b", 2) }, 9).empty());
-        CHECK(zones.next() == LogOffset { 10 });
+        CHECK(zones.applyAll(start + 1s, { lifting("a", 4), evacuation("b", 9) }, position(10)).empty());
+        CHECK(zones.replace(start + 1s, { evacuation("b", 2) }, position(9)).empty());
+        CHECK(zones.next() == position(10));
         CHECK(zones.all() == std::vector { evacuation("a", 3) });
         CHECK(zones.revision() == revision);
     }
     SECTION("a second evacuation keeps the time of the first")
     {
-        CHECK(zones.applyAll(start + 1s, { evacuation("a", 10) }, 11).empty());
+        CHECK(zones.applyAll(start + 1s, { evacuation("a", 10) }, position(11)).empty());
         CHECK(zones.zones().at({ "a" }).since == start);
         CHECK(zones.all() == std::vector { evacuation("a", 10) });
         CHECK(zones.revision() == revision);
     }
     SECTION("an evacuation that was lifted before it was read has no effect")
     {
-        CHECK(zones.applyAll(start + 1s, { evacuation("b", 10), lifting("b", 11), lifting("a", 12) }, 13)
+        CHECK(zones.applyAll(start + 1s, { evacuation("b", 10), lifting("b", 11), lifting("a", 12) }, position(13))
             == std::vector { lifting("a", 12) });
         CHECK(zones.zones().empty());
         CHECK(zones.revision() > revision);
@@ -535,33 +538,33 @@
 TEST_CASE("a full list of evacuations may contain records after its end, which win over older ones read again")
 {
     EvacuatedZones zones;
-    zones.replace(start, { evacuation("a", 12) }, 10);
-    CHECK(zones.next() == LogOffset { 10 });
-    CHECK(zones.applyAll(start, { evacuation("a", 10), lifting("a", 11) }, 12).empty());
+    zones.replace(start, { evacuation("a", 12) }, position(10));
+    CHECK(zones.next() == position(10));
+    CHECK(zones.applyAll(start, { evacuation("a", 10), lifting("a", 11) }, position(12)).empty());
     CHECK(zones.all() == std::vector { evacuation("a", 12) });
     // A list made before that record doesn't lift the zone; one made after it does.
-    CHECK(zones.replace(start, {}, 12).empty());
-    CHECK(zones.replace(start, {}, 13) == std::vector { lifting("a", 13) });
+    CHECK(zones.replace(start, {}, position(12)).empty());
+    CHECK(zones.replace(start, {}, position(13)) == std::vector { lifting("a", 13) });
 }
 
 // Guards against a router that is told by its relay that its knowledge is fresh and misses an evacuation.
 TEST_CASE("the age of operator records is adopted only by a router that knows them up to the same offset")
 {
-    Knowledge mine { 7, start, 40, start, std::nullopt, 12 };
+    Knowledge mine { 7, start, position(40), start, std::nullopt, position(12) };
     ToldKnowledge told = tell(mine, std::nullopt, start + 100ms);
-    CHECK(told.operatorNext == 12);
-    told.operatorNext = 13;
+    CHECK(told.operatorNext == position(12));
+    told.operatorNext = position(13);
     CHECK(learn(mine, told, start + 1s).config);
     CHECK(mine.configUntil == start);
     SECTION("a router of a release without the offset may not know of an evacuation")
     {
-        told.operatorNext = 0;
+        told.operatorNext = {};
         CHECK_FALSE(learn(mine, told, start + 1s).any());
         CHECK(mine.configUntil == start);
     }
     SECTION("one that knows less")
     {
-        told.operatorNext = 11;
+        told.operatorNext = position(11);
         CHECK_FALSE(learn(mine, told, start + 1s).any());
         CHECK(mine.configUntil == start + 900ms);
     }
--- a/tests/NewsWorld.cpp
+++ b/tests/NewsWorld.cpp
@@ -144,8 +144,8 @@
 
 Knowledge NewsWorld::knowledge(const Router& it)
 {
-    return { it.configVersion, it.configUntil, it.roster.next().value_or(0), it.roster.knownUntil(),
-        it.roster.readSince(), it.zones.next().value_or(0) };
+    return { it.configVersion, it.configUntil, it.roster.next().value_or(LogPosition {}), it.roster.knownUntil(),
+        it.roster.readSince(), it.zones.next().value_or(LogPosition {}) };
 }
 
 std::optional<TimePoint> NewsWorld::knownUntil(const Router& it, std::size_t topic)
@@ -354,7 +354,7 @@
 void NewsWorld::takeFrom(Router& self, const Fetch& fetch)
 {
     const ToldKnowledge& told = fetch.answer->told;
-    if (told.operatorNext > 0)
+    if (told.operatorNext.offset > 0)
         takeOperatorNews(self, *fetch.answer, told.operatorNext, true);
     if (told.configAge && knowsOperatorRecordsOf(knowledge(self), told))
         self.configUntil = std::max(self.configUntil.value_or(TimePoint {}), fetch.sent - *told.configAge);
@@ -371,7 +371,7 @@
     if (topic)
         call.from = self.roster.next();
     else {
-        if (const std::optional<LogOffset> known = self.zones.next())
+        if (const std::optional<LogPosition> known = self.zones.next())
             self.cursors[topic].toldByPeer(*known);
         call.from = self.cursors[topic].next();
     }
@@ -391,7 +391,7 @@
     ++m_report.storeCalls;
 }
 
-void NewsWorld::takeOperatorNews(Router& self, const Answer& answer, LogOffset next, bool hasAllZones)
+void NewsWorld::takeOperatorNews(Router& self, const Answer& answer, LogPosition next, bool hasAllZones)
 {
     if (hasAllZones && m_options.fault == DeliberateFault::IgnoresPeersZones && !self.zones.next())
         self.zones.applyAll(m_now, {}, next);
@@ -402,7 +402,7 @@
     self.configVersion = std::max(self.configVersion, answer.configVersion);
 }
 
-void NewsWorld::takeTargets(Router& self, const Answer& answer, LogOffset next, ReadSpan read)
+void NewsWorld::takeTargets(Router& self, const Answer& answer, LogPosition next, ReadSpan read)
 {
     self.roster.known(next, read);
     if (answer.hasAllTargets)
@@ -422,19 +422,20 @@
         call->willFail = true;
         call->end = call->sent + call->wait + answerTimeout;
     }
-    const std::uint64_t newest = topic ? m_store.targetsEnd() : m_store.operatorEnd();
-    const bool isOver = newest > call->from.value_or(0) || m_now - call->sent >= call->wait;
+    const LogPosition newest = topic ? m_store.targetsEnd() : m_store.operatorEnd();
+    const bool isOver = newest > call->from.value_or(LogPosition {}) || m_now - call->sent >= call->wait;
     if (m_now < call->end || (!call->willFail && !isOver))
         return;
     call->answer = Answer { m_now, call->willFail, newest };
     call->answer->hasAllTargets = !call->from;
     if (!topic && !call->willFail) {
-        call->answer->isHistoryLost = call->from && *call->from < m_store.operatorFirst();
-        call->answer->configVersion = m_store.configVersionsBefore(newest);
-        call->answer->zones = call->from ? m_store.zoneChanges(*call->from, newest) : m_store.zonesBefore(newest);
+        call->answer->isHistoryLost = call->from && call->from->offset < m_store.operatorFirst();
+        call->answer->configVersion = m_store.configVersionsBefore(newest.offset);
+        call->answer->zones
+            = call->from ? m_store.zoneChanges(call->from->offset, newest.offset) : m_store.zonesBefore(newest.offset);
     }
     if (topic && !call->willFail)
-        call->answer->targets = call->from ? m_store.targetsSince(*call->from) : m_store.targets();
+        call->answer->targets = call->from ? m_store.targetsSince(call->from->offset) : m_store.targets();
 }
 
 void NewsWorld::finishCalls(std::size_t i)
@@ -458,11 +459,11 @@
             self.failedAt[topic] = call.sent;
             continue;
         }
-        const std::uint64_t newest = call.answer->newest;
+        const LogPosition newest = call.answer->newest;
         self.cursors[topic].readDone(m_now, newest);
         self.failedAt[topic].reset();
         self.readAt[topic] = m_now;
-        const bool isEmpty = newest <= call.from.value_or(0);
+        const bool isEmpty = newest <= call.from.value_or(LogPosition {});
         const TimePoint until = knownByRead(call.sent, m_now, call.wait, isEmpty);
         if (topic) {
             takeTargets(self, *call.answer, newest, { call.sent, until });
@@ -517,7 +518,7 @@
     if (!isUnaffected(self) && std::none_of(m_routers.begin(), m_routers.end(), isUnaffected))
         return;
     for (const auto& since : { m_store.configMissingSince(self.configVersion),
-             m_store.targetsMissingSince(self.roster.next().value_or(0)) }) {
+             m_store.targetsMissingSince(self.roster.next().value_or(LogPosition {}).offset) }) {
         if (since)
             m_report.worstAge = std::max(m_report.worstAge, Duration(m_now - *since));
     }
@@ -527,7 +528,7 @@
 
 void NewsWorld::checkZones(const Router& self)
 {
-    const LogOffset next = self.zones.next().value_or(0);
+    const LogOffset next = self.zones.next().value_or(LogPosition {}).offset;
     const bool lacksRecords = self.configVersion > m_store.configVersionsBefore(next);
     m_report.wrongZones += lacksRecords || self.zones.all() != m_store.zonesBefore(next) ? 1 : 0;
     if (const auto since = m_store.operatorMissingSince(next)) {
--- a/tests/NewsWorld.h
+++ b/tests/NewsWorld.h
@@ -107,7 +107,7 @@
     struct Answer {
         TimePoint at;
         bool hasFailed = false;
-        std::uint64_t newest = 0; ///< Newest version or offset of the topic that was read.
+        LogPosition newest; ///< End of the topic that was read.
         ToldKnowledge told; ///< From another router.
         bool hasAllTargets = false;
         std::vector<TargetChange> targets;
@@ -120,7 +120,7 @@
         TimePoint sent;
         TimePoint end;
         Duration wait {};
-        std::optional<LogOffset> from; ///< Absent if everything is read.
+        std::optional<LogPosition> from; ///< Absent if everything is read.
         bool willFail = false;
         bool isSlow = false;
         std::optional<Answer> answer;
@@ -137,7 +137,7 @@
         std::size_t from = 0;
         TimePoint sent;
         TimePoint end;
-        std::optional<LogOffset> targetsNext; ///< Known when the fetch was sent.
+        std::optional<LogPosition> targetsNext; ///< Known when the fetch was sent.
         std::optional<Answer> answer;
     };
 
@@ -176,7 +176,7 @@
 
         // State of the target check, for this list revision and end of the store's records.
         std::uint64_t seenRevision = 0;
-        LogOffset seenEnd = 0;
+        LogPosition seenEnd;
         std::set<TargetId> used; ///< Targets ever in its list during this life whose removal is not acknowledged.
         std::optional<TimePoint> leftFirst; ///< Earliest removal among the removed targets still in its list.
     };
@@ -196,12 +196,12 @@
     std::optional<std::size_t> anyPeer(std::size_t i);
     void startFetch(std::size_t i, std::size_t from, PeerRequests::Whom);
     void startCall(Router&, std::size_t topic, Duration wait);
-    void takeTargets(Router&, const Answer&, LogOffset next, ReadSpan);
+    void takeTargets(Router&, const Answer&, LogPosition next, ReadSpan);
     void takeFrom(Router&, const Fetch&);
     void check(std::size_t i);
     void checkTargets(Router&);
     void checkZones(const Router&);
-    void takeOperatorNews(Router&, const Answer&, LogOffset next, bool hasAllZones);
+    void takeOperatorNews(Router&, const Answer&, LogPosition next, bool hasAllZones);
     static Knowledge knowledge(const Router&);
     static std::optional<TimePoint> knownUntil(const Router&, std::size_t topic);
     void hear(Router&, const ToldKnowledge&, std::size_t from);
--- a/tests/StoreTest.cpp
+++ b/tests/StoreTest.cpp
@@ -40,7 +40,7 @@
     });
 }
 
-absl::StatusOr<news::TargetNews> followTargetsFrom(const net::HttpServer& server, LogOffset from)
+absl::StatusOr<news::TargetNews> followTargetsFrom(const net::HttpServer& server, news::LogPosition from)
 {
     auto client = net::makeClient();
     return platform::makeStore(*client, toString(server.endpoint()))->followTargets(from, 0ms);
@@ -53,16 +53,16 @@
 {
     const std::string whole = bigEndian(9, 8) + bigEndian(0, 8) + recordOf("one") + recordOf("two");
     const bool isFramed = GENERATE(false, true);
-    const auto news = followTargetsFrom(*makeFixedResponseStore(whole, isFramed), 7);
+    const auto news = followTargetsFrom(*makeFixedResponseStore(whole, isFramed), { 7 });
     REQUIRE(news.ok());
-    CHECK(news->next == 9);
+    CHECK(news->next == news::LogPosition { 9 });
     CHECK(news->changes.size() == 2);
     const std::size_t betweenRecords = whole.size() - recordOf("two").size();
     for (std::size_t size = 0; size < whole.size(); ++size) {
         CAPTURE(size);
         // A store may leave records for the next read; framing then shows that the response is nevertheless complete.
         const bool isWhole = isFramed && (size == betweenRecords || size == 16);
-        CHECK(followTargetsFrom(*makeFixedResponseStore(whole.substr(0, size), isFramed), 7).ok() == isWhole);
+        CHECK(followTargetsFrom(*makeFixedResponseStore(whole.substr(0, size), isFramed), { 7 }).ok() == isWhole);
     }
 }
 
@@ -85,11 +85,11 @@
         + recordOf("evacuated", "{}");
     auto client = net::makeClient();
     const auto changed = makeFixedResponseStore(changes, true);
-    const auto followed = platform::makeStore(*client, toString(changed->endpoint()))->followConfig(4, 0ms);
+    const auto followed = platform::makeStore(*client, toString(changed->endpoint()))->followConfig({ 4 }, 0ms);
     REQUIRE(followed.ok());
     CHECK(followed->zones
         == std::vector<news::ZoneChange> { { { "a" }, true, 4 }, { { "b" }, true, 5 }, { { "a" }, false, 7 } });
-    CHECK(followed->next == 9);
+    CHECK(followed->next == news::LogPosition { 9 });
     CHECK_FALSE(followed->newest);
     REQUIRE(followed->unreadable.size() == 2);
     CHECK(followed->unreadable[0].key == "evacuate/b");
@@ -115,7 +115,7 @@
     auto client = net::makeClient();
     const auto store = platform::makeStore(*client, toString(server->endpoint()));
     CHECK(store->era() == 0);
-    const auto news = store->followTargets(7, 0ms);
+    const auto news = store->followTargets({ 7 }, 0ms);
     REQUIRE_FALSE(news.ok());
     CHECK(errorKind(news.status()) == ErrorKind::RetentionExceeded);
     CHECK_THAT(std::string(news.status().message()),
@@ -123,3 +123,50 @@
             && Catch::Matchers::Contains("era 4"));
     CHECK(store->era() == 4);
 }
+
+// Guards against records that are never read because their offsets were given out before the store's return.
+TEST_CASE("an answer of another era than the position that was read from is no continuation of it")
+{
+    const std::string body = bigEndian(9, 8) + bigEndian(0, 8) + recordOf("one") + recordOf("two");
+    std::string era;
+    const auto server = net::makeServer([&](const net::ExchangePointer& exchange) {
+        exchange->respond(
+            { 200, era.empty() ? std::vector<net::Field> {} : std::vector<net::Field> { { "Store-Era", era } }, body });
+    });
+    auto client = net::makeClient();
+    const auto store = platform::makeStore(*client, toString(server->endpoint()));
+    const auto follow = [&](news::StoreEra from) { return store->followTargets({ 7, from }, 0ms); };
+    CHECK(follow(0)->next == news::LogPosition { 9 });
+    era = "3";
+    const auto risen = follow(2);
+    REQUIRE_FALSE(risen.ok());
+    CHECK(errorKind(risen.status()) == ErrorKind::RetentionExceeded);
+    REQUIRE(follow(3).ok());
+    CHECK(follow(3)->next == news::LogPosition { 9, 3 });
+    CHECK(follow(3)->changes.front().position == news::LogPosition { 7, 3 });
+    era = "2";
+    const auto late = follow(3);
+    REQUIRE_FALSE(late.ok());
+    CHECK(errorKind(late.status()) == ErrorKind::LogUnavailable);
+    // An answer without an era is taken to be of the newest.
+    era.clear();
+    CHECK(follow(3)->next == news::LogPosition { 9, 3 });
+}
+
+// Guards against a list that is put together from before and after a return.
+TEST_CASE("a full read begins again when the era rises between two pages")
+{
+    unsigned calls = 0;
+    const auto server = net::makeServer([&](const net::ExchangePointer& exchange) {
+        const bool isFirst = ++calls == 1;
+        exchange->respond({ 200, { { "Store-Era", isFirst ? "1" : "2" } },
+            isFirst ? R"({"entries":[{"key":"evacuate/a","value":"e30=","offset":3}],"hasMore":true,"end":90})"
+                    : R"({"entries":[{"key":"evacuate/b","value":"e30=","offset":4}],"hasMore":false,"end":6})" });
+    });
+    auto client = net::makeClient();
+    const auto all = platform::makeStore(*client, toString(server->endpoint()))->readConfig();
+    REQUIRE(all.ok());
+    CHECK(all->next == news::LogPosition { 6, 2 });
+    CHECK(all->zones == std::vector<news::ZoneChange> { { { "b" }, true, { 4, 2 } } });
+    CHECK(calls == 3);
+}
--- a/tests/TargetRosterTest.cpp
+++ b/tests/TargetRosterTest.cpp
@@ -36,11 +36,11 @@
     roster.apply(start, cold(30s, 5));
     CHECK(left(start + 10s) == 20s);
     CHECK(roster.all(start + 10s).front().target->coldLeft == 20s);
-    CHECK(roster.changesSince(5, start + 10s)->front().target->coldLeft == 20s);
+    CHECK(roster.changesSince({ 5 }, start + 10s)->front().target->coldLeft == 20s);
     const std::uint64_t revision = roster.revision();
     SECTION("the same record from a full read or another router changes nothing")
     {
-        roster.replace(start + 10s, { cold(30s, 5) }, 6);
+        roster.replace(start + 10s, { cold(30s, 5) }, { 6 });
         CHECK(left(start + 10s) == 20s);
         roster.applyAll(start + 40s, { cold(25s, 5) });
         CHECK(left(start + 40s) == 0s);
@@ -58,7 +58,7 @@
         CHECK(left(start + 1s) == 0s);
         CHECK(roster.revision() == revision + 1);
         roster.applyAll(start + 2s, { cold(30s, 5) });
-        roster.replace(start + 2s, { cold(30s, 5) }, 6);
+        roster.replace(start + 2s, { cold(30s, 5) }, { 6 });
         CHECK(left(start + 2s) == 0s);
         roster.apply(start + 3s, cold(0s, 7));
         CHECK(roster.revision() == revision + 1);
@@ -103,8 +103,8 @@
     }
     SECTION("a whole list from a router that knows the earlier life")
     {
-        roster.replace(start + 2s, { entry("t", true, 1000) }, 1);
-        roster.replace(start + 2s, { entry("t", false, 1000) }, 1);
+        roster.replace(start + 2s, { entry("t", true, 1000) }, { 1 });
+        roster.replace(start + 2s, { entry("t", false, 1000) }, { 1 });
         CHECK_FALSE(roster.expire(start + 5s));
         REQUIRE(roster.size() == 1);
         CHECK(roster.targets().front().startedAtMs == 2000);
@@ -159,7 +159,7 @@
                 roster.applyAll(now, { told, told });
                 break;
             case 2:
-                roster.replace(now, { told }, 1);
+                roster.replace(now, { told }, { 1 });
                 break;
             case 3:
                 roster.applyAll(now, { told });
@@ -191,16 +191,16 @@
     roster.apply(start, entry("lives"));
     roster.apply(start, entry("died"));
     roster.apply(start, entry("left", true));
-    roster.known(3, start);
+    roster.known({ 3 }, start);
     CHECK_FALSE(roster.expire(start + 60s));
     CHECK(roster.size() == 3);
     const TimePoint back = start + 60s;
-    roster.known(6, back);
-    roster.replace(back, {}, 6);
+    roster.known({ 6 }, back);
+    roster.replace(back, {}, { 6 });
     CHECK(roster.size() == 2);
     roster.apply(back + 1s, entry("lives", false, 0, 6));
     CHECK_FALSE(roster.expire(back + 1s));
-    roster.known(7, back + 2s);
+    roster.known({ 7 }, back + 2s);
     CHECK(roster.expire(back + TargetRoster::reregistrationGrace));
     REQUIRE(roster.size() == 1);
     CHECK(roster.targets().front().id.value == "lives");
@@ -210,8 +210,8 @@
 {
     TargetRoster roster;
     roster.apply(start, entry("t"));
-    roster.known(1, start);
-    roster.known(2, start + 300ms);
+    roster.known({ 1 }, start);
+    roster.known({ 2 }, start + 300ms);
     roster.apply(start + 300ms, gone("t"));
     CHECK(roster.size() == 0);
 }
@@ -239,19 +239,19 @@
 {
     ReadCursor cursor;
     CHECK_FALSE(cursor.next());
-    cursor.readDone(start, 10);
+    cursor.readDone(start, { 10 });
     CHECK(cursor.readFailed(start + 1s));
     CHECK_FALSE(cursor.readFailed(start + 2s));
     CHECK(cursor.retryDelay() > ReadCursor().retryDelay());
-    cursor.toldByPeer(150);
-    CHECK(cursor.next() == 150);
+    cursor.toldByPeer({ 150 });
+    CHECK(cursor.next() == LogPosition { 150 });
     cursor.renewed();
     CHECK(cursor.failures() == 0);
-    cursor.readDone(start + 20s, 178);
-    cursor.toldByPeer(150);
-    CHECK(cursor.next() == 178);
+    cursor.readDone(start + 20s, { 178 });
+    cursor.toldByPeer({ 150 });
+    CHECK(cursor.next() == LogPosition { 178 });
     CHECK(cursor.readFailed(start + 30s));
-    CHECK(cursor.readDone(start + 33s, 180) == Duration(3s));
+    CHECK(cursor.readDone(start + 33s, { 180 }) == Duration(3s));
 
     const std::vector<TargetChange> caughtUp { entry("passing"), entry("leaving"), gone("passing"),
         entry("leaving", true), entry("leaving", false), gone("stays") };
@@ -260,7 +260,7 @@
         TargetRoster roster;
         roster.apply(start, entry("stays"));
         for (int second = 1; second <= 20; ++second)
-            roster.known(150, start + second * 1s);
+            roster.known({ 150 }, start + second * 1s);
         roster.applyAll(start + 20s, caughtUp);
         REQUIRE(roster.size() == 1);
         CHECK(roster.targets().front().id.value == "leaving");
@@ -270,8 +270,8 @@
     {
         TargetRoster roster;
         roster.apply(start, entry("stays"));
-        roster.known(1, start + 1s);
-        roster.known(7, start + 20s);
+        roster.known({ 1 }, start + 1s);
+        roster.known({ 7 }, start + 20s);
         roster.applyAll(start + 20s, caughtUp);
         const auto targets = roster.targets();
         REQUIRE(targets.size() == 2);
@@ -290,11 +290,11 @@
     TargetRoster cutOff;
     cutOff.apply(start, entry("t"));
     cutOff.apply(start, entry("u"));
-    cutOff.known(2, start);
-    cutOff.known(3, start + 9s);
+    cutOff.known({ 2 }, start);
+    cutOff.known({ 3 }, start + 9s);
     cutOff.apply(start + 9s, gone("t", 2));
     REQUIRE(cutOff.size() == 2);
-    REQUIRE(cutOff.changesSince(2));
+    REQUIRE(cutOff.changesSince({ 2 }));
 
     TargetRoster inTouch;
     inTouch.apply(start, entry("t"));
@@ -302,20 +302,20 @@
     SECTION("to one that saw it go")
     {
         inTouch.apply(start + 8s, gone("t", 2));
-        inTouch.applyAll(start + 9s, *cutOff.changesSince(2));
-        inTouch.replace(start + 9s, cutOff.all(), 3);
+        inTouch.applyAll(start + 9s, *cutOff.changesSince({ 2 }));
+        inTouch.replace(start + 9s, cutOff.all(), { 3 });
     }
     SECTION("to one that was in touch, and has not heard of it yet")
     {
-        inTouch.known(2, start + 8s);
-        inTouch.known(3, start + 9s);
-        inTouch.applyAll(start + 9s, *cutOff.changesSince(2));
+        inTouch.known({ 2 }, start + 8s);
+        inTouch.known({ 3 }, start + 9s);
+        inTouch.applyAll(start + 9s, *cutOff.changesSince({ 2 }));
     }
     SECTION("to one that takes the whole list")
     {
-        inTouch.known(2, start + 8s);
-        inTouch.known(3, start + 9s);
-        inTouch.replace(start + 9s, cutOff.all(), 3);
+        inTouch.known({ 2 }, start + 8s);
+        inTouch.known({ 3 }, start + 9s);
+        inTouch.replace(start + 9s, cutOff.all(), { 3 });
     }
     REQUIRE(inTouch.size() == 1);
     CHECK(inTouch.targets().front().id.value == "u");
@@ -329,10 +329,10 @@
 {
     TargetRoster follower;
     follower.apply(start, entry("t"));
-    follower.known(1, start);
-    follower.known(1, start + 9s);
+    follower.known({ 1 }, start);
+    follower.known({ 1 }, start + 9s);
     for (const Duration after : { Duration(10s), Duration(10500ms), Duration(11s) }) {
-        follower.known(2, start + after);
+        follower.known({ 2 }, start + after);
         follower.apply(start + after, gone("t", 1));
     }
     CHECK_FALSE(follower.expire(start + 11s));
@@ -345,11 +345,11 @@
 // records, first from the one whose list equals its own. It considered itself up to date and never fetched the removal.
 TEST_CASE("a router's progress is defined by the records that it applied, not by equal lists")
 {
-    Knowledge mine { 1, start, 15, start };
-    CHECK(learn(mine, { 1, 0ms, 16, 0ms, 0ms }, start + 1s).targets);
-    CHECK(mine.targetsNext == 15);
+    Knowledge mine { 1, start, { 15 }, start };
+    CHECK(learn(mine, { 1, 0ms, { 16 }, 0ms, 0ms }, start + 1s).targets);
+    CHECK(mine.targetsNext == LogPosition { 15 });
     CHECK(mine.targetsUntil == start);
-    CHECK(learn(mine, { 1, 0ms, 16, 0ms, 0ms }, start + 1s).targets);
+    CHECK(learn(mine, { 1, 0ms, { 16 }, 0ms, 0ms }, start + 1s).targets);
 }
 
 // Guards against a removed target getting requests for the lifetime of a router. A starting router fetches everything
@@ -359,11 +359,11 @@
 TEST_CASE("a full list that arrives after a newer one restores no removed target")
 {
     TargetRoster roster;
-    roster.known(35, start);
-    roster.replace(start, { entry("stays", false, 0, 10) }, 35);
+    roster.known({ 35 }, start);
+    roster.replace(start, { entry("stays", false, 0, 10) }, { 35 });
     const std::vector<TargetChange> older { entry("left", false, 0, 20), entry("stays", false, 0, 10) };
-    roster.known(34, start + 10ms);
-    SECTION("as a list") { roster.replace(start + 10ms, older, 34); }
+    roster.known({ 34 }, start + 10ms);
+    SECTION("as a list") { roster.replace(start + 10ms, older, { 34 }); }
     SECTION("as changes") { roster.applyAll(start + 10ms, older); }
     REQUIRE(roster.size() == 1);
     CHECK(roster.targets().front().id.value == "stays");
@@ -380,23 +380,23 @@
 {
     TargetRoster roster;
     roster.apply(start, entry("t"));
-    roster.known(1, start);
+    roster.known({ 1 }, start);
     const TimePoint back = start + 10s;
-    roster.known(2, back);
+    roster.known({ 2 }, back);
     roster.applyAll(back, { gone("t", 1) });
-    roster.known(2, back + 1500ms);
+    roster.known({ 2 }, back + 1500ms);
     CHECK_FALSE(roster.expire(back + TargetRoster::reregistrationGrace));
     CHECK(roster.size() == 1);
     SECTION("it was back all the while")
     {
-        roster.known(3, back + 3s);
+        roster.known({ 3 }, back + 3s);
         roster.applyAll(back + 3s, { entry("t", false, 0, 2) });
         CHECK_FALSE(roster.expire(back + 3s));
         CHECK(roster.size() == 1);
     }
     SECTION("it never came")
     {
-        roster.known(2, back + 2s);
+        roster.known({ 2 }, back + 2s);
         CHECK(roster.expire(back + 3s));
         CHECK(roster.size() == 0);
     }
@@ -410,23 +410,23 @@
 {
     TargetRoster roster;
     roster.apply(start, entry("t"));
-    roster.known(1, start);
+    roster.known({ 1 }, start);
     const TimePoint back = start + 5s;
-    roster.known(2, back);
+    roster.known({ 2 }, back);
     const TimePoint late = back + TargetRoster::reregistrationGrace + 300ms;
     roster.apply(late, gone("t", 1));
     CHECK_FALSE(roster.expire(late));
     CHECK(roster.size() == 1);
     SECTION("it is back")
     {
-        roster.known(3, late + 1s);
+        roster.known({ 3 }, late + 1s);
         roster.apply(late + 1s, entry("t", false, 0, 2));
         CHECK_FALSE(roster.expire(late + 2s));
         CHECK(roster.size() == 1);
     }
     SECTION("it is not, and the store was read")
     {
-        roster.known(2, back + 2s);
+        roster.known({ 2 }, back + 2s);
         CHECK(roster.expire(late + 1s));
         CHECK(roster.size() == 0);
     }
@@ -436,14 +436,14 @@
 {
     TargetRoster roster;
     roster.apply(start, entry("t"));
-    roster.known(1, start);
-    roster.known(2, start + 5s);
+    roster.known({ 1 }, start);
+    roster.known({ 2 }, start + 5s);
     roster.apply(start + 5s, gone("t", 1));
     CHECK_FALSE(roster.expire(start + 9s)); // Unavailable again: targets that could not register may still be alive.
-    roster.known(2, start + 10s);
+    roster.known({ 2 }, start + 10s);
     CHECK_FALSE(roster.expire(start + 10s));
     CHECK_FALSE(roster.expire(start + 12s));
-    roster.known(2, start + 12s);
+    roster.known({ 2 }, start + 12s);
     CHECK(roster.expire(start + 10s + TargetRoster::reregistrationGrace));
 }
 
@@ -455,12 +455,12 @@
 TEST_CASE("a router without data for seconds retains no entry whose removal others saw while reading the store")
 {
     TargetRoster roster;
-    roster.known(1, start);
+    roster.known({ 1 }, start);
     roster.apply(start, entry("t"));
     const TimePoint back = start + 5s;
     SECTION("it hears it from another, which knows since when the store is read")
     {
-        roster.known(3, ReadSpan { start - 10s, back });
+        roster.known({ 3 }, ReadSpan { start - 10s, back });
         roster.apply(back, gone("t", 2));
         CHECK(roster.size() == 0);
         CHECK_FALSE(roster.keepsMissingUntil());
@@ -468,28 +468,28 @@
     }
     SECTION("it reads the store itself first: the entry may have lapsed, until another tells that it can't have")
     {
-        roster.known(3, back);
+        roster.known({ 3 }, back);
         roster.apply(back, gone("t", 2));
         roster.expire(back);
         CHECK(roster.size() == 1);
-        roster.known(3, ReadSpan { start - 10s, back + 100ms });
+        roster.known({ 3 }, ReadSpan { start - 10s, back + 100ms });
         roster.expire(back + 100ms);
         CHECK(roster.size() == 0);
         CHECK_FALSE(roster.keepsMissingUntil());
     }
     SECTION("the other was away as well: nothing is known of that time")
     {
-        roster.known(3, back);
+        roster.known({ 3 }, back);
         roster.apply(back, gone("t", 2));
-        roster.known(3, ReadSpan { start + 3s, back + 100ms });
+        roster.known({ 3 }, ReadSpan { start + 3s, back + 100ms });
         roster.expire(back + 100ms);
         CHECK(roster.size() == 1);
         CHECK(roster.readSince() == start + 3s);
     }
     SECTION("it hears from one that has been without news for longer: that says nothing of now")
     {
-        roster.known(3, back);
-        roster.known(1, ReadSpan { start - 10s, start + 1s });
+        roster.known({ 3 }, back);
+        roster.known({ 1 }, ReadSpan { start - 10s, start + 1s });
         CHECK(roster.readSince() == back);
         CHECK(roster.knownUntil() == back);
     }
@@ -505,36 +505,36 @@
     const PeerRequests requests(times, start - 1h);
     TargetRoster roster(times.storeBreak);
     const auto whom = [&](TimePoint now) { return requests.due(now, roster.witnessedUntil(), std::nullopt); };
-    roster.known(1, start);
+    roster.known({ 1 }, start);
     const TimePoint back = start + 7s;
     CHECK(whom(start) == PeerRequests::Whom::Nobody);
     SECTION("it reads the store itself")
     {
-        roster.known(2, back);
+        roster.known({ 2 }, back);
         CHECK(whom(back) == PeerRequests::Whom::Anyone);
-        roster.known(2, back + 500ms);
+        roster.known({ 2 }, back + 500ms);
         CHECK(whom(back + 500ms) == PeerRequests::Whom::Anyone);
         SECTION("another that was cut off, too, says nothing of the gap")
         {
-            roster.known(2, ReadSpan { start - 10s, start + 100ms, true });
+            roster.known({ 2 }, ReadSpan { start - 10s, start + 100ms, true });
             CHECK(whom(back + 500ms) == PeerRequests::Whom::Anyone);
         }
         SECTION("another read the store all the time")
         {
-            roster.known(2, ReadSpan { start - 10s, back + 600ms, true });
+            roster.known({ 2 }, ReadSpan { start - 10s, back + 600ms, true });
             CHECK(whom(back + 600ms) == PeerRequests::Whom::Nobody);
             CHECK_FALSE(roster.keepsMissingUntil());
         }
         SECTION("another found the store away")
         {
-            roster.known(2, ReadSpan { back, back + 600ms, true });
+            roster.known({ 2 }, ReadSpan { back, back + 600ms, true });
             CHECK(whom(back + 600ms) == PeerRequests::Whom::Nobody);
             CHECK(roster.keepsMissingUntil());
         }
     }
     SECTION("another tells it of the gap: the store was away")
     {
-        roster.known(2, ReadSpan { back, back, true });
+        roster.known({ 2 }, ReadSpan { back, back, true });
         CHECK(whom(back) == PeerRequests::Whom::Nobody);
     }
 }
@@ -542,13 +542,13 @@
 TEST_CASE("the start of gapless reading merges the intervals seen by several routers")
 {
     TargetRoster roster;
-    roster.known(1, ReadSpan { start, start + 1s });
-    roster.known(1, ReadSpan { start + 2s, start + 4s });
+    roster.known({ 1 }, ReadSpan { start, start + 1s });
+    roster.known({ 1 }, ReadSpan { start + 2s, start + 4s });
     CHECK(roster.readSince() == start);
-    roster.known(1, ReadSpan { start - 3s, start - 1s });
+    roster.known({ 1 }, ReadSpan { start - 3s, start - 1s });
     CHECK(roster.readSince() == start - 3s);
     CHECK(roster.knownUntil() == start + 4s);
-    roster.known(1, start + 4s + TargetRoster::entryLapseTime + 1ms);
+    roster.known({ 1 }, start + 4s + TargetRoster::entryLapseTime + 1ms);
     CHECK(roster.readSince() == start + 4s + TargetRoster::entryLapseTime + 1ms);
 }
 
@@ -560,34 +560,34 @@
 TEST_CASE("a missing entry is retained longer if the store was unavailable again in its time to register")
 {
     TargetRoster roster(1100ms);
-    roster.known(1, start);
+    roster.known({ 1 }, start);
     roster.apply(start, entry("t"));
     const TimePoint back = start + 6s;
-    roster.known(2, back);
+    roster.known({ 2 }, back);
     roster.apply(back, gone("t", 1));
     const TimePoint backAgain = back + 1400ms;
     SECTION("nobody knows of anything in between")
     {
-        roster.known(2, backAgain);
+        roster.known({ 2 }, backAgain);
         CHECK(roster.keepsMissingUntil() == backAgain + TargetRoster::reregistrationGrace);
-        roster.known(2, back + TargetRoster::reregistrationGrace);
+        roster.known({ 2 }, back + TargetRoster::reregistrationGrace);
         CHECK_FALSE(roster.expire(back + TargetRoster::reregistrationGrace));
-        roster.known(2, backAgain + TargetRoster::reregistrationTime / 2);
-        roster.known(2, backAgain + TargetRoster::reregistrationTime);
+        roster.known({ 2 }, backAgain + TargetRoster::reregistrationTime / 2);
+        roster.known({ 2 }, backAgain + TargetRoster::reregistrationTime);
         CHECK(roster.expire(backAgain + TargetRoster::reregistrationGrace));
     }
     SECTION("another read the store in between: only the first absence counts")
     {
-        roster.known(2, backAgain);
-        roster.known(2, ReadSpan { back, backAgain });
+        roster.known({ 2 }, backAgain);
+        roster.known({ 2 }, ReadSpan { back, backAgain });
         CHECK(roster.keepsMissingUntil() == back + TargetRoster::reregistrationGrace);
         CHECK(roster.readSince() == back);
     }
     SECTION("a short break while nothing is missing")
     {
         TargetRoster well(1100ms);
-        well.known(1, start);
-        well.known(1, start + 1500ms);
+        well.known({ 1 }, start);
+        well.known({ 1 }, start + 1500ms);
         CHECK_FALSE(well.keepsMissingUntil());
         CHECK(well.readSince() == start + 1500ms);
     }
@@ -605,9 +605,9 @@
     roster.apply(start, entry("t", false, 6, 9));
     CHECK(roster.size() == 1);
     // A full list older than the newest record removes no entry that was added after it.
-    roster.replace(start, {}, 9);
+    roster.replace(start, {}, { 9 });
     CHECK(roster.size() == 1);
-    roster.replace(start, {}, 10);
+    roster.replace(start, {}, { 10 });
     CHECK(roster.size() == 0);
 }
 
@@ -638,24 +638,24 @@
                 teller.apply(start, change);
                 ++next;
             }
-            teller.known(next, start);
-            const auto changes = teller.changesSince(listener.next().value_or(0));
+            teller.known({ next }, start);
+            const auto changes = teller.changesSince(listener.next().value_or(LogPosition {}));
             RC_ASSERT(changes.has_value());
             listener.applyAll(start, *changes);
-            listener.known(next, start);
+            listener.known({ next }, start);
             const bool isSame = listener.targets() == teller.targets();
             RC_ASSERT(isSame);
         }
     });
     TargetRoster late;
-    late.replace(start, { entry("t", false, 0, 3) }, 10);
-    CHECK_FALSE(late.changesSince(9));
-    CHECK(late.changesSince(10));
+    late.replace(start, { entry("t", false, 0, 3) }, { 10 });
+    CHECK_FALSE(late.changesSince({ 9 }));
+    CHECK(late.changesSince({ 10 }));
     late.apply(start, gone("t", 11));
     late.expire(start);
-    CHECK(late.changesSince(11)->size() == 1);
+    CHECK(late.changesSince({ 11 })->size() == 1);
     late.expire(start + 1h); // The removed target's life is discarded.
-    CHECK_FALSE(late.changesSince(11));
+    CHECK_FALSE(late.changesSince({ 11 }));
 }
 
 TEST_CASE("a life that reported itself as draining stays so, whatever a record or another router says")
@@ -668,7 +668,7 @@
     CHECK(roster.revision() > revision);
     CHECK_FALSE(roster.saidDraining(start, { { "t" }, 1000 }));
     roster.apply(start + 1s, entry("t", false, 1000, 6));
-    roster.replace(start + 2s, { entry("t", false, 1000, 7) }, 8);
+    roster.replace(start + 2s, { entry("t", false, 1000, 7) }, { 8 });
     CHECK(roster.targets().front().draining);
     roster.apply(start + 3s, gone("t", 8));
     roster.apply(start + 4s, entry("t", false, 1000, 9));
@@ -699,7 +699,7 @@
     enter("t2", "s", 1);
     enter("t3", "s", 2);
     enter("only", "other", 3);
-    roster.known(4, start);
+    roster.known({ 4 }, start);
     const auto usable = [&] {
         std::set<std::string> ids;
         for (const dispatch::Target& it : roster.targets()) {
@@ -711,7 +711,7 @@
     using Ids = std::set<std::string>;
     const TimePoint woken = start + 4s;
     const auto wakeAndRead = [&](const std::vector<TargetChange>& changes) {
-        roster.known(4 + changes.size(), woken + 10ms);
+        roster.known({ 4 + changes.size() }, woken + 10ms);
         roster.applyAll(woken + 20ms, changes);
     };
     SECTION("the router did not run: what is missing has gone")
@@ -737,14 +737,14 @@
         }
         SECTION("or its time to register again is over")
         {
-            roster.known(5, ReadSpan { woken + 10ms, woken + 3s });
+            roster.known({ 5 }, ReadSpan { woken + 10ms, woken + 3s });
             CHECK(roster.expire(woken + 3s));
             CHECK(roster.size() == 3);
         }
         SECTION("nor when that time is over and it has not been dropped yet")
         {
             roster.takeDepartures();
-            roster.known(5, ReadSpan { woken + 10ms, woken + 3s });
+            roster.known({ 5 }, ReadSpan { woken + 10ms, woken + 3s });
             TargetChange renewed = entry("t2", false, 1000, 6);
             renewed.target->service = { "s" };
             roster.applyAll(woken + 3s, { renewed });
@@ -756,11 +756,11 @@
     SECTION("the same by a full list")
     {
         roster.noteStall({ start + 100ms, woken });
-        roster.known(5, woken + 10ms);
+        roster.known({ 5 }, woken + 10ms);
         TargetChange second = entry("t2", false, 1000, 1);
         TargetChange third = entry("t3", false, 1000, 2);
         second.target->service = third.target->service = { "s" };
-        roster.replace(woken + 20ms, { second, third }, 5);
+        roster.replace(woken + 20ms, { second, third }, { 5 });
         CHECK(usable() == Ids { "t2", "t3", "only" });
     }
     SECTION("the router ran for most of the gap: entries may have lapsed")
@@ -794,9 +794,9 @@
     {
         roster.applyAll(start, { entry("t", true, 0, 5), gone("t", 6) });
         CHECK(roster.size() == 0);
-        roster.replace(start, { entry("t", false, 0, 9) }, 10);
+        roster.replace(start, { entry("t", false, 0, 9) }, { 10 });
         CHECK(isDraining());
-        roster.replace(start, { entry("t", false, 0, 12) }, 13);
+        roster.replace(start, { entry("t", false, 0, 12) }, { 13 });
         CHECK_FALSE(isDraining());
     }
     SECTION("not with a late record before the next one that says that it leaves")
@@ -830,23 +830,23 @@
 {
     TargetRoster roster;
     roster.apply(start, entry("t", false, 1000, 0));
-    roster.known(1, start);
+    roster.known({ 1 }, start);
     const TimePoint back = start + 5s;
     SECTION("both in one read")
     {
-        roster.known(3, back);
+        roster.known({ 3 }, back);
         roster.applyAll(back, { entry("t", true, 1000, 1), gone("t", 2) });
     }
     SECTION("by a router that read both")
     {
         TargetRoster other;
         other.apply(start, entry("t", false, 1000, 0));
-        other.known(1, start);
+        other.known({ 1 }, start);
         other.apply(start, entry("t", true, 1000, 1));
         other.apply(start, gone("t", 2));
-        other.known(3, back);
-        roster.known(3, ReadSpan { back, back, true });
-        roster.applyAll(back, *other.changesSince(1));
+        other.known({ 3 }, back);
+        roster.known({ 3 }, ReadSpan { back, back, true });
+        roster.applyAll(back, *other.changesSince({ 1 }));
     }
     CHECK(roster.size() == 0);
 }
@@ -857,9 +857,9 @@
     TargetRoster roster;
     roster.apply(start, entry("t", false, 1000, 0));
     roster.apply(start, entry("u", false, 1000, 1));
-    roster.known(2, start);
-    roster.known(2, start + 1s);
-    roster.known(3, start + 2s);
+    roster.known({ 2 }, start);
+    roster.known({ 2 }, start + 1s);
+    roster.known({ 3 }, start + 2s);
     roster.applyAll(start + 2s, { entry("t", true, 1000, 2) });
     std::vector<Departure> departures = roster.takeDepartures();
     REQUIRE(departures.size() == 1);
@@ -868,10 +868,10 @@
     CHECK(departures.front().noticeAfter == start + 1s);
 
     // The store was away: u is kept until it may have registered again.
-    roster.known(5, start + 8s);
+    roster.known({ 5 }, start + 8s);
     roster.applyAll(start + 8s, { gone("t", 3), gone("u", 4) });
     CHECK(roster.takeDepartures().empty());
-    roster.known(5, ReadSpan { start + 8s, start + 11s });
+    roster.known({ 5 }, ReadSpan { start + 8s, start + 11s });
     CHECK(roster.expire(start + 11s));
     departures = roster.takeDepartures();
     REQUIRE(departures.size() == 1);
