Let the soak's store return from older copies

The newest configuration, evacuations and their ends, and removals are written again within 2 s of a return, each at another time and in another order; some targets renew late.

The checks stay as they are for routers that the store serves. After a return, a word on a target that was acknowledged earlier than 3 s after it is bound to be in force 2 s later than that; an evacuation that no router may have read before counts from 3 s after the return. Later ones are bound as ever. A return excuses no lost request.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,9 +5,10 @@
     tools/soak.py --build build --regressions             the seeds that ever failed (tests/soak-seeds.txt)
     tools/soak.py --build build --seeds 1-5 --routers 40 --engines 80 --applications 40 --callers 60     a larger fleet
 
-The faults of a seed come together. Then come silences of targets, each shorter than the time that a request has, beside
-changes of the configuration and other planned work alone: no request may be lost by these. At last come requests with a
-part of their prompts that crashes targets, again beside planned work: few targets may end by it.
+The faults of a seed come together, returns of the store from older copies among them; what these lose, the operator and the
+targets write again within AGAIN_SECONDS and in another order. Then come silences of targets, each shorter than the time that
+a request has, beside changes of the configuration and other planned work alone: no request may be lost by these. At last come
+requests with a part of their prompts that crashes targets, again beside planned work: few targets may end by it.
 
 Ends only processes that it started, by id. Exits with 1 when a promise was broken.
 """
@@ -46,7 +47,11 @@
 LEAVING_SECONDS = (2.5, 5.0)  # More than the bound within which the store's word is in force.
 RESTART_SECONDS = 0.3  # After a process has ended, until the platform starts it again.
 ZONES = ("a", "b", "c")
-EXTRAS = ("signals", "answers", "silences", "parts", "zones", "leavings")  # What came to the soak later; each has chances of its own.
+COPY_AGE_SECONDS = (0.5, 8.0)  # Of a copy from which the store returns, when it goes away.
+STORE_AWAY_SECONDS = (0.3, 2.5)  # Before it returns.
+AGAIN_SECONDS = 2.0  # Longest time from a return until the operator and targets have written again what is lost.
+# What came to the soak later; each has chances of its own.
+EXTRAS = ("signals", "answers", "silences", "parts", "zones", "leavings", "returns")
 HERE = os.path.dirname(os.path.abspath(__file__))
 SEEDS_FILE = os.path.join(HERE, "..", "tests", "soak-seeds.txt")
 
@@ -79,6 +84,12 @@
         self._revoked = None  # When the extra key's removal was acknowledged; None while it is there.
         self._revocations = []
         self._evacuations = 0
+        self._evacuated = set()
+        self._evacuating = threading.Lock()  # The store gets evacuations in the order in which they are noted.
+        self._removed = set()  # Targets whose entry went and that have not started again.
+        self._removing = threading.Lock()
+        self._returns = 0
+        self._ready_at = 0.0
         self._leaving = {}  # By target: held while it leaves and returns.
         self._fleet = Fleet(build, self._sizes["routers"], self._sizes["engines"], self._sizes["applications"],
                             proxy=self._proxied, worker_arguments=("--crash-part", CRASHING_PART),
@@ -98,6 +109,7 @@
         try:
             self._fleet.wait_ready()
             self._configure(True)
+            self._ready_at = time.monotonic()
             self._stage = Stage(self._fleet, {"targets": self._proxies}, random.Random(f"answers of {self.seed}"),
                                 self._ledgers, self.signals)
             self._threads = [Caller(i, self.addresses, random.Random(self.seed * 1000 + i), CALLERS_PAUSE_SECONDS,
@@ -128,7 +140,8 @@
     def _disturb(self):
         end = time.monotonic() + self._seconds
         beside = {"signals": self._signal, "answers": self._spoil_answers, "silences": self._silence,
-                  "zones": self._evacuate, "leavings": self._leave_by_store}
+                  "zones": self._evacuate, "leavings": self._leave_by_store,
+                  "returns": self._return_store}
         pending = [threading.Thread(target=beside[it], args=(end,), daemon=True) for it in beside
                    if it in self._extras]
         for thread in pending:
@@ -164,6 +177,60 @@
             self._leave_and_return(name, lasts, word, "untold")
             time.sleep(rng.uniform(0.1, 1.0))
 
+    def _return_store(self, end, beside="faults"):
+        """Beside the other faults, as _signal: the store returns from copies, in series that overlap what is written again."""
+        rng = random.Random(f"returns beside {beside} of {self.seed}")
+        writers = []
+        while time.monotonic() < end:
+            for _ in range(rng.choice((1, 1, 2, 3))):
+                older, away = rng.uniform(*COPY_AGE_SECONDS), rng.uniform(*STORE_AWAY_SECONDS)
+                kind, pauses = rng.choice(("busy", "reset", "silent")), [rng.uniform(0.0, AGAIN_SECONDS) for _ in range(3)]
+                self._history.append(f"return of the store from a copy of {older:.1f} s after {away:.1f} s ({kind})")
+                self._return_once(older, away, kind, rng)
+                order = rng.sample(self.WRITTEN_AGAIN, len(self.WRITTEN_AGAIN))
+                writers.append(threading.Thread(target=self._write_again, args=(order, sorted(pauses)), daemon=True))
+                writers[-1].start()
+                time.sleep(rng.uniform(0.0, 1.5))
+            time.sleep(rng.uniform(1.0, 6.0))
+        for thread in writers:
+            thread.join()
+
+    def _return_once(self, older, away, kind, rng):
+        for name in sorted(self._fleet.workers):
+            if rng.random() < 0.3:
+                silent_ms = (away + rng.uniform(0.0, AGAIN_SECONDS - 1.0)) * 1000
+                call(self._fleet.workers[name]["address"], "POST", f"/standin/silence?ms={silent_ms:.0f}")
+        # The first configuration was written long before the first request.
+        older = min(older, time.monotonic() - self._ready_at)
+        begun, ended = self._fleet.restore_store(older * 1000, away, kind)
+        self.signals.note_return(begun, ended)
+        self._store_away.append((begun, ended + AGAIN_SECONDS + REVOKE_SECONDS))
+        self._returns += 1
+
+    def _write_again(self, order, due):
+        begun = time.monotonic()
+        for write, pause in zip(order, due):
+            time.sleep(max(0.0, begun + pause - time.monotonic()))
+            write(self)
+
+    def _configure_again(self):
+        self._fleet.configure_again()
+
+    def _evacuate_again(self):
+        with self._evacuating:
+            for zone in ZONES:
+                if zone in self._evacuated:
+                    self._fleet.evacuate(zone)
+                else:
+                    self._fleet.lift_evacuation(zone)
+
+    def _remove_again(self):
+        with self._removing:
+            for name in self._removed:
+                self._fleet.remove_entry(name)
+
+    WRITTEN_AGAIN = (_configure_again, _evacuate_again, _remove_again)
+
     def _spoil_answers(self, end):
         """Beside the other faults, as _signal."""
         rng = self._stage.rng
@@ -185,13 +252,17 @@
             zones = rng.sample(ZONES, rng.choice((1, 1, 2)))
             begun = []
             for zone in zones:
-                begun.append((zone, self._fleet.evacuate(zone)))
+                with self._evacuating:
+                    self._evacuated.add(zone)
+                    begun.append((zone, self._fleet.evacuate(zone)))
                 time.sleep(rng.uniform(0.2, 1.0))
             lasts = rng.uniform(*EVACUATED_SECONDS)
             self._history.append(f"evacuation of {', '.join(zones)} for {lasts:.1f} s")
             time.sleep(lasts)
             for zone, acknowledged in begun:
-                lift(self._stage, zone, acknowledged)
+                with self._evacuating:
+                    self._evacuated.discard(zone)
+                    lift(self._stage, zone, acknowledged)
                 time.sleep(rng.uniform(0.2, 1.0))
             self._evacuations += len(zones)
 
@@ -205,6 +276,8 @@
         rng = random.Random(f"planned work of {self.seed}")
         end = self._planned_since + self._seconds
         pending = [threading.Thread(target=self._silence, args=(end, it), daemon=True) for it in ("engine", "app")]
+        if "returns" in self._extras:
+            pending.append(threading.Thread(target=self._return_store, args=(end, "planned work"), daemon=True))
         for thread in pending:
             thread.start()
         while time.monotonic() < end:
@@ -297,10 +370,15 @@
     def _leave_and_return_alone(self, name, lasts, word, answers):
         worker = self._fleet.workers[name]
         self._fleet.leave(name, word, answers)
+        if word == "gone":
+            with self._removing:
+                self._removed.add(name)
         time.sleep(lasts)
         self._stage.read_ledger(name)
         self._unplanned_for(0)
         worker["process"].end()
+        with self._removing:
+            self._removed.discard(name)
         worker["process"].start()
         self._fleet.wait_until("a worker is there again",
                                lambda: call(worker["address"], "POST", "/standin/ledger", timeout=1.0)[0] == 200)
@@ -500,6 +578,7 @@
         served = sum(it.status == 200 and it.is_whole for it in requests)
         print(f"seed {self.seed}: {len(requests)} requests, {served} served, {len(self._history)} faults, "
               f"{len(self.signals.told)} times told of a leaving target, {self._evacuations} evacuations, "
+              f"{self._returns} returns of the store, "
               f"{len(self.breaches)} promises broken", flush=True)
 
     def _check_request(self, request):
--- a/tools/target_signals.py
+++ b/tools/target_signals.py
@@ -33,6 +33,7 @@
         self.held = []  # Spans in which what was sent to targets may not have come to them, or may not have been read.
         self.store_away = []  # Spans in which no router may have been answered by the store.
         self.arrivals = collections.defaultdict(list)  # By router and target's life: what came there.
+        self.returns = []  # Spans in which the store was away before it came back from an older copy.
         self.words = []  # (target, acknowledged, ended): spans in which the store held that a target leaves or has gone.
         self.known = {}  # By router and target: when the router was seen to know that it leaves or has gone.
 
@@ -56,6 +57,11 @@
     def note_store_away(self, begin, end):
         self.store_away.append((begin, end))
 
+    def note_return(self, begin, end):
+        """What was acknowledged earlier may be lost until it is written again."""
+        self.note_store_away(begin, end)
+        self.returns.append((begin, end))
+
     def note_evacuation(self, targets, acknowledged, ended):
         self.evacuations.append((frozenset(targets), acknowledged, ended))
 
@@ -106,6 +112,14 @@
             return True  # Its entry went without a word, and is back.
         return (entry.get("born", 0), -entry["seq"]) > (before.get("born", 0), -before["seq"])
 
+    def _may_be_lost(self, acknowledged, at):
+        """Whether a word is not yet bound to be in force again after a return.
+
+        What the store acknowledges in the first seconds after it counts as acknowledged at their end.
+        """
+        return any(acknowledged < end + TOUCH_SECONDS and begin < at < end + TOUCH_SECONDS + DRAIN_SECONDS
+                   for begin, end in self.returns)
+
     def note_known(self, router, target, at):
         """A router itself was seen to know that the target leaves or has gone."""
         self.known.setdefault((router, target), at)
@@ -118,7 +132,8 @@
                 continue
             for router, seconds, at in self._arrivals_late(target, acknowledged, ended):
                 excused = overlaps(self.stops[router], at - TOUCH_SECONDS, at) \
-                    or overlaps(self.held, at - TOUCH_SECONDS, at) or overlaps(self.store_away, at - TOUCH_SECONDS, at)
+                    or overlaps(self.held, at - TOUCH_SECONDS, at) or overlaps(self.store_away, at - TOUCH_SECONDS, at) \
+                    or self._may_be_lost(acknowledged, at)
                 if not excused:
                     found.append((router, target, seconds))
         return found
@@ -157,7 +172,7 @@
         since = acknowledged
         for begin, end in sorted(self.store_away):
             if begin < since + STORE_READ_SECONDS and end > since:
-                since = end
+                since = end + (TOUCH_SECONDS if (begin, end) in self.returns else 0.0)
         return since
 
     def in_backoff(self):
