Play a longer list without an evacuation after the store's return

RestoredZonesTest now plays five such returns; whether a router reads the whole list just then is by chance.

--- a/tests/restored_store_test.py
+++ b/tests/restored_store_test.py
@@ -31,6 +31,7 @@
 GAP_SECONDS = 1.0  # Between two requests of one router to a target that serves all the time,
 PASSED_BY = 15  # while it sends more than this to the two others of the service: of so many one in three is expected.
 EVACUATED = "b"
+LISTS = 5  # Returns after which a list may be read without what it lost.
 SILENT_SECONDS = 60.0  # Of targets whose entries a test writes itself.
 
 
@@ -355,6 +356,34 @@
         self.finish()
         self.assertEqual(lifted[:10], [])
 
+    def test_other_records_after_the_return_lift_an_evacuation(self):
+        """Guards against an evacuation that is dropped by a list that is longer than before the return, yet without it."""
+        self.start(engines=4, applications=4, zones=("a", EVACUATED))
+        time.sleep(2)
+        copied = self.mark_copy()
+        acknowledged = self.fleet.evacuate(EVACUATED)
+        self.check.note_evacuation(self.targets_in(EVACUATED), acknowledged, float("inf"))
+        self.wait_evacuated(EVACUATED)
+        time.sleep(EVACUATION_BOUND_MS / 1000 + 0.5)
+        lifted = []
+        for i in range(LISTS):
+            returned = self.restore(time.monotonic() - copied)
+            self.wait_till(returned + 0.4 + 0.05 * i)  # Amid the reads of routers, which may come in pairs.
+            self.fill_operator_log(4 + 6 * i)
+            lifted += self.lifting(EVACUATED, returned + 1)
+            self.fleet.evacuate(EVACUATED)
+            lifted += self.lifting(EVACUATED, returned + EXEMPT_SECONDS)
+        self.finish()
+        self.assertEqual(lifted[:10], [])
+
+    def lifting(self, zone, until):
+        """The routers that were seen without the evacuation until then."""
+        found = []
+        while time.monotonic() < until:
+            found += [it["front"] for it in self.fleet.routers if zone not in self.fleet.evacuated_for(it)]
+            time.sleep(0.05)
+        return found
+
     def test_an_evacuation_after_the_return_is_passed_over(self):
         """Guards against an evacuation, or its end, that has a lower offset than routers held before the return."""
         self.start(engines=4, applications=4, zones=("a", EVACUATED))
