Keep what is known across a return of the store without inferring positions

Cause: the end of a router's own first list was taken for the end of the copy, positions before it were inferred and told to others as if they were of records; and the era was compared at some of the places only.

Positions are now only those of records. A life that left stays so; an entry that is listed after its removal, and may be of before it, gets no requests until a further record confirms it or its removal would have been written again (three renewals); evacuations that the copy lacks, or still has, stay as known until 2.2 s of reads without a gap have brought nothing else. Reads of another era renew nothing, a state that is sent is of one era, and only the read that finds its records missing is followed by another at once. missing-targets-kept tells how many are missing.

--- a/apps/sagechute-edge/ConfigIntake.cpp
+++ b/apps/sagechute-edge/ConfigIntake.cpp
@@ -35,7 +35,8 @@
                 { { "version", std::to_string(news.config->version) },
                     { "reason", std::string(decoded.status().message()) } });
             // The record counts as unknown, so that it is read from the store.
-            news.next = std::min(news.next, news.config->position);
+            const news::LogPosition position = news.config->position;
+            news.next = position.era == news.next.era ? std::min(news.next, position) : news::LogPosition {};
         }
     }
     const TimePoint now = unsuspendedNow();
--- a/apps/sagechute-edge/EdgeState.cpp
+++ b/apps/sagechute-edge/EdgeState.cpp
@@ -6,6 +6,7 @@
     std::uint64_t seed, bool appliesEvacuations)
     : vm(std::move(self))
     , appliesEvacuations(appliesEvacuations)
+    , m_evacuatedZones(times.storeBreak)
     , m_roster(times.storeBreak)
     , m_dispatcher(dispatch::Dispatcher::make(settings, std::move(zone), seed))
     , m_times(times)
@@ -37,13 +38,15 @@
     m_dispatcher->setEvacuatedZones(steadyNow(), zones);
 }
 
-std::vector<news::ZoneChange> EdgeState::expireEvacuations(TimePoint now)
+std::vector<news::ZoneChange> EdgeState::expireEvacuations()
 {
     std::lock_guard lock(m_mutex);
-    std::vector<news::ZoneChange> lifted = m_evacuatedZones.expire(now);
-    if (!lifted.empty())
+    if (!m_configKnownUntil)
+        return {};
+    std::vector<news::ZoneChange> changed = m_evacuatedZones.expire(*m_configKnownUntil);
+    if (!changed.empty())
         applyEvacuationsLocked();
-    return lifted;
+    return changed;
 }
 
 bool EdgeState::installConfigLocked(const news::ConfigRecord& record, const dispatch::FleetConfig& config)
@@ -120,7 +123,7 @@
     const news::Missing missing = news::learn(mine, told, now);
     m_configKnownUntil = mine.configUntil;
     const std::optional<news::ReadSpan> read = news::toldRead(told, now, now);
-    if (read && !missing.targets)
+    if (read && !missing.targets && told.targetsNext.era == mine.targetsNext.era)
         m_roster.known(mine.targetsNext, *read);
     return missing;
 }
--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -83,9 +83,8 @@
     /// @param sent when that state was requested, on the clock of unsuspendedNow().
     void extendConfigKnowledge(const news::ToldKnowledge&, TimePoint sent);
 
-    /// Lifts evacuations that the store no longer holds since its return; see news::EvacuatedZones::expire().
-    /// @return those that were lifted.
-    std::vector<news::ZoneChange> expireEvacuations(TimePoint now);
+    /// See news::EvacuatedZones::expire().
+    std::vector<news::ZoneChange> expireEvacuations();
 
     /// @return the evacuated zones, in force or not.
     news::EvacuatedZones evacuatedZones() const;
--- a/apps/sagechute-edge/PeerFollower.cpp
+++ b/apps/sagechute-edge/PeerFollower.cpp
@@ -58,10 +58,10 @@
 
 void PeerFollower::expireEvacuations()
 {
-    for (const news::ZoneChange& it : m_state.expireEvacuations(unsuspendedNow()))
-        process::log(process::LogLevel::Warning, "zone-returned",
+    for (const news::ZoneChange& it : m_state.expireEvacuations())
+        process::log(process::LogLevel::Warning, it.isEvacuated ? "zone-evacuated" : "zone-returned",
             { { "zone", it.zone.value }, { "source", "store" },
-                { "reason", "the store lacks the evacuation since its return and it was not written again" } });
+                { "reason", "the store says so since its return from a copy, and nothing else was written in time" } });
 }
 
 std::optional<TimePoint> PeerFollower::witnessedUntil() const
@@ -182,8 +182,8 @@
 
 void PeerFollower::logRetainedTargets()
 {
-    const auto [until, size] = m_state.withTargets(
-        [](const news::TargetRoster& it) { return std::pair(it.keepsMissingUntil(), it.size()); });
+    const auto [until, size, missing] = m_state.withTargets(
+        [](const news::TargetRoster& it) { return std::tuple(it.keepsMissingUntil(), it.size(), it.missingCount()); });
     if (until == m_retainedUntil)
         return;
     m_retainedUntil = until;
@@ -191,7 +191,10 @@
         return;
     process::log(process::LogLevel::Info, "missing-targets-kept",
         { { "for-ms", formatMs(*until - unsuspendedNow()) }, { "targets", std::to_string(size) },
-            { "reason", "no router is known to have read the store for a while; missing entries may have expired" } });
+            { "missing", std::to_string(missing) },
+            { "reason",
+                "no router is known to have read the store for a while, or it returned from a copy; missing entries "
+                "may be back" } });
 }
 
 void PeerFollower::reportKnowledgeAge()
--- a/apps/sagechute-edge/PeerState.cpp
+++ b/apps/sagechute-edge/PeerState.cpp
@@ -55,6 +55,32 @@
         return change;
     }
 
+    /// @return the state that the requesting router lacks; absent if the store's era changed meanwhile.
+    std::optional<PeerState> collectState(const EdgeState& state, const PeerStateRequest& request)
+    {
+        PeerState answer;
+        // The knowledge is taken first, so that the data read after it is at least as new as claimed.
+        answer.knowledge = state.knowledgeForPeers();
+        const news::EvacuatedZones zones = state.evacuatedZones();
+        answer.evacuatedZones = zones.all();
+        std::optional<news::ConfigRecord> config = state.configRecord();
+        if (config && config->version > request.configVersion)
+            answer.config = std::move(config);
+        const news::LogPosition targetsNext = state.withTargets([&](const news::TargetRoster& roster) {
+            // Read under the lock: an earlier time would make the cold times sent longer than they are.
+            const TimePoint now = unsuspendedNow();
+            std::optional<std::vector<news::TargetChange>> changes;
+            if (request.targetsNext)
+                changes = roster.changesSince(*request.targetsNext, now);
+            answer.hasAllTargets = !changes;
+            answer.targets = changes ? std::move(*changes) : roster.all(now);
+            return roster.next().value_or(news::LogPosition {});
+        });
+        const bool isOfOneEra = targetsNext.era == answer.knowledge.targetsNext.era
+            && zones.next().value_or(news::LogPosition {}).era == answer.knowledge.operatorNext.era;
+        return isOfOneEra ? std::optional(std::move(answer)) : std::nullopt;
+    }
+
 } // namespace
 
 std::string peerStatePathFor(const PeerStateRequest& request)
@@ -85,23 +111,11 @@
 
 PeerState makePeerState(const EdgeState& state, const PeerStateRequest& request)
 {
-    PeerState answer;
-    // The knowledge is taken first, so that the data read after it is at least as new as claimed.
-    answer.knowledge = state.knowledgeForPeers();
-    answer.evacuatedZones = state.evacuatedZones().all();
-    std::optional<news::ConfigRecord> config = state.configRecord();
-    if (config && config->version > request.configVersion)
-        answer.config = std::move(config);
-    state.withTargets([&](const news::TargetRoster& roster) {
-        // Read under the lock: an earlier time would make the cold times sent longer than they are.
-        const TimePoint now = unsuspendedNow();
-        std::optional<std::vector<news::TargetChange>> changes;
-        if (request.targetsNext)
-            changes = roster.changesSince(*request.targetsNext, now);
-        answer.hasAllTargets = !changes;
-        answer.targets = changes ? std::move(*changes) : roster.all(now);
-    });
-    return answer;
+    // The store may be found to have returned while the answer is put together.
+    std::optional<PeerState> answer;
+    while (!answer)
+        answer = collectState(state, request);
+    return std::move(*answer);
 }
 
 std::string encode(const PeerState& state)
--- a/apps/sagechute-edge/StoreFollower.cpp
+++ b/apps/sagechute-edge/StoreFollower.cpp
@@ -89,7 +89,7 @@
             topic.sentAt = unsuspendedNow();
             const bool isRead = (this->*topic.read)(topic, now.standing.isReader ? m_times.wait : Duration::zero());
             // A store that lacks the records has answered, and a full read can follow at once.
-            topic.failedAt = isRead || topic.cursor.isHistoryLost() ? std::nullopt : topic.sentAt;
+            topic.failedAt = isRead || topic.hasLostHistory ? std::nullopt : topic.sentAt;
             delay = Duration::zero();
         }
     }
@@ -100,6 +100,7 @@
     m_metrics.storeCalls().Increment();
     m_metrics.storeEra().Set(static_cast<double>(m_store.era()));
     const TimePoint now = unsuspendedNow();
+    topic.hasLostHistory = errorKind(status) == ErrorKind::RetentionExceeded;
     if (status.ok()) {
         topic.readAt->store(now);
         if (const std::optional<Duration> away = topic.cursor.readDone(now, next))
@@ -107,7 +108,7 @@
                 process::LogLevel::Info, "store-regained", { { "topic", topic.name }, { "away-ms", formatMs(*away) } });
         return true;
     }
-    if (errorKind(status) == ErrorKind::RetentionExceeded) {
+    if (topic.hasLostHistory) {
         topic.cursor.historyLost();
         m_metrics.historyLosses().Increment();
         process::log(process::LogLevel::Warning, "store-history-lost",
--- a/apps/sagechute-edge/StoreFollower.h
+++ b/apps/sagechute-edge/StoreFollower.h
@@ -32,6 +32,7 @@
         news::ReadCursor cursor;
         std::optional<TimePoint> sentAt;
         std::optional<TimePoint> failedAt;
+        bool hasLostHistory = false; ///< The last read found its records missing.
     };
 
     void run(Topic&);
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -220,11 +220,10 @@
 /// records in a row that say otherwise: a single one may be a late write of the draining target. If only the target
 /// said so itself, its entry must also have gone before.
 ///
-/// When the store returns from a copy, what is known from before stays in force until newer records say otherwise: the
-/// copy may lack a removal or a draining state that was acknowledged. Offsets below the copy's end still denote the
-/// same records, so positions known before are carried over to the new era, at most up to the end of the first list
-/// read in it. A listed entry that would be older is ignored, and an entry that is not listed is kept for the time that
-/// live targets have to register again.
+/// When the store returns from a copy, the copy may lack a draining state, a removal or an entry that was acknowledged.
+/// A life that was seen draining stays so. A target whose entry was removed before, and that is listed again, gets no
+/// requests until a further record confirms it or until its removal would have been written again. An entry that is not
+/// listed is kept for the time that live targets have to register again.
 ///
 /// Routers exchange changes with the positions of their records instead of lists: lists cannot be ordered by age when
 /// one router retains an entry that another has dropped, and each router decides on retention by itself.
@@ -306,6 +305,9 @@
     std::uint64_t revision() const { return m_revision; }
     std::size_t size() const { return m_entries.size(); }
 
+    /// @return the number of retained entries that are missing.
+    std::size_t missingCount() const;
+
     /// Maximum time after the store's return until a live target has registered again.
     static constexpr Duration reregistrationTime = std::chrono::milliseconds(2000);
 
@@ -316,6 +318,10 @@
     /// consecutive failures remove an entry.
     static constexpr Duration entryLapseTime = std::chrono::milliseconds(2000);
 
+    /// Maximum time after the store's return until a removal that the copy lacks is written again: three failed
+    /// renewals of 1.2 s, and the time for the record to arrive.
+    static constexpr Duration lostRemovalTime = std::chrono::milliseconds(4500);
+
     /// Records that renew an entry say the remaining cold time in milliseconds and take different times to arrive. An
     /// end of the cold time that is earlier than known by no more than this is not a change of the list.
     static constexpr Duration coldEndTolerance = std::chrono::milliseconds(250);
@@ -323,10 +329,11 @@
 private:
     struct Entry {
         dispatch::Target target;
-        LogPosition position; ///< Of the record, in the era in which it was read.
+        LogPosition position; ///< Of the record.
         TimePoint coldUntil; ///< As of the target's newest record; zero: it said that the target is warm.
         bool isMissing = false; ///< May have expired; retained for the grace period.
         bool isSuspended = false; ///< Missing, and gets no requests.
+        std::optional<TimePoint> heldUntil; ///< Listed by a copy after its removal, and gets no requests until then.
         std::optional<TimePoint> missingAfter; ///< Of a missing entry; see Departure::noticeAfter.
     };
 
@@ -363,8 +370,8 @@
     static dispatch::Target targetAt(const Entry&, std::optional<TimePoint> now);
     void remove(TimePoint now, const TargetId&, LogPosition);
 
-    /// Carries over to a new era what is known of lives. @param end of the first list known in it.
-    void beginEra(LogPosition end, TimePoint returnedBy);
+    /// Notes a return of the store. @param end of the first list known in the new era.
+    void noteReturn(LogPosition end, TimePoint returnedBy);
     void removeExpiredLives(TimePoint now);
 
     /// Removes from the gaps an interval in which another router knows the store to have been read.
@@ -415,6 +422,7 @@
     std::uint64_t m_revision = 0;
     std::optional<TimePoint> m_knownBefore; ///< knownUntil() before the read that is being applied.
     std::vector<Departure> m_departures;
+    LogPosition m_writtenSinceReturn; ///< Records from here on were written after the store's last return.
     std::optional<TimePoint> m_returnedBy; ///< The store had returned from a copy; absent after the grace period.
     std::optional<StoreReturn> m_storeReturn;
 };
@@ -427,10 +435,16 @@
 /// up to a position, so that the older of two lists never takes back what the newer one states, and the removal of a
 /// record needs no entry of its own.
 ///
-/// When the store returns from a copy, an evacuation that the copy lacks stays in force for the time that the operator
-/// has to write it again.
+/// When the store returns from a copy, an evacuation that the copy lacks stays in force, and one that the copy still
+/// has although it was lifted stays lifted, for the time that the operator has to write it again.
 class EvacuatedZones {
 public:
+    /// @param storeBreak see NewsTimes.
+    explicit EvacuatedZones(Duration storeBreak = TargetRoster::entryLapseTime)
+        : m_maxReadGap(storeBreak)
+    {
+    }
+
     struct Entry {
         LogPosition position; ///< Of the newest record that evacuates the zone.
         TimePoint since; ///< When this router learned of the evacuation.
@@ -448,9 +462,11 @@
     /// record was written before.
     std::vector<ZoneChange> replace(TimePoint now, const std::vector<ZoneChange>& all, LogPosition end);
 
-    /// Lifts evacuations that the store lacks since its return and that were not written again in time.
-    /// @return the zones that were lifted.
-    std::vector<ZoneChange> expire(TimePoint now);
+    /// Goes by the store's word where nothing was written again in time after its return. That time begins anew after a
+    /// gap in what is known, as the operator may not have reached the store in it.
+    /// @param knownUntil all operator records acknowledged before this time are known.
+    /// @return the zones that were evacuated or lifted by it.
+    std::vector<ZoneChange> expire(TimePoint knownUntil);
 
     /// @return the position of the first operator record that is not known yet; absent before the first update.
     std::optional<LogPosition> next() const { return m_next; }
@@ -467,7 +483,17 @@
     /// @return whether the set of evacuated zones changed.
     bool apply(TimePoint now, const ZoneChange&);
 
+    /// A lifted evacuation that a copy still has.
+    struct Doubtful {
+        LogPosition position;
+        TimePoint until;
+    };
+
+    Duration m_maxReadGap;
+    std::optional<TimePoint> m_knownUntil; ///< Of the last call of expire().
     std::map<ZoneId, Entry> m_zones;
+    std::map<ZoneId, TimePoint> m_lifted; ///< When; for the time that a copy can be old.
+    std::map<ZoneId, Doubtful> m_doubtful;
     std::optional<LogPosition> m_next;
     std::uint64_t m_revision = 0;
 };
@@ -493,9 +519,6 @@
     /// The records at the cursor are no longer retained, or are of an older era.
     void historyLost();
 
-    /// @return whether everything has to be read since historyLost().
-    bool isHistoryLost() const { return m_lost.has_value(); }
-
     /// Another router has supplied everything before @p next. It must not be read again: old records would bring back
     /// targets that have been removed since.
     void toldByPeer(LogPosition next);
--- a/src/news/EvacuatedZones.cpp
+++ b/src/news/EvacuatedZones.cpp
@@ -4,6 +4,13 @@
 
 namespace sagechute::news {
 
+namespace {
+
+    /// Age of the oldest copy that a store returns from.
+    constexpr Duration maxCopyAge = std::chrono::minutes(1);
+
+} // namespace
+
 bool EvacuatedZones::apply(TimePoint now, const ZoneChange& change)
 {
     const auto known = m_zones.find(change.zone);
@@ -11,8 +18,12 @@
     // A full list may contain records after its end, which are then read again along with older ones.
     if (wasEvacuated && known->second.position > change.position)
         return false;
-    if (!change.isEvacuated)
+    m_doubtful.erase(change.zone);
+    if (!change.isEvacuated) {
+        m_lifted[change.zone] = now;
         return m_zones.erase(change.zone) > 0;
+    }
+    m_lifted.erase(change.zone);
     Entry& entry = m_zones[change.zone];
     entry.position = change.position;
     entry.keptUntil.reset();
@@ -52,7 +63,11 @@
         if (!it.isEvacuated)
             continue;
         listed.insert(it.zone);
-        if (apply(now, it))
+        const auto lifted = m_lifted.find(it.zone);
+        const bool isDoubtful = isNewEra && lifted != m_lifted.end() && now - lifted->second < maxCopyAge;
+        if (isDoubtful)
+            m_doubtful[it.zone] = { it.position, now + TargetRoster::reregistrationGrace };
+        else if (!m_doubtful.contains(it.zone) && apply(now, it))
             changed.push_back(it);
     }
     for (auto& [zone, entry] : m_zones) {
@@ -65,25 +80,43 @@
             changed.push_back({ zone, false, end });
     }
     for (const ZoneChange& it : changed) {
-        if (!it.isEvacuated)
+        if (!it.isEvacuated) {
             m_zones.erase(it.zone);
+            m_lifted[it.zone] = now;
+        }
     }
+    std::erase_if(m_doubtful, [&](const auto& it) { return !listed.contains(it.first); });
     m_next = end;
     m_revision += changed.size();
     return changed;
 }
 
-std::vector<ZoneChange> EvacuatedZones::expire(TimePoint now)
+std::vector<ZoneChange> EvacuatedZones::expire(TimePoint knownUntil)
 {
-    std::vector<ZoneChange> lifted;
+    const TimePoint now = std::max(knownUntil, m_knownUntil.value_or(knownUntil));
+    if (m_knownUntil && now - *m_knownUntil > m_maxReadGap) {
+        for (auto& [zone, entry] : m_zones) {
+            if (entry.keptUntil)
+                entry.keptUntil = now + TargetRoster::reregistrationGrace;
+        }
+        for (auto& [zone, doubtful] : m_doubtful)
+            doubtful.until = now + TargetRoster::reregistrationGrace;
+    }
+    m_knownUntil = now;
+    std::vector<ZoneChange> due;
     for (const auto& [zone, entry] : m_zones) {
         if (entry.keptUntil && *entry.keptUntil <= now)
-            lifted.push_back({ zone, false, m_next.value_or(LogPosition {}) });
+            due.push_back({ zone, false, m_next.value_or(LogPosition {}) });
+    }
+    for (const auto& [zone, doubtful] : m_doubtful) {
+        if (doubtful.until <= now)
+            due.push_back({ zone, true, doubtful.position });
     }
-    for (const ZoneChange& it : lifted)
-        m_zones.erase(it.zone);
-    m_revision += lifted.size();
-    return lifted;
+    for (const ZoneChange& it : due)
+        apply(now, it);
+    std::erase_if(m_lifted, [&](const auto& it) { return now - it.second >= maxCopyAge; });
+    m_revision += due.size();
+    return due;
 }
 
 std::vector<ZoneChange> EvacuatedZones::all() const
@@ -94,6 +127,8 @@
         if (!entry.keptUntil)
             result.push_back({ zone, true, entry.position });
     }
+    for (const auto& [zone, doubtful] : m_doubtful)
+        result.push_back({ zone, true, doubtful.position });
     return result;
 }
 
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -37,7 +37,7 @@
     if (m_next && next.era < m_next->era)
         return;
     if (m_next && next.era > m_next->era)
-        beginEra(next, told.until);
+        noteReturn(next, told.until);
     m_next = std::max(m_next.value_or(LogPosition {}), next);
     if (!m_read) {
         m_read = told;
@@ -59,16 +59,11 @@
     m_isGapWitnessed = m_isGapWitnessed || (told.isTold && isAfterGap);
 }
 
-void TargetRoster::beginEra(LogPosition end, TimePoint returnedBy)
+void TargetRoster::noteReturn(LogPosition end, TimePoint returnedBy)
 {
     m_storeReturn = StoreReturn { *m_next, end };
     m_returnedBy = returnedBy;
-    const auto carryOver = [&](LogPosition& it) { it = { std::min(it.offset, end.offset), end.era }; };
-    for (auto& [id, life] : m_lives) {
-        carryOver(life.position);
-        carryOver(life.leavingAt);
-        life.readyAt.reset();
-    }
+    m_writtenSinceReturn = end;
 }
 
 void TargetRoster::narrowReadGaps(ReadSpan told)
@@ -88,17 +83,19 @@
 {
     m_graceUntil.reset();
     m_isGraceByStall = true;
+    bool hasGap = false;
     for (const ReadGap& it : m_readGaps) {
         const bool mayHaveLapsed = it.after - it.before > entryLapseTime;
         const bool blocksReregistration = m_graceUntil && it.before < *m_graceUntil;
         if (!mayHaveLapsed && !blocksReregistration)
             continue;
+        hasGap = true;
         m_graceUntil = it.after + reregistrationGrace;
         m_isGraceByStall = m_isGraceByStall && isExplainedByStalls(it);
     }
     if (m_returnedBy) {
         m_graceUntil = std::max(m_graceUntil.value_or(TimePoint {}), *m_returnedBy + reregistrationGrace);
-        m_isGraceByStall = false;
+        m_isGraceByStall = m_isGraceByStall && hasGap;
     }
     if (!m_graceUntil || m_read->until >= *m_graceUntil) {
         m_graceUntil.reset();
@@ -163,6 +160,7 @@
         return false;
     if (target.startedAtMs > newest.startedAtMs || isNextLife(newest, change)) {
         newest.startedAtMs = target.startedAtMs;
+        newest.isGone = newest.isGone && change.position < newest.position;
         newest.isLeaving = newest.isLeavingByItself = false;
         newest.readyAt.reset();
     }
@@ -181,6 +179,12 @@
     if (target.startedAtMs != 0 || target.draining || !life.isLeaving || life.isLeavingByItself
         || change.position <= life.leavingAt)
         return false;
+    if (change.position.era > life.leavingAt.era) {
+        // The first record of an era may be of a copy that is older than the target's leaving.
+        life.leavingAt = change.position;
+        life.readyAt.reset();
+        return false;
+    }
     if (!life.readyAt)
         life.readyAt = change.position;
     return change.position > *life.readyAt;
@@ -255,26 +259,36 @@
 
 void TargetRoster::recordDeparture(const Entry& entry, bool isGone, std::optional<TimePoint> noticeAfter)
 {
-    if (!entry.target.draining && !entry.isSuspended)
+    if (!entry.target.draining && !entry.isSuspended && !entry.heldUntil)
         m_departures.push_back({ entry.target.incarnation(), isGone, noticeAfter });
 }
 
 void TargetRoster::set(TimePoint now, const TargetChange& change)
 {
     LifeRecord& life = m_lives[change.id];
-    const bool isSameRecord = life.position == change.position;
+    Entry& entry = m_entries[change.id];
+    const bool isNew = entry.target.id.value.empty();
+    const bool isFirstOfEra = change.position.era > entry.position.era;
+    const bool isSameRecord = change.position == entry.position
+        || (isFirstOfEra && change.position.offset == entry.position.offset && *change.target == entry.target);
+    std::optional<TimePoint> heldUntil = change.position == entry.position ? entry.heldUntil : std::nullopt;
+    // Offsets below the end of the copy denote the same records as before the return.
+    const bool mayBeOlder = change.position < m_writtenSinceReturn && change.position.offset <= life.position.offset;
+    if (isNew && life.isGone && change.position.era > life.position.era && mayBeOlder)
+        heldUntil = now + lostRemovalTime;
     life.at = now;
     life.position = change.position;
     life.isGone = false;
-    Entry& entry = m_entries[change.id];
     const TimePoint coldUntil = TargetRoster::coldUntil(now, change, entry, isSameRecord);
     const bool isSameColdTime = coldUntil == entry.coldUntil || std::max(coldUntil, entry.coldUntil) <= now;
     entry.target.coldLeft = change.target->coldLeft;
-    const bool isSame = entry.target == *change.target && isSameColdTime && !entry.isSuspended;
+    const bool isSame = entry.target == *change.target && isSameColdTime && !entry.isSuspended
+        && entry.heldUntil.has_value() == heldUntil.has_value();
     const bool isLeaving = change.target->draining || entry.target.incarnation() != change.target->incarnation();
-    if (isLeaving && !entry.target.id.value.empty())
+    if (isLeaving && !isNew)
         recordDeparture(entry, !change.target->draining, entry.isMissing ? entry.missingAfter : m_knownBefore);
     entry = { *change.target, change.position, coldUntil };
+    entry.heldUntil = heldUntil;
     if (!isSame)
         ++m_revision;
 }
@@ -345,6 +359,11 @@
         present.insert(it.id);
         apply(now, it);
     }
+    std::erase_if(present, [&](const TargetId& id) {
+        const auto it = m_entries.find(id);
+        // The list has an earlier life than the one that is known, as its record was lost by the store's return.
+        return it != m_entries.end() && it->second.position.era < end.era;
+    });
     std::vector<TargetId> missing;
     for (const auto& [id, entry] : m_entries) {
         // Entries from later records were written after the list was made.
@@ -357,8 +376,7 @@
     m_completeFrom = std::max(m_completeFrom, end);
     if (m_storeReturn && m_storeReturn->current.era == end.era) {
         m_storeReturn->listed = present.size();
-        m_storeReturn->kept = static_cast<std::size_t>(
-            std::count_if(m_entries.begin(), m_entries.end(), [](const auto& it) { return it.second.isMissing; }));
+        m_storeReturn->kept = missingCount();
     }
     updateSuspended();
 }
@@ -374,7 +392,8 @@
             continue;
         const auto it = m_entries.find(id);
         if (life.isGone && life.isLeaving)
-            changes.push_back({ id, leavingTarget(id, life.startedAtMs), life.leavingAt });
+            changes.push_back({ id, leavingTarget(id, life.startedAtMs),
+                life.leavingAt.era == life.position.era ? life.leavingAt : life.position });
         if (life.isGone)
             changes.push_back({ id, std::nullopt, life.position });
         else if (it != m_entries.end())
@@ -389,7 +408,7 @@
     result.reserve(m_entries.size());
     for (const auto& [id, entry] : m_entries) {
         if (!entry.isMissing)
-            result.push_back({ id, targetAt(entry, now), m_lives.at(id).position });
+            result.push_back({ id, targetAt(entry, now), entry.position });
     }
     return result;
 }
@@ -400,7 +419,8 @@
         if (m_entries.contains(it.first) || now - it.second.at <= lifeRetention)
             return false;
         const LogPosition last = it.second.position;
-        m_completeFrom = std::max(m_completeFrom, { last.offset + 1, last.era });
+        const LogPosition afterLast { last.offset + 1, last.era };
+        m_completeFrom = std::max(m_completeFrom, m_next ? std::min(afterLast, *m_next) : afterLast);
         return true;
     });
 }
@@ -410,6 +430,12 @@
     removeExpiredLives(now);
     const std::uint64_t before = m_revision;
     updateSuspended();
+    for (auto& [id, entry] : m_entries) {
+        if (entry.heldUntil && *entry.heldUntil <= now) {
+            entry.heldUntil.reset();
+            ++m_revision;
+        }
+    }
     if (!isGracePeriodOver(now))
         return m_revision != before;
     const auto n = std::erase_if(m_entries, [this](const auto& it) {
@@ -421,11 +447,19 @@
     return m_revision != before;
 }
 
+std::size_t TargetRoster::missingCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [](const auto& it) { return it.second.isMissing; }));
+}
+
 std::vector<dispatch::Target> TargetRoster::targets(std::optional<TimePoint> now) const
 {
     std::vector<dispatch::Target> result;
-    for (const auto& [id, entry] : m_entries)
+    for (const auto& [id, entry] : m_entries) {
         result.push_back(targetAt(entry, now));
+        result.back().draining = result.back().draining || entry.heldUntil;
+    }
     return result;
 }
 
--- a/tests/PeerTargetsTest.cpp
+++ b/tests/PeerTargetsTest.cpp
@@ -58,3 +58,20 @@
     document[3][0].push_back("soon");
     CHECK_FALSE(decodePeerState(encodeCbor(document)).ok());
 }
+
+// Guards against a router that takes its list for complete by reads of another history.
+TEST_CASE("reads of a router that tells no era, or an older one, do not renew the list")
+{
+    const news::StoreEra toldEra = GENERATE(0, 1);
+    EdgeState state({}, news::NewsTimes::make(2s, false), { "vm" }, { "z" }, 1, false);
+    const TimePoint before = unsuspendedNow() - 30s;
+    state.updateTargets([&](news::TargetRoster& it) {
+        it.known({ 100, 2 }, before);
+        it.replace(before, {}, { 100, 2 });
+    });
+    // It has read the store just now, and is 400 records further.
+    const news::Missing missing
+        = state.mergePeerKnowledge({ 0, 10ms, { 500, toldEra }, 10ms, 10ms, 40s, { 9, toldEra } });
+    CAPTURE(missing.targets);
+    CHECK(state.knowledge().targetsUntil == before);
+}
--- a/tests/StoreReturnTest.cpp
+++ b/tests/StoreReturnTest.cpp
@@ -216,7 +216,6 @@
     ReadCursor cursor;
     cursor.readDone(start, { 100, former });
     cursor.historyLost();
-    CHECK(cursor.isHistoryLost());
     cursor.toldByPeer({ 100, former });
     CHECK_FALSE(cursor.next());
     SECTION("read")
@@ -245,3 +244,220 @@
     CHECK(missing.targets);
     CHECK(behind.targetsUntil == start);
 }
+
+// Guards against live targets that are given up because their lapse had a higher offset than their new entry.
+TEST_CASE("targets whose lapse was known are used when the first list after the return has them again")
+{
+    const std::int64_t bornMs = GENERATE(1000, 0);
+    TargetRoster roster = rosterBeforeReturn(bornMs);
+    // The store was away for 3 s; the entries lapsed, and their removals are read in the former era.
+    roster.known({ 102, former }, start + 3s);
+    roster.applyAll(start + 3s, { gone("a", { 100, former }), gone("b", { 101, former }) });
+    REQUIRE(usable(roster) == std::set<std::string> { "a", "b" });
+    // It returns from a copy (end 60); both have registered again at 60 and 61 when the first list is read.
+    readAfterReturn(roster, start + 4s,
+        { entry("a", { 60, current }, State::Ready, bornMs), entry("b", { 61, current }, State::Ready, bornMs) }, 62);
+    for (Duration at = 4500ms; at <= 30s; at += 500ms) {
+        roster.known({ 62, current }, start + at);
+        roster.expire(start + at);
+    }
+    CHECK(usable(roster) == std::set<std::string> { "a", "b" });
+}
+
+// Guards against a live target that is never used again because its lapse had a higher offset than the copy's entry.
+TEST_CASE("a lapsed target that the copy lists is used")
+{
+    TargetRoster roster = rosterBeforeReturn(0);
+    roster.known({ 111, former }, start + 1s);
+    roster.applyAll(start + 1s, { gone("a", { 110, former }) });
+    readAfterReturn(roster, start + 3s,
+        { entry("a", { 40, current }, State::Ready, 0), entry("b", { 50, current }, State::Ready, 0) });
+    for (Duration at = 3500ms; at <= 60s; at += 500ms) {
+        const std::vector<TargetChange> list { entry("a", { 40, current }, State::Ready, 0),
+            entry("b", { 50, current }, State::Ready, 0) };
+        roster.known({ 60, current }, start + at);
+        roster.replace(start + at, list, { 60, current });
+        roster.expire(start + at);
+    }
+    CHECK(usable(roster) == std::set<std::string> { "a", "b" });
+}
+
+// Guards against a state that is inferred and told to others as if it were a record.
+TEST_CASE("a router that read later does not take a target from one that read it")
+{
+    const std::int64_t bornMs = GENERATE(1000, 0);
+    TargetRoster early = rosterBeforeReturn(bornMs);
+    TargetRoster late = rosterBeforeReturn(bornMs);
+    for (TargetRoster* it : { &early, &late }) {
+        it->known({ 111, former }, start + 1s);
+        it->applyAll(start + 1s, { gone("b", { 110, former }) });
+    }
+    readAfterReturn(early, start + 3s, { entry("a", { 40, current }, State::Ready, bornMs) }, 60);
+    early.known({ 71, current }, start + 3500ms);
+    early.applyAll(start + 3500ms, { entry("b", { 70, current }, State::Ready, bornMs) });
+    REQUIRE(usable(early) == std::set<std::string> { "a", "b" });
+    readAfterReturn(late, start + 4s,
+        { entry("a", { 40, current }, State::Ready, bornMs), entry("b", { 70, current }, State::Ready, bornMs) }, 80);
+    // To this router the entry may be one from before the removal.
+    CHECK(usable(late) == std::set<std::string> { "a" });
+    passGracePeriod(early, 71);
+    const auto changes = late.changesSince(*early.next());
+    early.known({ 80, current }, start + 6500ms);
+    if (changes)
+        early.applyAll(start + 6500ms, *changes);
+    else
+        early.replace(start + 6500ms, late.all(), { 80, current });
+    CHECK(usable(early) == std::set<std::string> { "a", "b" });
+    passGracePeriod(late, 80);
+    late.expire(start + 4s + TargetRoster::lostRemovalTime);
+    CHECK(usable(late) == std::set<std::string> { "a", "b" });
+}
+
+// Guards against requests that go on to the address of a life that has ended.
+TEST_CASE("a next life that was written before the first list was read is used")
+{
+    TargetRoster roster = rosterBeforeReturn();
+    readAfterReturn(
+        roster, start + 3s, { entry("a", { 40, current }), entry("b", { 70, current }, State::Ready, 2000) }, 80);
+    bool isNewLife = false;
+    for (const dispatch::Target& it : roster.targets())
+        isNewLife = isNewLife || (it.id.value == "b" && it.startedAtMs == 2000);
+    CHECK(isNewLife);
+}
+
+// Guards against requests that are refused as the copy has an evacuation that was lifted.
+TEST_CASE("a zone whose evacuation was lifted is not evacuated by the copy")
+{
+    EvacuatedZones zones;
+    zones.replace(start, { evacuation("a", { 40, former }) }, { 100, former });
+    zones.applyAll(start + 1s, { { { "a" }, false, { 100, former } } }, { 101, former });
+    REQUIRE(zones.zones().empty());
+    zones.replace(start + 3s, { evacuation("a", { 40, current }) }, { 60, current });
+    CHECK(zones.zones().empty());
+}
+
+// Guards against live targets that are given up after two returns in a row.
+TEST_CASE("targets that are missing at one return and listed at the next are used")
+{
+    TargetRoster roster = rosterBeforeReturn();
+    readAfterReturn(roster, start + 3s, {}, 60);
+    REQUIRE(usable(roster) == std::set<std::string> { "a", "b" });
+    roster.known({ 62, 3 }, start + 4s);
+    roster.replace(start + 4s, { entry("a", { 55, 3 }), entry("b", { 56, 3 }) }, { 62, 3 });
+    for (Duration at = 4500ms; at <= 9s; at += 500ms) {
+        roster.known({ 62, 3 }, start + at);
+        roster.expire(start + at);
+    }
+    CHECK(usable(roster) == std::set<std::string> { "a", "b" });
+}
+
+// Guards against one record of the copy that counts as two because routers know it by different positions.
+TEST_CASE("lists of several routers do not end a draining life")
+{
+    // "b" was ready at 99; only the reader has read that it drains, at 100, when the store goes away.
+    TargetRoster reader = rosterBeforeReturn(0), second = rosterBeforeReturn(0), third = rosterBeforeReturn(0);
+    reader.known({ 101, former }, start + 1s);
+    reader.applyAll(start + 1s, { entry("b", { 100, former }, State::Draining, 0) });
+    REQUIRE(usable(reader) == std::set<std::string> { "a" });
+    const std::vector<TargetChange> list { entry("a", { 40, current }, State::Ready, 0),
+        entry("b", { 50, current }, State::Ready, 0) };
+    readAfterReturn(reader, start + 3s, list, 60);
+    readAfterReturn(second, start + 3100ms, list, 65);
+    readAfterReturn(third, start + 3200ms, list, 70);
+    for (const TargetRoster* it : { &second, &third }) {
+        const auto changes = it->changesSince(*reader.next());
+        reader.known(*it->next(), start + 3300ms);
+        if (changes)
+            reader.applyAll(start + 3300ms, *changes);
+        else
+            reader.replace(start + 3300ms, it->all(), *it->next());
+    }
+    CHECK(usable(reader) == std::set<std::string> { "a" });
+}
+
+// Guards against a target that is used after its removal as a fetch was on its way.
+TEST_CASE("a late full list does not bring back a target removed by the first record of the era")
+{
+    TargetRoster reader = rosterBeforeReturn(0), other = rosterBeforeReturn(0);
+    const std::vector<TargetChange> list { entry("a", { 40, current }, State::Ready, 0),
+        entry("b", { 50, current }, State::Ready, 0) };
+    readAfterReturn(reader, start + 3s, list, 60);
+    readAfterReturn(other, start + 3s, list, 60);
+    reader.known({ 61, current }, start + 3100ms);
+    reader.applyAll(start + 3100ms, { gone("b", { 60, current }) });
+    // The answer to a request from before the return.
+    reader.known({ 60, current }, start + 3000ms);
+    reader.replace(start + 3150ms, other.all(), { 60, current });
+    for (Duration at = 3500ms; at <= 20s; at += 500ms) {
+        reader.known({ 61, current }, start + at);
+        reader.expire(start + at);
+    }
+    CHECK(usable(reader) == std::set<std::string> { "a" });
+}
+
+// Guards against the same where the copy lists it.
+TEST_CASE("a late full list does not bring back a target that was listed")
+{
+    TargetRoster reader, other;
+    const std::vector<TargetChange> list { entry("a", { 40, current }, State::Ready, 0),
+        entry("b", { 50, current }, State::Ready, 0) };
+    readAfterReturn(reader, start + 3s, list, 60);
+    readAfterReturn(other, start + 3s, list, 60);
+    reader.known({ 61, current }, start + 3100ms);
+    reader.applyAll(start + 3100ms, { gone("b", { 60, current }) });
+    reader.known({ 60, current }, start + 3000ms);
+    reader.replace(start + 3150ms, other.all(), { 60, current });
+    CHECK(usable(reader) == std::set<std::string> { "a" });
+}
+
+// Guards against a return that ends the suspension of targets that left while the router did not run.
+TEST_CASE("a router that stood still over the return does not send to targets gone long ago")
+{
+    const StoreEra era = GENERATE(former, current); // former: control, no return
+    TargetRoster roster;
+    std::vector<TargetChange> all;
+    for (const char* id : { "a", "b", "c", "d" })
+        all.push_back(entry(id, { 40, former }));
+    roster.known({ 100, former }, start);
+    roster.replace(start, all, { 100, former });
+    roster.noteStall({ start + 100ms, start + 20s });
+    // "d" was removed 15 s ago.
+    roster.known({ 120, era }, start + 20100ms);
+    all.pop_back();
+    for (TargetChange& it : all)
+        it.position.era = era;
+    roster.replace(start + 20100ms, all, { 120, era });
+    CAPTURE(era);
+    CHECK(usable(roster) == std::set<std::string> { "a", "b", "c" });
+}
+
+// Guards against a target that is never used as its record seems to be part of an earlier list.
+TEST_CASE("the first record of the era counts after removed lives are forgotten")
+{
+    TargetRoster roster = rosterBeforeReturn();
+    roster.known({ 111, former }, start + 1s);
+    roster.applyAll(start + 1s, { gone("b", { 110, former }) });
+    readAfterReturn(roster, start + 3s, { entry("a", { 40, current }) }, 60);
+    passGracePeriod(roster, 60);
+    for (Duration at = 10s; at <= 11min; at += 1s) {
+        roster.known({ 60, current }, start + at);
+        roster.expire(start + at);
+    }
+    roster.known({ 61, current }, start + 11min + 1s);
+    roster.applyAll(start + 11min + 1s, { entry("c", { 60, current }, State::Ready, 700000) });
+    CHECK(usable(roster) == std::set<std::string> { "a", "c" });
+}
+
+// Guards against a live target that is held back for longer than it needs to show that it lives.
+TEST_CASE("a target that is listed after its removal and renews its entry is used")
+{
+    // bornMs == 0, as the platform's entries have no start time.
+    TargetRoster roster = rosterBeforeReturn(0);
+    roster.known({ 111, former }, start + 1s);
+    roster.applyAll(start + 1s, { gone("a", { 110, former }) });
+    readAfterReturn(roster, start + 3s,
+        { entry("a", { 40, current }, State::Ready, 0), entry("b", { 50, current }, State::Ready, 0) });
+    roster.known({ 61, current }, start + 4s);
+    roster.applyAll(start + 4s, { entry("a", { 60, current }, State::Ready, 0) });
+    CHECK(usable(roster) == std::set<std::string> { "a", "b" });
+}
