Let the store of the news model return from a copy

The simulated store goes back to what it was some seconds ago, in a new era; the operator and the targets write again within two seconds, in another order. A read that continues from an older era is answered as lost history, as the platform's store is read. Returns come at times planned or by chance, before, during and after absences, singly or in pairs, with answers that were on their way. Checks: removed targets and evacuations, live targets and evacuations that are dropped, agreement with the store two seconds and the bound after the last writing again, and older configurations. Four deliberate faults: the era ignored, taken on arrival of a late answer, taken from an older list of a router, hidden from routers. Targets renew their entries in these courses only; without returns the courses draw the same random numbers. After lost history a read follows at once and reads of targets go by the cursor, as in StoreFollower.

--- a/tests/NewsStore.cpp
+++ b/tests/NewsStore.cpp
@@ -1,6 +1,7 @@
 #include "NewsStore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sagechute::news::test {
 
@@ -16,6 +17,8 @@
     constexpr Duration firstLapse = milliseconds(2400);
     constexpr Duration lapseSpread = milliseconds(1200);
     constexpr Duration maxReregistrationDelay = milliseconds(1900);
+    constexpr Duration renewalInterval = milliseconds(1200);
+    constexpr Duration renewalOffset = milliseconds(150); ///< Of each target to the one before.
 
     Duration fractionOf(Duration whole, double share) { return std::chrono::duration_cast<Duration>(whole * share); }
 
@@ -23,7 +26,7 @@
 
 NewsStore::NewsStore(TimePoint start, Duration stableTime)
     : m_stableTime(stableTime)
-    , m_operator { { start, std::nullopt } }
+    , m_operator { { start, std::nullopt, 1 } }
     , m_configAcknowledged { start }
 {
     for (std::size_t i = 0; i < targetCount; ++i)
@@ -33,10 +36,20 @@
 void NewsStore::addTarget(TimePoint now)
 {
     m_lives.push_back({ { "target-" + std::to_string(m_lives.size()) }, {}, {}, {}, true });
-    write(m_lives.back().id, true, now);
+    m_lives.back().listedSince = now;
+    if (m_isRenewing)
+        m_lives.back().renews = now + renewalInterval;
+    write(now, m_lives.back().id, true, now);
 }
 
-void NewsStore::write(const TargetId& id, bool isListed, std::optional<TimePoint> acknowledged)
+void NewsStore::startRenewals(TimePoint now)
+{
+    m_isRenewing = true;
+    for (std::size_t i = 0; i < m_lives.size(); ++i)
+        m_lives[i].renews = now + renewalOffset * static_cast<int>(i);
+}
+
+void NewsStore::write(TimePoint now, const TargetId& id, bool isListed, std::optional<TimePoint> acknowledged)
 {
     TargetChange change { id, std::nullopt, targetsEnd() };
     if (isListed) {
@@ -44,6 +57,7 @@
         change.target->id = id;
     }
     m_records.push_back(std::move(change));
+    m_written.push_back(now);
     m_acknowledged.push_back(acknowledged);
 }
 
@@ -53,7 +67,7 @@
         return;
     if (random.fraction() < configShare) {
         m_configAcknowledged.push_back(now);
-        m_operator.push_back({ now, std::nullopt });
+        writeConfig(now, configVersions());
         return;
     }
     const auto present = std::count_if(m_lives.begin(), m_lives.end(), [](const Life& it) { return !it.left; });
@@ -67,12 +81,120 @@
         return;
     oldest->left = std::max(now, stableAt());
     oldest->isListed = false;
-    write(oldest->id, false, now);
+    oldest->renews.reset();
+    write(now, oldest->id, false, now);
+}
+
+void NewsStore::writeConfig(TimePoint now, std::uint64_t version)
+{
+    m_operator.push_back({ now, std::nullopt, version });
+    m_configAcknowledged[version - 1] = now;
+    // The versions are one key of the topic: a later one leaves nothing of those before to be written.
+    if (m_mixesVersions)
+        m_versionsToWrite.erase(version);
+    else
+        m_versionsToWrite.erase(m_versionsToWrite.begin(), m_versionsToWrite.upper_bound(version));
 }
 
 void NewsStore::changeZone(TimePoint now, const ZoneId& zone, bool isEvacuated)
 {
     m_operator.push_back({ now, ZoneChange { zone, isEvacuated, operatorEnd() } });
+    WantedZone& wanted = m_wantedZones[zone];
+    if (wanted.isEvacuated != isEvacuated)
+        wanted.since = now;
+    wanted.isEvacuated = isEvacuated;
+    wanted.writesAgain.reset();
+}
+
+void NewsStore::returnFromCopy(TimePoint now, Duration age, SeededRandom& random)
+{
+    const TimePoint copiedAt = now - age;
+    const bool isAway = behavior(now) == StoreBehavior::Busy || behavior(now) == StoreBehavior::Silent;
+    m_behaviorUntil = std::max(m_behaviorUntil, now);
+    const TimePoint servesFrom = isAway ? m_behaviorUntil : now;
+    const auto drawTime = [&] {
+        const TimePoint at = servesFrom + fractionOf(maxReregistrationDelay, random.fraction());
+        m_writtenAgainAt = std::max(m_writtenAgainAt, at);
+        return at;
+    };
+    // Never older than the start, whose records are written at its time.
+    while (m_operator.size() > 1 && m_operator.back().acknowledged > copiedAt) {
+        if (!m_operator.back().zone)
+            m_configAcknowledged[m_operator.back().version - 1].reset();
+        m_operator.pop_back();
+    }
+    while (m_records.size() > targetCount && m_written.back() > copiedAt) {
+        m_records.pop_back();
+        m_written.pop_back();
+        m_acknowledged.pop_back();
+    }
+    ++m_era;
+    for (OperatorRecord& it : m_operator) {
+        if (it.zone)
+            it.zone->position.era = m_era;
+    }
+    for (TargetChange& it : m_records)
+        it.position.era = m_era;
+    m_operatorFirst = std::min<LogOffset>(m_operatorFirst, m_operator.size());
+    m_copyEnds.push_back({ m_operator.size(), m_records.size() });
+
+    m_versionsToWrite.clear();
+    std::vector<TimePoint> times;
+    const std::uint64_t firstLost = m_mixesVersions ? 1 : lastConfig(0, m_operator.size()) + 1;
+    for (std::uint64_t version = firstLost; version <= configVersions(); ++version) {
+        if (!m_configAcknowledged[version - 1]) {
+            m_versionsToWrite[version] = {};
+            times.push_back(drawTime());
+        }
+    }
+    if (!m_mixesVersions)
+        std::sort(times.begin(), times.end());
+    std::size_t n = 0;
+    for (auto& [version, at] : m_versionsToWrite)
+        at = times[n++];
+
+    std::map<ZoneId, bool> held;
+    for (const ZoneChange& it : zonesBefore(m_operator.size()))
+        held[it.zone] = true;
+    for (auto& [zone, wanted] : m_wantedZones) {
+        wanted.writesAgain.reset();
+        if (wanted.isEvacuated != held.contains(zone))
+            wanted.writesAgain = drawTime();
+    }
+    for (Life& it : m_lives)
+        returnTarget(now, it, drawTime() - now);
+}
+
+void NewsStore::returnTarget(TimePoint now, Life& it, Duration delay)
+{
+    const bool isInCopy = isInLog(it.id);
+    const bool wasListed = std::exchange(it.isListed, isInCopy);
+    if (!isInCopy || !wasListed)
+        it.listedSince = now;
+    if (!it.left) {
+        it.returns = now + delay;
+        return;
+    }
+    const auto removal = std::find_if(
+        m_records.rbegin(), m_records.rend(), [&](const TargetChange& change) { return change.id == it.id; });
+    // As when the store is disturbed otherwise: an exemption that has not ended restarts.
+    if (*it.left > now)
+        it.left = stableAt();
+    const bool isRemovalHeld = removal != m_records.rend() && !removal->target;
+    it.leavesAgain.reset();
+    if (isRemovalHeld)
+        return;
+    if (isInCopy)
+        it.leavesAgain = now + delay;
+    // Nobody can read the lost notice any more.
+    it.left = std::max(*it.left, stableAt());
+}
+
+bool NewsStore::isInLog(const TargetId& id) const
+{
+    const auto last = std::find_if(
+        m_records.rbegin(), m_records.rend(), [&](const TargetChange& change) { return change.id == id; });
+    return last != m_records.rend() && last->target.has_value();
 }
 
 std::vector<ZoneChange> NewsStore::zoneChanges(LogOffset from, LogOffset end) const
@@ -98,11 +220,27 @@
     return present;
 }
 
-std::uint64_t NewsStore::configVersionsBefore(LogOffset end) const { return end - zoneChanges(0, end).size(); }
+std::uint64_t NewsStore::lastConfig(LogOffset from, LogOffset end) const
+{
+    for (LogOffset i = end; i > from; --i) {
+        if (!m_operator[i - 1].zone)
+            return m_operator[i - 1].version;
+    }
+    return 0;
+}
 
-std::optional<TimePoint> NewsStore::operatorMissingSince(LogOffset next) const
+LogOffset NewsStore::firstMissing(LogPosition next, LogOffset CopyEnd::*end) const
 {
-    return next < m_operator.size() ? std::optional(m_operator[next].acknowledged) : std::nullopt;
+    LogOffset first = next.offset;
+    for (StoreEra era = std::max<StoreEra>(next.era, 1) + 1; era <= m_era; ++era)
+        first = std::min(first, m_copyEnds[era - 2].*end);
+    return first;
+}
+
+std::optional<TimePoint> NewsStore::operatorMissingSince(LogPosition next) const
+{
+    const LogOffset first = firstMissing(next, &CopyEnd::operatorEnd);
+    return first < m_operator.size() ? std::optional(m_operator[first].acknowledged) : std::nullopt;
 }
 
 void NewsStore::setBehavior(TimePoint now, StoreBehavior behavior, TimePoint until, SeededRandom& random)
@@ -120,6 +258,8 @@
         // The removal was still exempt from the bound when the store was disturbed again: the exemption restarts.
         if (it.left && *it.left > now)
             it.left = stableAt();
+        if (it.leavesAgain && behavior != StoreBehavior::Slow)
+            it.leavesAgain = until + fractionOf(maxReregistrationDelay, random.fraction());
         if (it.left || behavior == StoreBehavior::Slow)
             continue;
         const TimePoint lapses = m_awaySince + firstLapse + fractionOf(lapseSpread, random.fraction());
@@ -130,22 +270,59 @@
 
 void NewsStore::step(TimePoint now)
 {
-    for (Life& it : m_lives) {
-        if (it.lapses && now >= *it.lapses) {
-            it.lapses.reset();
-            if (it.isListed)
-                write(it.id, false, std::nullopt);
-            it.isListed = false;
-        }
-        if (it.returns && now >= *it.returns) {
-            it.returns.reset();
-            if (!it.isListed)
-                write(it.id, true, std::nullopt);
-            it.isListed = true;
+    for (Life& it : m_lives)
+        stepLife(now, it);
+    const StoreBehavior behavior = this->behavior(now);
+    if (behavior == StoreBehavior::Busy || behavior == StoreBehavior::Silent)
+        return;
+    const auto due = [&] {
+        return std::find_if(
+            m_versionsToWrite.begin(), m_versionsToWrite.end(), [&](const auto& it) { return now >= it.second; });
+    };
+    for (auto it = due(); it != m_versionsToWrite.end(); it = due()) {
+        m_writtenAgainAt = std::max(m_writtenAgainAt, now);
+        writeConfig(now, it->first);
+    }
+    for (auto& [zone, wanted] : m_wantedZones) {
+        if (wanted.writesAgain && now >= *wanted.writesAgain) {
+            m_writtenAgainAt = std::max(m_writtenAgainAt, now);
+            changeZone(now, zone, wanted.isEvacuated);
         }
     }
 }
 
+void NewsStore::stepLife(TimePoint now, Life& it)
+{
+    const StoreBehavior behavior = this->behavior(now);
+    const bool isAway = behavior == StoreBehavior::Busy || behavior == StoreBehavior::Silent;
+    if (it.lapses && now >= *it.lapses) {
+        it.lapses.reset();
+        if (it.isListed)
+            write(now, it.id, false, std::nullopt);
+        it.isListed = false;
+    }
+    if (it.returns && now >= *it.returns) {
+        it.returns.reset();
+        if (!it.isListed || m_isRenewing)
+            write(now, it.id, true, std::nullopt);
+        if (!it.isListed)
+            it.listedSince = now;
+        it.isListed = true;
+        if (m_isRenewing)
+            it.renews = now + renewalInterval;
+    }
+    if (it.renews && now >= *it.renews && !it.left && !it.returns && it.isListed && !isAway) {
+        write(now, it.id, true, std::nullopt);
+        it.renews = now + renewalInterval;
+    }
+    if (it.leavesAgain && now >= *it.leavesAgain && !isAway) {
+        m_writtenAgainAt = std::max(m_writtenAgainAt, now);
+        it.leavesAgain.reset();
+        it.isListed = false;
+        write(now, it.id, false, now);
+    }
+}
+
 std::vector<TargetChange> NewsStore::targetsSince(LogOffset from) const
 {
     return { m_records.begin() + static_cast<std::ptrdiff_t>(std::min<LogOffset>(from, m_records.size())),
@@ -167,18 +344,43 @@
 
 std::optional<TimePoint> NewsStore::configMissingSince(std::uint64_t version) const
 {
-    return version < m_configAcknowledged.size() ? std::optional(m_configAcknowledged[version]) : std::nullopt;
+    std::optional<TimePoint> first;
+    for (std::size_t i = version; i < m_configAcknowledged.size(); ++i) {
+        if (m_configAcknowledged[i])
+            first = std::min(first.value_or(*m_configAcknowledged[i]), *m_configAcknowledged[i]);
+    }
+    return first;
 }
 
-std::optional<TimePoint> NewsStore::targetsMissingSince(LogOffset next) const
+std::optional<TimePoint> NewsStore::targetsMissingSince(LogPosition next) const
 {
-    for (LogOffset i = next; i < m_acknowledged.size(); ++i) {
+    for (LogOffset i = firstMissing(next, &CopyEnd::targetsEnd); i < m_acknowledged.size(); ++i) {
         if (m_acknowledged[i])
             return m_acknowledged[i];
     }
     return std::nullopt;
 }
 
+std::vector<TargetId> NewsStore::listedSince(TimePoint at) const
+{
+    std::vector<TargetId> result;
+    for (const Life& it : m_lives) {
+        if (!it.left && it.isListed && it.listedSince <= at)
+            result.push_back(it.id);
+    }
+    return result;
+}
+
+std::map<ZoneId, bool> NewsStore::zonesWantedSince(TimePoint at) const
+{
+    std::map<ZoneId, bool> result;
+    for (const auto& [zone, wanted] : m_wantedZones) {
+        if (wanted.since <= at)
+            result[zone] = wanted.isEvacuated;
+    }
+    return result;
+}
+
 std::optional<TimePoint> NewsStore::leftAt(const TargetId& id) const
 {
     const auto it = std::find_if(m_lives.begin(), m_lives.end(), [&](const Life& life) { return life.id == id; });
--- a/tests/NewsStore.h
+++ b/tests/NewsStore.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <deque>
+#include <map>
 
 namespace sagechute::news::test {
 
@@ -20,6 +21,9 @@
 
 /// Holds configurations, modelled by their version number, and target entries. Targets are added and removed; entries
 /// expire while the store answers nobody, and are registered again within two seconds of its return.
+///
+/// It may return from a copy that is some seconds old. What was written since is gone and is written again by the
+/// operator and the targets within two seconds, in another order.
 class NewsStore {
 public:
     /// @param stableTime time after the store's return during which its acknowledgements are exempt from the bound,
@@ -38,7 +42,17 @@
     /// Sets the behavior towards all routers. @param until when the store serves again.
     void setBehavior(TimePoint now, StoreBehavior, TimePoint until, SeededRandom&);
 
-    /// Expires entries and registers them again when due.
+    /// Targets write their entries every 1.2 s from now on. Without it they write only what changes.
+    void startRenewals(TimePoint now);
+
+    /// Makes the topics what they were in the past, in a new era.
+    /// @param age of the copy.
+    void returnFromCopy(TimePoint now, Duration age, SeededRandom&);
+
+    /// Lets the operator write lost versions again in any order, not in theirs.
+    void mixVersions() { m_mixesVersions = true; }
+
+    /// Expires entries, and writes again what expired or was lost, when due.
     void step(TimePoint now);
 
     /// @return the current behavior towards all routers.
@@ -56,11 +70,12 @@
     /// @return the zones that are evacuated by the operator records before @p end, each with its newest record.
     std::vector<ZoneChange> zonesBefore(LogOffset end) const;
 
-    /// @return the number of configurations among the operator records before @p end.
-    std::uint64_t configVersionsBefore(LogOffset end) const;
+    /// @return the version of the last configuration among the operator records in [from, end); zero without one.
+    std::uint64_t lastConfig(LogOffset from, LogOffset end) const;
 
-    /// @return when the first operator record at or after @p next was acknowledged; absent if there is none.
-    std::optional<TimePoint> operatorMissingSince(LogOffset next) const;
+    /// @return when the first operator record at or after @p next was acknowledged; absent if there is none. To a
+    /// position of an older era all records are later that were written since that era.
+    std::optional<TimePoint> operatorMissingSince(LogPosition next) const;
 
     LogPosition targetsEnd() const { return { m_records.size(), m_era }; }
 
@@ -74,11 +89,20 @@
     std::optional<TimePoint> configMissingSince(std::uint64_t version) const;
 
     /// @return the same for target changes; expiry and renewed registration of entries are not counted.
-    std::optional<TimePoint> targetsMissingSince(LogOffset next) const;
+    std::optional<TimePoint> targetsMissingSince(LogPosition next) const;
 
     /// @return when the removal of a target takes effect; absent for a live target.
     std::optional<TimePoint> leftAt(const TargetId&) const;
 
+    /// @return the live targets that have been listed without a break since @p at.
+    std::vector<TargetId> listedSince(TimePoint at) const;
+
+    /// @return the zones whose state the operator has not changed since @p at, and whether it wants them evacuated.
+    std::map<ZoneId, bool> zonesWantedSince(TimePoint at) const;
+
+    /// @return the last time at which something was, or is going to be, written again after a return.
+    TimePoint writtenAgainAt() const { return m_writtenAgainAt; }
+
     /// @return when the store has been undisturbed for the stable time.
     TimePoint stableAt() const { return m_behaviorUntil + m_stableTime; }
 
@@ -90,24 +114,55 @@
         std::optional<TimePoint> lapses;
         std::optional<TimePoint> returns;
         bool isListed = true;
+        std::optional<TimePoint> leavesAgain; ///< When its lost removal is written again.
+        std::optional<TimePoint> renews;
+        TimePoint listedSince {};
     };
 
     void addTarget(TimePoint now);
-    void write(const TargetId&, bool isListed, std::optional<TimePoint> acknowledged);
+    void write(TimePoint now, const TargetId&, bool isListed, std::optional<TimePoint> acknowledged);
+    void writeConfig(TimePoint now, std::uint64_t version);
+    void returnTarget(TimePoint now, Life&, Duration delay);
+    bool isInLog(const TargetId&) const;
+    void stepLife(TimePoint now, Life&);
 
     struct OperatorRecord {
         TimePoint acknowledged;
         std::optional<ZoneChange> zone; ///< Absent: a configuration.
+        std::uint64_t version = 0;
     };
 
+    /// What the operator wants a zone to be.
+    struct WantedZone {
+        bool isEvacuated = false;
+        TimePoint since;
+        std::optional<TimePoint> writesAgain;
+    };
+
+    /// Ends of the topics as an era found them.
+    struct CopyEnd {
+        LogOffset operatorEnd = 0;
+        LogOffset targetsEnd = 0;
+    };
+
+    /// @return the offset from which on records are unknown to one who has read up to @p next.
+    LogOffset firstMissing(LogPosition next, LogOffset CopyEnd::*end) const;
+
     const Duration m_stableTime;
     StoreEra m_era = 1;
     std::vector<OperatorRecord> m_operator;
     LogOffset m_operatorFirst = 0;
-    std::vector<TimePoint> m_configAcknowledged;
+    std::vector<std::optional<TimePoint>> m_configAcknowledged; ///< Absent while lost.
+    std::map<std::uint64_t, TimePoint> m_versionsToWrite; ///< Lost, and when they are written again.
+    std::map<ZoneId, WantedZone> m_wantedZones;
+    std::vector<CopyEnd> m_copyEnds; ///< The first is of era 2.
+    TimePoint m_writtenAgainAt {};
+    bool m_mixesVersions = false;
+    bool m_isRenewing = false;
     std::vector<TargetChange> m_records;
     std::vector<std::optional<TimePoint>>
         m_acknowledged; ///< Acknowledgement time by record; absent where the bound does not apply.
+    std::vector<TimePoint> m_written; ///< Time of writing by record.
     std::vector<Life> m_lives;
     StoreBehavior m_behavior = StoreBehavior::Serves;
     TimePoint m_behaviorUntil {};
--- a/tests/NewsWorld.cpp
+++ b/tests/NewsWorld.cpp
@@ -1,6 +1,7 @@
 #include "NewsWorld.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 namespace sagechute::news::test {
@@ -24,6 +25,10 @@
     constexpr Duration lossDetectionTime = milliseconds(3600); ///< Until all routers have detected a loss.
     constexpr std::size_t maxQueuedDatagrams = 200; ///< Datagrams that the kernel queues for a paused router.
     constexpr double lossShare = 0.02;
+    constexpr Duration agreementTime = std::chrono::seconds(2); ///< After the last writing again, besides the bound.
+    constexpr double zoneChangesPerSecond = 0.2;
+    constexpr Duration maxLateness = milliseconds(1100); ///< Of an answer on its way; the call would time out later.
+    constexpr double lateAnswerShare = 0.03; ///< In courses with returns.
 
 } // namespace
 
@@ -98,6 +103,9 @@
 void NewsWorld::injectFault(std::size_t i, FaultKind kind, TimePoint end)
 {
     Router& it = m_routers[i];
+    trace(it,
+        "has fault " + std::to_string(static_cast<int>(kind)) + " for "
+            + std::to_string(std::chrono::duration_cast<milliseconds>(end - m_now).count()) + " ms");
     switch (kind) {
     case FaultKind::Refused:
     case FaultKind::Unanswered:
@@ -255,6 +263,10 @@
     ToldKnowledge told = received;
     if (m_options.fault == DeliberateFault::IgnoresOperatorOffset)
         told.operatorNext = mine.operatorNext;
+    if (m_options.fault == DeliberateFault::HidesEraFromPeers) {
+        told.operatorNext.era = mine.operatorNext.era;
+        told.targetsNext.era = mine.targetsNext.era;
+    }
     const Missing missing = learn(mine, told, m_now);
     if (m_options.fault == DeliberateFault::AdoptsAgeWithoutData) {
         if (told.configAge)
@@ -353,13 +365,17 @@
 
 void NewsWorld::takeFrom(Router& self, const Fetch& fetch)
 {
-    const ToldKnowledge& told = fetch.answer->told;
+    Answer answer = *fetch.answer;
+    if (m_options.fault == DeliberateFault::TakesOlderEraFromPeer)
+        setEra(answer, std::max(answer.told.targetsNext.era, self.roster.next().value_or(LogPosition {}).era));
+    const ToldKnowledge& told = answer.told;
     if (told.operatorNext.offset > 0)
-        takeOperatorNews(self, *fetch.answer, told.operatorNext, true);
+        takeOperatorNews(self, answer, told.operatorNext, true);
     if (told.configAge && knowsOperatorRecordsOf(knowledge(self), told))
         self.configUntil = std::max(self.configUntil.value_or(TimePoint {}), fetch.sent - *told.configAge);
-    if (told.targetsAge)
-        takeTargets(self, *fetch.answer, told.targetsNext, *toldRead(told, fetch.sent, m_now));
+    const bool isOfOlderEra = self.roster.next() && told.targetsNext.era < self.roster.next()->era;
+    if (told.targetsAge && !isOfOlderEra)
+        takeTargets(self, answer, told.targetsNext, *toldRead(told, fetch.sent, m_now));
 }
 
 void NewsWorld::startCall(Router& self, std::size_t topic, Duration wait)
@@ -368,13 +384,9 @@
     if (behavior == StoreBehavior::Serves && m_now < self.behaviorUntil)
         behavior = self.behavior;
     Call call { m_now, m_now + answerTime, wait };
-    if (topic)
-        call.from = self.roster.next();
-    else {
-        if (const std::optional<LogPosition> known = self.zones.next())
-            self.cursors[topic].toldByPeer(*known);
-        call.from = self.cursors[topic].next();
-    }
+    if (const std::optional<LogPosition> known = topic ? self.roster.next() : self.zones.next())
+        self.cursors[topic].toldByPeer(*known);
+    call.from = self.cursors[topic].next();
     if (!call.from)
         call.wait = {};
     if (behavior == StoreBehavior::Busy)
@@ -399,7 +411,11 @@
         self.zones.replace(m_now, answer.zones, next);
     else
         self.zones.applyAll(m_now, answer.zones, next);
-    self.configVersion = std::max(self.configVersion, answer.configVersion);
+    // As in EdgeState: a configuration never goes back.
+    if (answer.configVersion > self.configVersion) {
+        self.configVersion = answer.configVersion;
+        self.configSince = m_now;
+    }
 }
 
 void NewsWorld::takeTargets(Router& self, const Answer& answer, LogPosition next, ReadSpan read)
@@ -422,20 +438,136 @@
         call->willFail = true;
         call->end = call->sent + call->wait + answerTimeout;
     }
-    const LogPosition newest = topic ? m_store.targetsEnd() : m_store.operatorEnd();
-    const bool isOver = newest > call->from.value_or(LogPosition {}) || m_now - call->sent >= call->wait;
+    LogPosition newest = topic ? m_store.targetsEnd() : m_store.operatorEnd();
+    if (m_options.fault == DeliberateFault::IgnoresEra)
+        newest.era = 1;
+    const bool isLost = call->from && call->from->offset > newest.offset;
+    const bool isOver = isLost || newest > call->from.value_or(LogPosition {}) || m_now - call->sent >= call->wait;
     if (m_now < call->end || (!call->willFail && !isOver))
         return;
-    call->answer = Answer { m_now, call->willFail, newest };
-    call->answer->hasAllTargets = !call->from;
-    if (!topic && !call->willFail) {
-        call->answer->isHistoryLost = call->from && call->from->offset < m_store.operatorFirst();
-        call->answer->configVersion = m_store.configVersionsBefore(newest.offset);
-        call->answer->zones
-            = call->from ? m_store.zoneChanges(call->from->offset, newest.offset) : m_store.zonesBefore(newest.offset);
+    answerNow(*call, topic);
+    if (m_hasReturns && !call->willFail && m_random.fraction() < lateAnswerShare)
+        call->answer->at += std::chrono::duration_cast<Duration>(maxLateness * m_random.fraction());
+}
+
+void NewsWorld::answerNow(Call& call, std::size_t topic) const
+{
+    const LogPosition newest = topic ? m_store.targetsEnd() : m_store.operatorEnd();
+    call.answer = Answer { m_now, call.willFail, newest };
+    Answer& answer = *call.answer;
+    answer.hasAllTargets = !call.from;
+    if (call.willFail)
+        return;
+    if (m_options.fault == DeliberateFault::IgnoresEra) {
+        forgetEra(answer);
+        answer.isHistoryLost = call.from && call.from->offset > newest.offset;
+    } else {
+        answer.isHistoryLost = call.from && call.from->era < newest.era;
+    }
+    if (!topic)
+        answer.isHistoryLost = answer.isHistoryLost || (call.from && call.from->offset < m_store.operatorFirst());
+    if (answer.isHistoryLost)
+        return;
+    if (topic) {
+        answer.targets = call.from ? m_store.targetsSince(call.from->offset) : m_store.targets();
+    } else {
+        answer.configVersion = m_store.lastConfig(call.from ? call.from->offset : 0, newest.offset);
+        answer.zones
+            = call.from ? m_store.zoneChanges(call.from->offset, newest.offset) : m_store.zonesBefore(newest.offset);
+    }
+    if (m_options.fault == DeliberateFault::IgnoresEra)
+        forgetEra(answer);
+}
+
+void NewsWorld::forgetEra(Answer& answer) { setEra(answer, 1); }
+
+void NewsWorld::setEra(Answer& answer, StoreEra era)
+{
+    answer.newest.era = answer.told.targetsNext.era = answer.told.operatorNext.era = era;
+    for (TargetChange& it : answer.targets)
+        it.position.era = era;
+    for (ZoneChange& it : answer.zones)
+        it.position.era = era;
+}
+
+void NewsWorld::beginReturns()
+{
+    m_hasReturns = m_hasReturns || m_options.returnsPerSecond > 0;
+    if (!m_hasReturns)
+        return;
+    m_store.startRenewals(m_now);
+    if (m_options.mixesVersions)
+        m_store.mixVersions();
+}
+
+void NewsWorld::drawReturns()
+{
+    if (m_options.returnsPerSecond <= 0)
+        return;
+    const double seconds = std::chrono::duration<double>(tick).count();
+    const auto randomTime
+        = [&](int min, int max) { return milliseconds(min + static_cast<int>(m_random.fraction() * (max - min))); };
+    if (m_random.fraction() < m_options.returnsPerSecond * seconds) {
+        const Duration age = randomTime(500, 10000);
+        const double prelude = m_random.fraction();
+        const Duration length = randomTime(300, 4000);
+        const bool isTwofold = m_random.fraction() < 0.3;
+        const Duration apart = randomTime(100, 3500);
+        TimePoint at = m_now;
+        if (prelude < 0.75) {
+            const StoreBehavior behavior = prelude < 0.25 ? StoreBehavior::Busy
+                : prelude < 0.5                           ? StoreBehavior::Silent
+                                                          : StoreBehavior::Slow;
+            at += length;
+            m_store.setBehavior(m_now, behavior, at, m_random);
+        }
+        m_nextReturns.push_back({ at, age });
+        if (isTwofold)
+            m_nextReturns.push_back({ at + apart, randomTime(500, 10000) });
+    }
+    std::vector<Duration> due;
+    std::erase_if(m_nextReturns, [&](const auto& it) {
+        if (it.first <= m_now)
+            due.push_back(it.second);
+        return it.first <= m_now;
+    });
+    for (const Duration age : due)
+        returnStore(age);
+    if (m_random.fraction() < zoneChangesPerSecond * seconds && m_store.behavior(m_now) == StoreBehavior::Serves) {
+        const ZoneId zone { "zone-" + std::to_string(static_cast<int>(m_random.fraction() * zones)) };
+        const bool isEvacuated = m_random.fraction() < 0.5;
+        m_store.changeZone(m_now, zone, isEvacuated);
+        trace(zone.value + (isEvacuated ? " evacuated" : " lifted"));
     }
-    if (topic && !call->willFail)
-        call->answer->targets = call->from ? m_store.targetsSince(call->from->offset) : m_store.targets();
+}
+
+void NewsWorld::returnStore(Duration age)
+{
+    for (Router& self : m_routers) {
+        for (std::size_t topic = 0; topic < topics; ++topic) {
+            std::optional<Call>& call = self.calls[topic];
+            if (!call || call->answer || call->willFail)
+                continue;
+            // A call that is under way breaks off, or was answered before and arrives late, or is answered afterwards.
+            const double drawn = m_random.fraction();
+            const Duration lateness = std::chrono::duration_cast<Duration>(maxLateness * m_random.fraction());
+            const LogPosition newest = topic ? m_store.targetsEnd() : m_store.operatorEnd();
+            const bool hasAnswer = !call->from || call->wait == Duration::zero() || newest > *call->from;
+            if (drawn < 0.5 && hasAnswer) {
+                answerNow(*call, topic);
+                call->answer->at = m_now + lateness;
+            } else if (drawn < 0.75) {
+                call->willFail = true;
+                call->end = m_now;
+            }
+        }
+    }
+    m_store.returnFromCopy(m_now, age, m_random);
+    m_returnedAt = m_now;
+    ++m_report.returns;
+    trace("store returns from a copy " + std::to_string(std::chrono::duration_cast<milliseconds>(age).count())
+        + " ms old, era " + std::to_string(m_store.era()) + ", ends " + std::to_string(m_store.operatorEnd().offset)
+        + " " + std::to_string(m_store.targetsEnd().offset));
 }
 
 void NewsWorld::finishCalls(std::size_t i)
@@ -448,15 +580,28 @@
             else
                 self.configUntil = m_now;
         }
-        if (!self.calls[topic] || !self.calls[topic]->answer)
+        if (!self.calls[topic] || !self.calls[topic]->answer || m_now < self.calls[topic]->answer->at)
             continue;
-        const Call call = *std::exchange(self.calls[topic], std::nullopt);
+        Call call = *std::exchange(self.calls[topic], std::nullopt);
+        if (m_options.fault == DeliberateFault::TakesEraOfArrival)
+            setEra(*call.answer,
+                std::max({ call.answer->newest.era, self.storeEra, self.zones.next().value_or(LogPosition {}).era,
+                    self.roster.next().value_or(LogPosition {}).era }));
+        m_report.lateAnswers += !call.answer->hasFailed && call.answer->newest.era < m_store.era() ? 1 : 0;
+        // As in platform/Store.cpp: a list of an older era than that of an answer known already is no answer.
+        if (!call.answer->hasFailed && call.answer->newest.era < (call.from ? call.from->era : self.storeEra))
+            call.answer->hasFailed = true;
+        if (!call.answer->hasFailed)
+            self.storeEra = std::max(self.storeEra, call.answer->newest.era);
         if (call.answer->hasFailed || call.answer->isHistoryLost) {
-            if (call.answer->isHistoryLost)
+            // As in StoreFollower: a store that lacks the records has answered, and a full read can follow at once.
+            if (call.answer->isHistoryLost && !call.answer->hasFailed)
                 self.cursors[topic].historyLost();
             else
                 self.cursors[topic].readFailed(m_now);
-            self.failedAt[topic] = call.sent;
+            self.failedAt[topic].reset();
+            if (!self.cursors[topic].isHistoryLost())
+                self.failedAt[topic] = call.sent;
             continue;
         }
         const LogPosition newest = call.answer->newest;
@@ -517,20 +662,93 @@
         = [&](const Router& it) { return isSettled(it) && m_now >= it.behaviorUntil + m_times.bound; };
     if (!isUnaffected(self) && std::none_of(m_routers.begin(), m_routers.end(), isUnaffected))
         return;
-    for (const auto& since : { m_store.configMissingSince(self.configVersion),
-             m_store.targetsMissingSince(self.roster.next().value_or(LogPosition {}).offset) }) {
+    LogPosition targetsNext = self.roster.next().value_or(LogPosition {});
+    LogPosition operatorNext = self.zones.next().value_or(LogPosition {});
+    if (m_options.fault == DeliberateFault::IgnoresEra)
+        targetsNext.era = operatorNext.era = m_store.era();
+    const auto zonesMissing = m_hasReturns ? m_store.operatorMissingSince(operatorNext) : std::nullopt;
+    for (const auto& since :
+        { m_store.configMissingSince(self.configVersion), m_store.targetsMissingSince(targetsNext), zonesMissing }) {
         if (since)
             m_report.worstAge = std::max(m_report.worstAge, Duration(m_now - *since));
     }
     if (self.leftFirst)
         m_report.worstUseAfterRemoval = std::max(m_report.worstUseAfterRemoval, Duration(m_now - *self.leftFirst));
+    if (m_hasReturns)
+        checkAgreement(self);
+}
+
+void NewsWorld::checkAgreement(const Router& self)
+{
+    for (const Router& it : m_routers) {
+        if (it.configVersion > self.configVersion && isSettled(it)) {
+            const auto since = it.configSince.value_or(m_now);
+            m_report.worstOlderConfig
+                = std::max(m_report.worstOlderConfig, Duration(m_now - std::max(since, self.startedAt)));
+        }
+    }
+    const Duration time = m_times.bound + agreementTime;
+    if (m_now < std::max(m_store.writtenAgainAt(), m_store.behaviorUntil()) + time)
+        return;
+    std::set<TargetId> present;
+    for (const dispatch::Target& it : self.roster.targets())
+        present.insert(it.id);
+    for (const TargetId& it : m_store.listedSince(m_now - time)) {
+        if (!present.contains(it)) {
+            ++m_report.disagreements;
+            trace(self, "lacks " + it.value);
+        }
+    }
+    for (const auto& [zone, isEvacuated] : m_store.zonesWantedSince(m_now - time)) {
+        if (self.zones.zones().contains(zone) != isEvacuated) {
+            ++m_report.disagreements;
+            trace(self, (isEvacuated ? "doesn't evacuate " : "evacuates ") + zone.value);
+        }
+    }
+}
+
+void NewsWorld::checkLostZones(Router& self)
+{
+    std::set<ZoneId> present;
+    for (const auto& [zone, entry] : self.zones.zones())
+        present.insert(zone);
+    // A change of mind during a fault may be read in parts.
+    const Duration time = m_times.bound + stableMargin;
+    const TimePoint since = std::min(m_now, std::max(self.disturbedUntil, m_store.behaviorUntil())) - time;
+    for (const auto& [zone, isEvacuated] : m_store.zonesWantedSince(std::min(since, m_now - 3 * time))) {
+        if (isEvacuated && self.usedZones.contains(zone) && !present.contains(zone)) {
+            ++m_report.lostZones;
+            trace(self, "loses the evacuation of " + zone.value);
+        }
+    }
+    self.usedZones = std::move(present);
+}
+
+void NewsWorld::trace(const std::string& text) const
+{
+    if (m_options.isTraced)
+        std::printf("%8.2f %s\n", std::chrono::duration<double>(m_now - m_begin).count(), text.c_str());
+}
+
+void NewsWorld::trace(const Router& self, const std::string& text) const
+{
+    const auto toText = [](std::optional<LogPosition> it) {
+        return it ? std::to_string(it->offset) + "/" + std::to_string(it->era) : std::string("none");
+    };
+    trace(self.vm.value + " " + text + "; next target record " + toText(self.roster.next()) + ", the store's "
+        + toText(m_store.targetsEnd()));
 }
 
 void NewsWorld::checkZones(const Router& self)
 {
-    const LogOffset next = self.zones.next().value_or(LogPosition {}).offset;
-    const bool lacksRecords = self.configVersion > m_store.configVersionsBefore(next);
-    m_report.wrongZones += lacksRecords || self.zones.all() != m_store.zonesBefore(next) ? 1 : 0;
+    const LogPosition next = self.zones.next().value_or(LogPosition {});
+    // Before the first return a configuration shows that all records before it are known.
+    const bool lacksRecords = m_store.era() == 1 && self.configVersion > m_store.lastConfig(0, next.offset);
+    const bool isComparable = next == LogPosition {} || next.era == m_store.era();
+    const bool isWrong = isComparable && (lacksRecords || self.zones.all() != m_store.zonesBefore(next.offset));
+    if (isWrong)
+        trace(self, "has other zones than its position implies");
+    m_report.wrongZones += isWrong ? 1 : 0;
     if (const auto since = m_store.operatorMissingSince(next)) {
         const TimePoint due = std::max({ *since, self.disturbedUntil, self.startedAt });
         m_report.worstZoneAge = std::max(m_report.worstZoneAge, Duration(m_now - due));
@@ -551,8 +769,12 @@
         if (left && !it.draining)
             self.leftFirst = std::min(self.leftFirst.value_or(*left), *left);
     }
-    for (const TargetId& it : self.used)
-        m_report.lostTargets += present.contains(it) || m_store.leftAt(it) ? 0 : 1;
+    for (const TargetId& it : self.used) {
+        const bool isLost = !present.contains(it) && !m_store.leftAt(it);
+        if (isLost)
+            trace(self, "loses " + it.value);
+        m_report.lostTargets += isLost ? 1 : 0;
+    }
     self.used = std::move(present);
 }
 
@@ -576,9 +798,12 @@
     askOthers(i);
     heartbeat(i);
     self.roster.expire(m_now);
+    self.zones.expire(m_now);
     checkTargets(self);
-    if (!m_storePlan.empty())
+    if (!m_storePlan.empty() || m_hasReturns)
         checkZones(self);
+    if (m_hasReturns)
+        checkLostZones(self);
     check(i);
 }
 
@@ -586,6 +811,7 @@
 {
     const TimePoint begin = m_now;
     const TimePoint end = m_now + length;
+    beginReturns();
     const double faultShare = m_options.faultsPerSecond * std::chrono::duration<double>(tick).count();
     const double changeShare = 1.5 * std::chrono::duration<double>(tick).count();
     while (m_now < end) {
@@ -602,6 +828,7 @@
             if (m_now - begin >= it.at && m_now - begin < it.at + tick)
                 it.apply();
         }
+        drawReturns();
         if (m_random.fraction() < changeShare)
             m_store.change(m_now, m_random);
         m_store.step(m_now);
--- a/tests/NewsWorld.h
+++ b/tests/NewsWorld.h
@@ -23,6 +23,10 @@
     IgnoresOperatorOffset, ///< Only the configuration's version tells whether a peer knows more operator records.
     IgnoresPeersZones, ///< A starting router takes a peer's configuration and offset, but not its evacuations.
     NeverAsksPeers, ///< A router whose sources are lost and that the store refuses waits for them.
+    IgnoresEra, ///< Positions are compared by their offsets alone.
+    TakesEraOfArrival, ///< A late answer counts as of the era known when it arrives, not of the one it was given in.
+    TakesOlderEraFromPeer, ///< A list from a router counts as of this router's era.
+    HidesEraFromPeers, ///< Heartbeats tell offsets alone, so that they count as of the receiver's era.
 };
 
 enum class FaultKind {
@@ -51,6 +55,9 @@
     double faultsPerSecond = 0.5;
     bool isStoreShared = true; ///< If false, no fault affects the store for all routers.
     bool isFirstStart = true; ///< Determines how long starting routers wait for others; see NewsTimes.
+    double returnsPerSecond = 0; ///< Returns of the store from a copy; if not zero, zones are evacuated at random, too.
+    bool mixesVersions = false; ///< Lost configurations are written again in any order, not in theirs.
+    bool isTraced = false; ///< Prints what the checks find.
 };
 
 struct NewsReport {
@@ -62,6 +69,12 @@
     std::size_t wrongZones = 0; ///< Steps in which a router had other zones evacuated than its offset implies, or a
                                 ///< configuration without all operator records before it.
     std::size_t lostTargets = 0; ///< Live targets that a connected router had dropped.
+    std::size_t lostZones = 0; ///< Evacuations that a router dropped although the operator had not lifted them.
+    std::size_t disagreements = 0; ///< Steps in which a connected router lacked a live target that had been listed, or
+                                   ///< had not the zones that the operator wanted, for longer than 2 s and the bound.
+    Duration worstOlderConfig {}; ///< Longest time that a connected router had an older configuration than another one.
+    std::size_t returns = 0;
+    std::size_t lateAnswers = 0; ///< Answers given before a return that arrived after it.
     std::uint64_t storeCalls = 0;
     std::uint64_t fetches = 0;
 };
@@ -86,6 +99,13 @@
         m_storePlan.push_back({ at, [this] { m_store.truncateOperatorHistory(); } });
     }
 
+    /// Schedules a return of the store from a copy. @param age of the copy.
+    void planReturn(Duration at, Duration age)
+    {
+        m_hasReturns = true;
+        m_storePlan.push_back({ at, [this, age] { returnStore(age); } });
+    }
+
     /// Schedules a behavior of the store towards all routers.
     void planStore(Duration at, StoreBehavior behavior, Duration length)
     {
@@ -105,7 +125,7 @@
 
     /// A response of the store or of another router; a paused router receives it later.
     struct Answer {
-        TimePoint at;
+        TimePoint at; ///< Of its arrival.
         bool hasFailed = false;
         LogPosition newest; ///< End of the topic that was read.
         ToldKnowledge told; ///< From another router.
@@ -146,10 +166,12 @@
         std::uint32_t capacity = 250;
         TimePoint startedAt;
         std::uint64_t configVersion = 0;
+        std::optional<TimePoint> configSince; ///< When that version was put in force.
         std::optional<TimePoint> configUntil;
         EvacuatedZones zones;
         TargetRoster roster { TargetRoster::entryLapseTime };
         std::optional<StallDetector> stalls;
+        StoreEra storeEra = 0; ///< Newest era of an answer.
         std::array<ReadCursor, topics> cursors;
         std::array<std::optional<Call>, topics> calls;
         std::array<std::optional<TimePoint>, topics> failedAt;
@@ -178,6 +200,7 @@
         std::uint64_t seenRevision = 0;
         LogPosition seenEnd;
         std::set<TargetId> used; ///< Targets ever in its list during this life whose removal is not acknowledged.
+        std::set<ZoneId> usedZones; ///< As used, for evacuated zones.
         std::optional<TimePoint> leftFirst; ///< Earliest removal among the removed targets still in its list.
     };
 
@@ -198,7 +221,19 @@
     void startCall(Router&, std::size_t topic, Duration wait);
     void takeTargets(Router&, const Answer&, LogPosition next, ReadSpan);
     void takeFrom(Router&, const Fetch&);
+    /// Fills in what the store answers now.
+    void answerNow(Call&, std::size_t topic) const;
+    void returnStore(Duration age);
+    void beginReturns();
+    /// Returns or zone changes by chance.
+    void drawReturns();
     void check(std::size_t i);
+    void checkAgreement(const Router&);
+    void checkLostZones(Router&);
+    void trace(const std::string&) const;
+    void trace(const Router&, const std::string&) const;
+    static void forgetEra(Answer&);
+    static void setEra(Answer&, StoreEra);
     void checkTargets(Router&);
     void checkZones(const Router&);
     void takeOperatorNews(Router&, const Answer&, LogPosition next, bool hasAllZones);
@@ -218,6 +253,7 @@
     const NewsTimes m_times;
     SeededRandom m_random;
     TimePoint m_now { std::chrono::seconds(1000) };
+    const TimePoint m_begin = m_now;
     std::vector<Router> m_routers;
     std::vector<std::size_t> m_relays;
     std::vector<PlannedFault> m_plan;
@@ -227,6 +263,9 @@
         std::function<void()> apply;
     };
     std::vector<PlannedChange> m_storePlan;
+    bool m_hasReturns = false;
+    std::vector<std::pair<TimePoint, Duration>> m_nextReturns; ///< Drawn, with the age of the copy.
+    TimePoint m_returnedAt {};
     TimePoint m_nextElection {};
     NewsStore m_store;
     NewsReport m_report;
