--- a/tests/NewsWorld.cpp
+++ b/tests/NewsWorld.cpp
@@ -496,6 +496,8 @@
     if (!m_hasReturns)
         return;
     m_store.startRenewals(m_now);
+    if (m_options.keepsFormerEras)
+        m_store.keepFormerEras();
     if (m_options.mixesVersions)
         m_store.mixVersions();
 }
--- a/tests/NewsWorld.h
+++ b/tests/NewsWorld.h
@@ -56,6 +56,7 @@
     bool isStoreShared = true; ///< If false, no fault affects the store for all routers.
     bool isFirstStart = true; ///< Determines how long starting routers wait for others; see NewsTimes.
     double returnsPerSecond = 0; ///< Returns of the store from a copy; if not zero, zones are evacuated at random, too.
+    bool keepsFormerEras = false; ///< Copies may be of before an earlier return.
     bool mixesVersions = false; ///< Lost configurations are written again in any order, not in theirs.
     bool isTraced = false; ///< Prints what the checks find.
 };
