--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -404,8 +404,8 @@
     /// @return whether a later record for that target has been applied already.
     bool isOutdated(const TargetChange&) const;
 
-    /// @return whether a later full list did not contain that target. A delayed response to an earlier request may
-    /// still contain it, and the record of its removal would never be read again.
+    /// @return whether a later full list did not contain that target. A delayed response to an earlier request, or a
+    /// router that is behind, may still contain it, and the record of its removal would never be read again.
     bool isOmittedFromFullList(const TargetChange&) const;
 
     Duration m_maxReadGap;
@@ -439,8 +439,10 @@
 /// has although it was lifted stays lifted, for the time that the operator has to write it again.
 class EvacuatedZones {
 public:
+    EvacuatedZones() = default;
+
     /// @param storeBreak see NewsTimes.
-    explicit EvacuatedZones(Duration storeBreak = TargetRoster::entryLapseTime)
+    explicit EvacuatedZones(Duration storeBreak)
         : m_maxReadGap(storeBreak)
     {
     }
@@ -489,7 +491,7 @@
         TimePoint until;
     };
 
-    Duration m_maxReadGap;
+    Duration m_maxReadGap = TargetRoster::entryLapseTime;
     std::optional<TimePoint> m_knownUntil; ///< Of the last call of expire().
     std::map<ZoneId, Entry> m_zones;
     std::map<ZoneId, TimePoint> m_lifted; ///< When; for the time that a copy can be old.
--- a/src/news/EvacuatedZones.cpp
+++ b/src/news/EvacuatedZones.cpp
@@ -121,14 +121,17 @@
 
 std::vector<ZoneChange> EvacuatedZones::all() const
 {
-    std::vector<ZoneChange> result;
-    result.reserve(m_zones.size());
+    std::map<ZoneId, LogPosition> positions;
     for (const auto& [zone, entry] : m_zones) {
         if (!entry.keptUntil)
-            result.push_back({ zone, true, entry.position });
+            positions[zone] = entry.position;
     }
     for (const auto& [zone, doubtful] : m_doubtful)
-        result.push_back({ zone, true, doubtful.position });
+        positions[zone] = doubtful.position;
+    std::vector<ZoneChange> result;
+    result.reserve(positions.size());
+    for (const auto& [zone, position] : positions)
+        result.push_back({ zone, true, position });
     return result;
 }
 
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -208,7 +208,7 @@
 
 bool TargetRoster::isOmittedFromFullList(const TargetChange& change) const
 {
-    return change.position < m_completeFrom && !m_lives.contains(change.id);
+    return change.position < m_completeFrom && !m_entries.contains(change.id);
 }
 
 void TargetRoster::apply(TimePoint now, const TargetChange& change)
--- a/tests/NewsWorld.cpp
+++ b/tests/NewsWorld.cpp
@@ -602,7 +602,7 @@
             else
                 self.cursors[topic].readFailed(m_now);
             self.failedAt[topic].reset();
-            if (!self.cursors[topic].isHistoryLost())
+            if (call.answer->hasFailed)
                 self.failedAt[topic] = call.sent;
             continue;
         }
@@ -800,7 +800,8 @@
     askOthers(i);
     heartbeat(i);
     self.roster.expire(m_now);
-    self.zones.expire(m_now);
+    if (self.configUntil)
+        self.zones.expire(*self.configUntil);
     checkTargets(self);
     if (!m_storePlan.empty() || m_hasReturns)
         checkZones(self);
