Write releases and crash records again that the store lost by its return

What operators would see: a release of a request or part was confirmed, the store returned from a copy some seconds older, and every router that started later quarantined it again, as the copy still listed it. Exits written since the copy were gone too, so that routers that can't hear each other would let more targets end under the request.

Only quarantines were written again, after the follow's answer 410.

Each router now keeps what it wrote until the store is known not to have returned for 60 s (maxCopyAge), at most 1,024 records a kind, clears dropped last, each with the era known before the write was sent. When a newer era is known, from an answer or from other routers' news, the records of older eras are written again, in order and before all others; a record that was cleared since is written as cleared. A router that follows the store and finds a quarantine there whose release it knows writes the release again: the router that wrote it may be lost. That also ends a quarantine that a router wrote which had not yet heard of the release.

Order of records: merging already let no older record undo a release in a router that remembers it. The new case in QuarantineTest shows that and passes without this change. A router that starts from the copy has the quarantine in force until it hears of the release from another or from the store.

--- a/apps/sagechute-edge/CrashJournal.cpp
+++ b/apps/sagechute-edge/CrashJournal.cpp
@@ -15,8 +15,6 @@
     /// Longest time the store may hold a read without news; new records are returned at once.
     constexpr std::chrono::milliseconds longPollTimeout { 5000 };
 
-    constexpr std::size_t maxPendingRecords = 1024;
-
     /// From the operator's call to its answer. Long enough for a hung write (1.2 s), the retry delay and another write.
     constexpr std::chrono::milliseconds releaseTimeout { 3500 };
 
@@ -49,12 +47,18 @@
 void CrashJournal::Subjects::add(const Records& records)
 {
     pendingRecords.insert(pendingRecords.end(), records.begin(), records.end());
-    while (pendingRecords.size() > maxPendingRecords)
-        pendingRecords.pop_front();
+    dropExcess(pendingRecords);
 }
 
-void CrashJournal::Subjects::markWritten(const Records& records)
+void CrashJournal::Subjects::prepend(const Records& records)
 {
+    pendingRecords.insert(pendingRecords.begin(), records.begin(), records.end());
+    dropExcess(pendingRecords);
+}
+
+void CrashJournal::Subjects::markWritten(TimePoint now, news::StoreEra era, const Records& records)
+{
+    writtenRecords.add(now, era, records);
     for (const quarantine::CrashRecord& it : records) {
         if (it.isCleared)
             storedQuarantines.erase(it.subject);
@@ -135,12 +139,43 @@
         delay = flush() ? writeInterval : retryDelay;
 }
 
+void CrashJournal::requeueLost(news::StoreEra era)
+{
+    Records requests;
+    Records parts;
+    const news::Knowledge known = m_state.knowledge();
+    {
+        std::lock_guard lock(m_mutex);
+        requests = m_requests.writtenRecords.takeLost(era);
+        parts = m_parts.writtenRecords.takeLost(era);
+        if (known.targetsUntil && known.targetsNext.era >= era) {
+            m_requests.writtenRecords.forgetOld(*known.targetsUntil);
+            m_parts.writtenRecords.forgetOld(*known.targetsUntil);
+        }
+    }
+    if (requests.empty() && parts.empty())
+        return;
+    // An exit that another router has cleared since must not be the store's last word on it.
+    m_state.withDispatcher([&](dispatch::Dispatcher& it) {
+        requests = it.crashes().newest(std::move(requests));
+        parts = it.crashes().parts().newest(std::move(parts));
+    });
+    process::log(process::LogLevel::Info, "crash-records-written-again",
+        { { "era", std::to_string(era) }, { "requests", std::to_string(requests.size()) },
+            { "parts", std::to_string(parts.size()) } });
+    std::lock_guard lock(m_mutex);
+    m_requests.prepend(requests);
+    m_parts.prepend(parts);
+}
+
 bool CrashJournal::flush()
 {
     Records requests;
     Records parts;
     Releases releases;
     std::lock_guard writeLock(m_storeWriteMutex);
+    const news::StoreEra era = knownStoreEra(m_state, m_store);
+    requeueLost(era);
     {
         std::lock_guard lock(m_mutex);
         requests = m_requests.pending();
@@ -160,8 +195,9 @@
     applyReleases(releases);
     {
         std::lock_guard lock(m_mutex);
-        m_requests.markWritten(requests);
-        m_parts.markWritten(parts);
+        const TimePoint now = unsuspendedNow();
+        m_requests.markWritten(now, era, requests);
+        m_parts.markWritten(now, era, parts);
     }
     endReleases(releases);
     return true;
@@ -233,6 +269,8 @@
 
 void CrashJournal::applyRecords(const news::CrashNews& update)
 {
+    Records requests;
+    Records parts;
     {
         std::lock_guard lock(m_mutex);
         m_requests.apply(update);
@@ -242,7 +280,12 @@
     m_state.withDispatcher([&](dispatch::Dispatcher& it) {
         it.crashes().learn(now, update.records);
         it.crashes().parts().learn(now, update.parts.records);
+        requests = it.crashes().clearedRecords(update.quarantined);
+        parts = it.crashes().parts().clearedRecords(update.parts.quarantined);
     });
+    // Released meanwhile: the store returned from a copy of before, or a router that did not know yet wrote it. The
+    // router that wrote the release may be lost.
+    write(requests, parts);
 }
 
 bool CrashJournal::writeMissing()
--- a/apps/sagechute-edge/CrashJournal.h
+++ b/apps/sagechute-edge/CrashJournal.h
@@ -2,8 +2,8 @@
 
 #include "Fleet.h"
 #include "InterruptibleSleeper.h"
+#include "OwnRecords.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <thread>
@@ -13,7 +13,8 @@
 /// Persists the crash records of requests and of parts of prompts that crash targets in the store, for routers that
 /// cannot reach each other and for those that start after all routers were lost.
 ///
-/// One thread writes this router's own findings and the operator's releases. Another polls the store's records if this
+/// One thread writes this router's own findings and the operator's releases, and writes them again when the store has
+/// returned from a copy that may lack them. Another polls the store's records if this
 /// router reads the store for others or has no peers; all other routers receive the records with heartbeats.
 class CrashJournal {
 public:
@@ -30,7 +31,7 @@
     void start();
 
     /// Queues records for writing. Thread-safe and non-blocking. The oldest records are dropped when the queue is full,
-    /// as during a long outage of the store.
+    /// as during a long outage of the store; see dropExcess().
     void write(const std::vector<quarantine::CrashRecord>& requests, const std::vector<quarantine::CrashRecord>& parts);
 
     /// Writes an operator's release to the store, and applies it here once the store has accepted it. Until then the
@@ -51,11 +52,13 @@
     /// Of requests, or of parts.
     struct Subjects {
         std::deque<quarantine::CrashRecord> pendingRecords;
+        WrittenRecords writtenRecords;
         std::set<quarantine::SubjectKey> storedQuarantines; ///< Quarantined subjects that the store holds.
 
         void add(const Records&);
         Records pending() const { return { pendingRecords.begin(), pendingRecords.end() }; }
-        void markWritten(const Records&);
+        void prepend(const Records&);
+        void markWritten(TimePoint now, news::StoreEra, const Records&);
         void markWritten(const Cases&);
         void apply(const news::SubjectCrashNews&);
     };
@@ -73,6 +76,9 @@
     void runWriter();
     void runReader();
 
+    /// Queues the records again, before all others, that the store may have lost since this router wrote them.
+    void requeueLost(news::StoreEra);
+
     /// Writes all pending records and releases. @return false when the store did not accept them.
     bool flush();
 
--- /dev/null
+++ b/apps/sagechute-edge/OwnRecords.cpp
@@ -0,0 +1,54 @@
+#include "OwnRecords.h"
+
+#include <algorithm>
+
+namespace sagechute::edge {
+
+namespace {
+
+    /// Erases the oldest elements beyond maxPendingRecords, among them first those that are not cleared.
+    template <typename Elements, typename IsCleared> void eraseExcess(Elements& elements, IsCleared&& isCleared)
+    {
+        while (elements.size() > maxPendingRecords) {
+            const auto it = std::find_if_not(elements.begin(), elements.end(), isCleared);
+            elements.erase(it == elements.end() ? elements.begin() : it);
+        }
+    }
+
+} // namespace
+
+news::StoreEra knownStoreEra(const EdgeState& state, const news::FleetStore& store)
+{
+    const news::Knowledge known = state.knowledge();
+    return std::max({ store.era(), known.targetsNext.era, known.operatorNext.era });
+}
+
+void dropExcess(std::deque<quarantine::CrashRecord>& records)
+{
+    eraseExcess(records, [](const quarantine::CrashRecord& it) { return it.isCleared; });
+}
+
+void WrittenRecords::add(TimePoint now, news::StoreEra era, const std::vector<quarantine::CrashRecord>& records)
+{
+    for (const quarantine::CrashRecord& it : records)
+        m_records.push_back({ it, era, now });
+    eraseExcess(m_records, [](const Written& it) { return it.record.isCleared; });
+}
+
+std::vector<quarantine::CrashRecord> WrittenRecords::takeLost(news::StoreEra era)
+{
+    std::vector<quarantine::CrashRecord> lost;
+    for (const Written& it : m_records) {
+        if (it.era < era)
+            lost.push_back(it.record);
+    }
+    std::erase_if(m_records, [era](const Written& it) { return it.era < era; });
+    return lost;
+}
+
+void WrittenRecords::forgetOld(TimePoint witnessed)
+{
+    std::erase_if(m_records, [witnessed](const Written& it) { return it.at < witnessed - maxCopyAge; });
+}
+
+} // namespace sagechute::edge
--- /dev/null
+++ b/apps/sagechute-edge/OwnRecords.h
@@ -0,0 +1,51 @@
+#pragma once
+
+/// @file
+/// What this router wrote to the store, and has to write again when the store returns from a copy that may lack it.
+
+#include "EdgeState.h"
+
+#include <deque>
+
+namespace sagechute::edge {
+
+/// How old a copy may be from which the store returns: records written longer before its return are in it.
+inline constexpr std::chrono::seconds maxCopyAge { 60 };
+
+/// Limit on the crash records of one kind that wait to be written, and on those that are kept in case they are lost.
+inline constexpr std::size_t maxPendingRecords = 1024;
+
+/// @return the newest era of the store that this router has seen in an answer or other routers have told it with newer
+/// data. A router for which others read the store learns of its return in the second way only.
+news::StoreEra knownStoreEra(const EdgeState&, const news::FleetStore&);
+
+/// Drops the oldest records beyond maxPendingRecords, those that clear an exit last: a release that is lost keeps a
+/// request from being served, while a lost exit costs one target more at most.
+void dropExcess(std::deque<quarantine::CrashRecord>&);
+
+/// The crash records that this router has written recently, in the order of their writing. Not thread-safe.
+class WrittenRecords {
+public:
+    /// @param era newest era known before the write was sent: what was acknowledged may have been written in any later
+    /// one, but in no older one. @param now when it was acknowledged, on the clock of unsuspendedNow().
+    void add(TimePoint now, news::StoreEra era, const std::vector<quarantine::CrashRecord>&);
+
+    /// Removes the records of older eras, which the store may have lost.
+    /// @return them, the oldest first.
+    std::vector<quarantine::CrashRecord> takeLost(news::StoreEra era);
+
+    /// Forgets records that every copy from which the store may still return has.
+    /// @param witnessed time up to which the store is known not to have returned; while it is unavailable, that time
+    /// does not advance. On the clock of unsuspendedNow().
+    void forgetOld(TimePoint witnessed);
+
+private:
+    struct Written {
+        quarantine::CrashRecord record;
+        news::StoreEra era = 0;
+        TimePoint at;
+    };
+    std::deque<Written> m_records;
+};
+
+} // namespace sagechute::edge
--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -213,6 +213,12 @@
     /// the subject is unknown. Already cleared ones are included, so that an operator can repeat a release.
     std::vector<CrashRecord> releaseRecords(SubjectKey) const;
 
+    /// @return the records of the subject that were cleared.
+    std::vector<CrashRecord> clearedRecords(SubjectKey) const;
+
+    /// @return the same records in the same order, each with all that is known of it by now.
+    std::vector<CrashRecord> newest(std::vector<CrashRecord>) const;
+
     /// @return the records to send next: new ones, and in rotation all that a router which has just started needs.
     std::vector<CrashRecord> recordsToSend();
 
@@ -311,6 +317,13 @@
     /// @return the records that release a part, for an operator; see CrashRecordSet::releaseRecords().
     std::vector<CrashRecord> releaseRecords(PartKey part) const { return m_records.releaseRecords(part); }
 
+    /// See CrashGuard.
+    std::vector<CrashRecord> clearedRecords(const std::vector<PartKey>& quarantined) const;
+    std::vector<CrashRecord> newest(std::vector<CrashRecord> records) const
+    {
+        return m_records.newest(std::move(records));
+    }
+
     /// Applies the records of a release, which are in the store. @param records see releaseRecords().
     void release(TimePoint now, const std::vector<CrashRecord>& records);
 
@@ -394,6 +407,16 @@
     /// operator; see CrashRecordSet::releaseRecords().
     std::vector<CrashRecord> releaseRecords(RequestKey request) const { return m_records.releaseRecords(request); }
 
+    /// @param quarantined requests that the store lists as quarantined, with records that have been learned.
+    /// @return the cleared records of those that are not quarantined here.
+    std::vector<CrashRecord> clearedRecords(const std::vector<RequestKey>& quarantined) const;
+
+    /// @return see CrashRecordSet::newest().
+    std::vector<CrashRecord> newest(std::vector<CrashRecord> records) const
+    {
+        return m_records.newest(std::move(records));
+    }
+
     /// Applies the records of a release, which are in the store. Applying them earlier would lose the release if this
     /// router ends before they are written. @param records see releaseRecords().
     void release(TimePoint now, const std::vector<CrashRecord>& records);
--- a/src/quarantine/CrashGuard.cpp
+++ b/src/quarantine/CrashGuard.cpp
@@ -69,6 +69,18 @@
     m_update.quarantined.push_back(m_records.find(record.subject));
 }
 
+std::vector<CrashRecord> CrashGuard::clearedRecords(const std::vector<RequestKey>& quarantined) const
+{
+    std::vector<CrashRecord> found;
+    for (const RequestKey it : quarantined) {
+        if (m_records.exitCount(it) >= quarantineThreshold)
+            continue;
+        const std::vector<CrashRecord> cleared = m_records.clearedRecords(it);
+        found.insert(found.end(), cleared.begin(), cleared.end());
+    }
+    return found;
+}
+
 void CrashGuard::release(TimePoint now, const std::vector<CrashRecord>& records)
 {
     for (const CrashRecord& it : records)
--- a/src/quarantine/CrashRecordSet.cpp
+++ b/src/quarantine/CrashRecordSet.cpp
@@ -153,6 +153,31 @@
     return found;
 }
 
+std::vector<CrashRecord> CrashRecordSet::clearedRecords(SubjectKey subject) const
+{
+    std::vector<CrashRecord> found;
+    const auto it = m_entries.find(subject);
+    if (it == m_entries.end())
+        return found;
+    for (const auto& [target, exit] : it->second.exits) {
+        if (exit.record.isCleared)
+            found.push_back(exit.record);
+    }
+    return found;
+}
+
+std::vector<CrashRecord> CrashRecordSet::newest(std::vector<CrashRecord> records) const
+{
+    for (CrashRecord& record : records) {
+        const auto it = m_entries.find(record.subject);
+        if (it == m_entries.end())
+            continue;
+        if (const auto exit = it->second.exits.find(record.target); exit != it->second.exits.end())
+            record = merged(record, exit->second.record);
+    }
+    return records;
+}
+
 std::vector<CrashRecord> CrashRecordSet::releaseRecords(SubjectKey subject) const
 {
     std::vector<CrashRecord> records;
--- a/src/quarantine/PartGuard.cpp
+++ b/src/quarantine/PartGuard.cpp
@@ -169,6 +169,16 @@
         m_changes.quarantined.push_back(after);
 }
 
+std::vector<CrashRecord> PartGuard::clearedRecords(const std::vector<PartKey>& quarantined) const
+{
+    std::vector<CrashRecord> found;
+    for (const PartKey it : quarantined) {
+        if (!m_records.find(it).isPartQuarantined())
+            append(found, m_records.clearedRecords(it));
+    }
+    return found;
+}
+
 void PartGuard::release(TimePoint now, const std::vector<CrashRecord>& records)
 {
     for (const CrashRecord& it : records)
--- a/tests/QuarantineTest.cpp
+++ b/tests/QuarantineTest.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
+
 using namespace sagechute;
 using namespace sagechute::quarantine;
 using namespace std::chrono_literals;
@@ -338,6 +340,72 @@
     CHECK(a.guard.releaseRecords(crashing + 1).empty());
 }
 
+// Guards against a quarantine that is back in force after its release, since the store returned from an older copy.
+TEST_CASE("records from before a release do not undo it, in whatever order and how often they are learned")
+{
+    const PartKey part = 9;
+    std::vector<CrashRecord> exits;
+    std::vector<CrashRecord> partExits;
+    for (TargetKey i = 1; i <= partQuarantineThreshold; ++i) {
+        exits.push_back({ crashing, i });
+        partExits.push_back({ part, i, false, true, true });
+    }
+    Router a;
+    a.guard.learn(a.now, exits);
+    a.guard.parts().learn(a.now, partExits);
+    const std::vector<CrashRecord> release = a.guard.releaseRecords(crashing);
+    const std::vector<CrashRecord> partRelease = a.guard.parts().releaseRecords(part);
+    const auto isPartQuarantined = [&](Router& router) {
+        const std::vector<CrashCase> cases = router.guard.parts().cases();
+        return std::any_of(cases.begin(), cases.end(), [](const CrashCase& it) { return it.isPartQuarantined(); });
+    };
+    REQUIRE(a.standing(crashing) == Standing::Quarantined);
+    REQUIRE(isPartQuarantined(a));
+    a.guard.release(a.now, release);
+    a.guard.parts().release(a.now, partRelease);
+    for (unsigned i = 0; i < 3; ++i) {
+        a.now += 20s;
+        a.guard.learn(a.now, exits);
+        a.guard.parts().learn(a.now, partExits);
+        CHECK(a.standing(crashing) == Standing::Clear);
+        CHECK_FALSE(isPartQuarantined(a));
+    }
+    // A router that learns of the release before the exits.
+    Router b;
+    b.guard.learn(b.now, release);
+    b.guard.parts().learn(b.now, partRelease);
+    b.guard.learn(b.now, exits);
+    b.guard.parts().learn(b.now, partExits);
+    CHECK(b.standing(crashing) == Standing::Clear);
+    CHECK_FALSE(isPartQuarantined(b));
+    // A router that starts with the copy is told by another as soon as it reports what it read.
+    Router c;
+    c.guard.learn(c.now, exits);
+    sendRecords(c, a);
+    sendRecords(a, c);
+    CHECK(c.standing(crashing) == Standing::Clear);
+}
+
+// Guards against a release of requests that are quarantined, or of which nothing is known.
+TEST_CASE("only what is released here, and quarantined in the store, is released there again")
+{
+    const PartKey part = 9;
+    Router router;
+    for (TargetKey i = 1; i <= partQuarantineThreshold; ++i) {
+        router.guard.learn(router.now, std::vector<CrashRecord> { { crashing, i }, { innocent, i, true } });
+        router.guard.parts().learn(
+            router.now, std::vector<CrashRecord> { { part, i, false, true }, { part + 1, i, true, true } });
+    }
+    router.guard.learn(router.now, std::vector<CrashRecord> { { crashing, 99, true } });
+    CHECK(router.guard.clearedRecords({ crashing, crashing + 100 }).empty());
+    CHECK(router.guard.clearedRecords({ innocent }) == router.guard.releaseRecords(innocent));
+    CHECK(router.guard.parts().clearedRecords({ part, part + 100 }).empty());
+    CHECK(router.guard.parts().clearedRecords({ part + 1 }) == router.guard.parts().releaseRecords(part + 1));
+    const std::vector<CrashRecord> written { { innocent, 1 }, { crashing, 1 }, { crashing + 100, 1 } };
+    const std::vector<CrashRecord> newest { { innocent, 1, true }, { crashing, 1 }, { crashing + 100, 1 } };
+    CHECK(router.guard.newest(written) == newest);
+}
+
 TEST_CASE("a flood of requests with one exit each does not evict a quarantined request")
 {
     CrashRecordSet ledger;
