Announce a router again when the store's return lost its announcement

What callers would see: after the store's return from a copy of before a router's announcement, a router that starts with its seeds down finds no other and serves alone, with shares and quarantines of its own.

Cause: a router announced itself once in its life.

It does so now once in each era of the store, which it knows from an answer or from other routers' news (a router for which others read makes no calls). As before only relays do in a large fleet; they spread over 2 s by their names. An announcement counts for the era known before it was sent: if the store returns during the call, it is repeated.

Evidence: with the former RouterDiscovery the case in OwnRecordsReturnTest fails (no announcement within 8 s of the return), and passes now, exactly one after it.

--- a/apps/sagechute-edge/OwnRecords.cpp
+++ b/apps/sagechute-edge/OwnRecords.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// Time over which routers that announce themselves again spread their calls, since all share one rate limit.
+    constexpr std::chrono::milliseconds announceSpread { 2000 };
+
     /// Erases the oldest elements beyond maxPendingRecords, among them first those that are not cleared.
     template <typename Elements, typename IsCleared> void eraseExcess(Elements& elements, IsCleared&& isCleared)
     {
@@ -51,4 +54,26 @@
     std::erase_if(m_records, [witnessed](const Written& it) { return it.at < witnessed - maxCopyAge; });
 }
 
+AnnouncementSchedule::AnnouncementSchedule(const VmId& router)
+    : m_delay(stableHash(router.value) % announceSpread.count())
+{
+}
+
+bool AnnouncementSchedule::isDue(TimePoint now, news::StoreEra era)
+{
+    if (!m_announcedIn)
+        return true;
+    if (era <= *m_announcedIn)
+        return false;
+    if (!m_dueAgain)
+        m_dueAgain = now + m_delay;
+    return now >= *m_dueAgain;
+}
+
+void AnnouncementSchedule::announced(news::StoreEra era)
+{
+    m_announcedIn = era;
+    m_dueAgain.reset();
+}
+
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/OwnRecords.h
+++ b/apps/sagechute-edge/OwnRecords.h
@@ -48,4 +48,23 @@
     std::deque<Written> m_records;
 };
 
+/// Decides when a router announces itself in the store. Not thread-safe.
+class AnnouncementSchedule {
+public:
+    /// @param router routers that announce themselves again spread their calls by their names.
+    explicit AnnouncementSchedule(const VmId& router);
+
+    /// @param era see knownStoreEra(). Call it about once a second.
+    /// @return whether this router has not announced itself yet, or did in an older era and its turn has come.
+    bool isDue(TimePoint now, news::StoreEra era);
+
+    /// The store has accepted an announcement. @param era newest era known before it was sent.
+    void announced(news::StoreEra era);
+
+private:
+    const std::chrono::milliseconds m_delay; ///< Of an announcement in a later era.
+    std::optional<news::StoreEra> m_announcedIn;
+    std::optional<TimePoint> m_dueAgain;
+};
+
 } // namespace sagechute::edge
--- a/apps/sagechute-edge/RouterDiscovery.cpp
+++ b/apps/sagechute-edge/RouterDiscovery.cpp
@@ -24,6 +24,7 @@
     , m_fleet(fleet)
     , m_store(store)
     , m_metrics(metrics)
+    , m_schedule(state.vm)
 {
 }
 
@@ -47,7 +48,7 @@
         const bool hasNoPeers = !m_fleet.knowsOtherRouters();
         if (!hasNoPeers && unsuspendedNow() - m_startedAt < announceDelay)
             continue;
-        if (!m_hasAnnounced && m_fleet.shouldAnnounce())
+        if (m_schedule.isDue(unsuspendedNow(), knownStoreEra(m_state, m_store)) && m_fleet.shouldAnnounce())
             announce();
         if (hasNoPeers)
             searchStore();
@@ -57,9 +58,12 @@
 void RouterDiscovery::announce()
 {
     m_metrics.storeCalls().Increment();
+    // If the store returns during the call, the announcement may have come before.
+    const news::StoreEra era = knownStoreEra(m_state, m_store);
     const absl::Status status = m_store.announce({ m_state.vm, m_fleet.gossipAddress() });
-    m_hasAnnounced = status.ok();
-    if (!status.ok())
+    if (status.ok())
+        m_schedule.announced(era);
+    else
         process::log(process::LogLevel::Info, "not-announced", { { "reason", std::string(status.message()) } });
 }
 
--- a/apps/sagechute-edge/RouterDiscovery.h
+++ b/apps/sagechute-edge/RouterDiscovery.h
@@ -6,6 +6,7 @@
 #include "EdgeMetrics.h"
 #include "Fleet.h"
 #include "InterruptibleSleeper.h"
+#include "OwnRecords.h"
 
 #include <sagechute/News.h>
 
@@ -13,8 +14,9 @@
 
 namespace sagechute::edge {
 
-/// Announces this router in the store, and searches the store for others while it has no peers. Runs on its own thread:
-/// a call may block on a store that does not answer, and must not delay reads of configuration and targets.
+/// Announces this router in the store, again after each return of the store from a copy, and searches the store for
+/// others while it has no peers. Runs on its own thread: a call may block on a store that does not answer, and must not
+/// delay reads of configuration and targets.
 class RouterDiscovery {
 public:
     RouterDiscovery(EdgeState&, Fleet&, news::FleetStore&, EdgeMetrics&);
@@ -34,7 +36,7 @@
     news::FleetStore& m_store;
     EdgeMetrics& m_metrics;
     const TimePoint m_startedAt = unsuspendedNow();
-    bool m_hasAnnounced = false;
+    AnnouncementSchedule m_schedule;
     InterruptibleSleeper m_sleeper;
     std::thread m_thread;
 };
--- a/tests/OwnRecordsReturnTest.cpp
+++ b/tests/OwnRecordsReturnTest.cpp
@@ -1,6 +1,7 @@
-// Tests of what a router writes again when the store returns from a copy: releases and crash records.
+// Tests of what a router writes again when the store returns from a copy: its announcement, releases and crash records.
 
 #include "../apps/sagechute-edge/CrashJournal.h"
+#include "../apps/sagechute-edge/RouterDiscovery.h"
 
 #include <CrashRecords.h>
 
@@ -22,7 +23,7 @@
 constexpr quarantine::RequestKey crashing = 7;
 constexpr quarantine::PartKey crashingPart = 9;
 
-/// Well above the retry delay.
+/// Well above the retry delay, the interval of searches and the spread of announcements.
 constexpr Duration patience = 8s;
 
 template <typename Condition> bool comesTrue(Condition&& condition)
@@ -231,6 +232,8 @@
     PeerInbox inbox;
     std::unique_ptr<Fleet> fleet = *Fleet::make(state, inbox, options, generateIncarnation());
     StoreConnection connection;
+    process::Metrics metrics;
+    EdgeMetrics edgeMetrics { metrics };
 };
 
 std::vector<CrashRecord> exits(quarantine::SubjectKey subject, unsigned count, bool isCleared, bool isConfirmed = false)
@@ -263,6 +266,25 @@
 
 } // namespace
 
+// Guards against a router that starts after the store's return and finds no other, as their announcements are lost.
+TEST_CASE("a router announces itself again, once, after a return of the store that lost its announcement")
+{
+    ReturningStore store;
+    Router router(store);
+    RouterDiscovery discovery(router.state, *router.fleet, router.connection, router.edgeMetrics);
+    const ReturningStore::Copy empty = store.copy();
+    discovery.start();
+    REQUIRE(comesTrue([&] { return !store.copy().announcements.empty(); }));
+    // The first answer names the era: the announcement may be repeated once.
+    std::this_thread::sleep_for(4s);
+    const std::size_t before = store.copy().announcements.size();
+    CHECK(before <= 2);
+    store.returnFrom(empty);
+    CHECK(comesTrue([&] { return !store.copy().announcements.empty(); }));
+    std::this_thread::sleep_for(4s);
+    CHECK(store.copy().announcements.size() == 1);
+}
+
 // Guards against a quarantine that an operator has released and that is back in force at each router that starts later.
 TEST_CASE("releases that the store lost by its return are written again")
 {
--- a/tests/OwnRecordsTest.cpp
+++ b/tests/OwnRecordsTest.cpp
@@ -60,6 +60,28 @@
     CHECK(cleared.size() == maxPendingRecords);
 }
 
+// Guards against a fleet that calls the store at one moment when it returns, and against repeated announcements.
+TEST_CASE("routers announce themselves once in an era, those of a fleet at different times")
+{
+    std::set<Duration> delays;
+    for (unsigned i = 0; i < 12; ++i) {
+        AnnouncementSchedule schedule({ "vm-" + std::to_string(i) });
+        CHECK(schedule.isDue(start, 1));
+        CHECK(schedule.isDue(start, 1)); // Not accepted by the store.
+        schedule.announced(1);
+        CHECK_FALSE(schedule.isDue(start + 1h, 1));
+        CHECK_FALSE(schedule.isDue(start + 1h, 0));
+        Duration delay {};
+        while (!schedule.isDue(start + delay, 2))
+            delay += 1ms;
+        CHECK(delay < 2s);
+        delays.insert(delay);
+        schedule.announced(2);
+        CHECK_FALSE(schedule.isDue(start + 1h, 2));
+    }
+    CHECK(delays.size() > 8);
+}
+
 // Guards against a router that writes nothing again, as others read the store for it and it makes no calls.
 TEST_CASE("a router learns of the store's return from other routers' news as well")
 {
