Put an evacuation in force at once that was written after the store's return

An evacuation that a copy has although it was lifted is kept out of force for 2.2 s. A list with a later record of the same zone was taken for the copy's, so that the evacuation came late by that time. The new case of StoreReturnTest failed before.

--- a/src/news/EvacuatedZones.cpp
+++ b/src/news/EvacuatedZones.cpp
@@ -65,9 +65,11 @@
         listed.insert(it.zone);
         const auto lifted = m_lifted.find(it.zone);
         const bool isDoubtful = isNewEra && lifted != m_lifted.end() && now - lifted->second < maxCopyAge;
+        const auto doubtful = m_doubtful.find(it.zone);
+        const bool isKnownDoubtful = doubtful != m_doubtful.end() && it.position <= doubtful->second.position;
         if (isDoubtful)
             m_doubtful[it.zone] = { it.position, now + TargetRoster::reregistrationGrace };
-        else if (!m_doubtful.contains(it.zone) && apply(now, it))
+        else if (!isKnownDoubtful && apply(now, it))
             changed.push_back(it);
     }
     for (auto& [zone, entry] : m_zones) {
--- a/tests/StoreReturnTest.cpp
+++ b/tests/StoreReturnTest.cpp
@@ -336,6 +336,20 @@
     CHECK(zones.zones().empty());
 }
 
+// Guards against an evacuation that a router keeps out of force although it was written after the return.
+TEST_CASE("a zone that is evacuated again after the return is evacuated at once")
+{
+    EvacuatedZones zones;
+    zones.replace(start, { evacuation("a", { 40, former }) }, { 100, former });
+    zones.applyAll(start + 1s, { { { "a" }, false, { 100, former } } }, { 101, former });
+    zones.replace(start + 3s, { evacuation("a", { 40, current }) }, { 60, current });
+    REQUIRE(zones.zones().empty());
+    SECTION("by a list") { zones.replace(start + 4s, { evacuation("a", { 60, current }) }, { 61, current }); }
+    SECTION("by a record") { zones.applyAll(start + 4s, { evacuation("a", { 60, current }) }, { 61, current }); }
+    CHECK(zones.zones().contains({ "a" }));
+    CHECK(zones.all() == std::vector { evacuation("a", { 60, current }) });
+}
+
 // Guards against live targets that are given up after two returns in a row.
 TEST_CASE("targets that are missing at one return and listed at the next are used")
 {
