Take a first era after positions without one for no return of the store

The new case of StoreReturnTest guards against it; it has no run on the former code. The age of the oldest copy is one constant now.

--- a/apps/sagechute-edge/OwnRecords.cpp
+++ b/apps/sagechute-edge/OwnRecords.cpp
@@ -51,7 +51,7 @@
 
 void WrittenRecords::forgetOld(TimePoint witnessed)
 {
-    std::erase_if(m_records, [witnessed](const Written& it) { return it.at < witnessed - maxCopyAge; });
+    std::erase_if(m_records, [witnessed](const Written& it) { return it.at < witnessed - news::maxCopyAge; });
 }
 
 AnnouncementSchedule::AnnouncementSchedule(const VmId& router)
--- a/apps/sagechute-edge/OwnRecords.h
+++ b/apps/sagechute-edge/OwnRecords.h
@@ -9,9 +9,6 @@
 
 namespace sagechute::edge {
 
-/// How old a copy may be from which the store returns: records written longer before its return are in it.
-inline constexpr std::chrono::seconds maxCopyAge { 60 };
-
 /// Limit on the crash records of one kind that wait to be written, and on those that are kept in case they are lost.
 inline constexpr std::size_t maxPendingRecords = 1024;
 
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -23,6 +23,9 @@
 /// acknowledged; offsets are then given out again. Zero: unknown, or a store that doesn't report it.
 using StoreEra = std::uint64_t;
 
+/// Age of the oldest copy that the store returns from: what was acknowledged longer before is in it.
+inline constexpr std::chrono::seconds maxCopyAge { 60 };
+
 /// Position in a topic of the store. Offsets are given out again in each era, so a position of a newer era is later
 /// than any of an older one.
 struct LogPosition {
@@ -370,7 +373,8 @@
     static dispatch::Target targetAt(const Entry&, std::optional<TimePoint> now);
     void remove(TimePoint now, const TargetId&, LogPosition);
 
-    /// Notes a return of the store. @param end of the first list known in the new era.
+    /// Notes a return of the store. A position without an era says nothing of one. @param end of the first list known
+    /// in the new era.
     void noteReturn(LogPosition end, TimePoint returnedBy);
     void removeExpiredLives(TimePoint now);
 
--- a/src/news/EvacuatedZones.cpp
+++ b/src/news/EvacuatedZones.cpp
@@ -4,13 +4,6 @@
 
 namespace sagechute::news {
 
-namespace {
-
-    /// Age of the oldest copy that a store returns from.
-    constexpr Duration maxCopyAge = std::chrono::minutes(1);
-
-} // namespace
-
 bool EvacuatedZones::apply(TimePoint now, const ZoneChange& change)
 {
     const auto known = m_zones.find(change.zone);
@@ -56,7 +49,7 @@
 {
     if (m_next && end < *m_next)
         return {};
-    const bool isNewEra = m_next && end.era > m_next->era;
+    const bool isNewEra = m_next && m_next->era > 0 && end.era > m_next->era;
     std::vector<ZoneChange> changed;
     std::set<ZoneId> listed;
     for (const ZoneChange& it : all) {
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -36,7 +36,7 @@
 {
     if (m_next && next.era < m_next->era)
         return;
-    if (m_next && next.era > m_next->era)
+    if (m_next && m_next->era > 0 && next.era > m_next->era)
         noteReturn(next, told.until);
     m_next = std::max(m_next.value_or(LogPosition {}), next);
     if (!m_read) {
--- a/tests/OwnRecordsTest.cpp
+++ b/tests/OwnRecordsTest.cpp
@@ -38,8 +38,8 @@
     WrittenRecords written;
     written.add(start, 1, { { 7, 1, true } });
     written.add(start + 1s, 1, { { 8, 1, true } });
-    written.forgetOld(start + maxCopyAge);
-    written.forgetOld(start + maxCopyAge + 500ms);
+    written.forgetOld(start + news::maxCopyAge);
+    written.forgetOld(start + news::maxCopyAge + 500ms);
     CHECK(written.takeLost(2) == Records { { 8, 1, true } });
 }
 
--- a/tests/StoreReturnTest.cpp
+++ b/tests/StoreReturnTest.cpp
@@ -134,6 +134,21 @@
     CHECK(usable(roster) == std::set<std::string> { "a", "b" });
 }
 
+// Guards against targets that are used after their removal as a router was told its first list without an era.
+TEST_CASE("a list that follows one without an era is no return of the store")
+{
+    TargetRoster roster;
+    roster.known({ 100 }, start);
+    roster.replace(start, { entry("a", { 40 }), entry("b", { 99 }) }, { 100 });
+    roster.known({ 110, current }, start + 500ms);
+    roster.replace(start + 500ms, { entry("a", { 40, current }) }, { 110, current });
+    CHECK(usable(roster) == std::set<std::string> { "a" });
+    CHECK_FALSE(roster.takeStoreReturn());
+    EvacuatedZones zones;
+    zones.replace(start, { evacuation("a", { 99 }) }, { 100 });
+    CHECK(zones.replace(start + 500ms, {}, { 110, current }).size() == 1);
+}
+
 // Guards against a late answer, or a router that has not met the return, that takes the list back.
 TEST_CASE("lists and records of an older era change nothing")
 {
