Say once what the store's return made the code say twice

StoreTest, StoreReturnTest, TargetRosterTest, OwnRecordsTest, OwnRecordsReturnTest, EdgeTest, QuarantineTest and PartGuardTest pass as before, with the same numbers of assertions; OwnRecordsTest passes the knowledge itself.

--- a/apps/sagechute-edge/CrashJournal.cpp
+++ b/apps/sagechute-edge/CrashJournal.cpp
@@ -139,11 +139,10 @@
         delay = flush() ? writeInterval : retryDelay;
 }
 
-void CrashJournal::requeueLost(news::StoreEra era)
+void CrashJournal::requeueLost(const news::Knowledge& known, news::StoreEra era)
 {
     Records requests;
     Records parts;
-    const news::Knowledge known = m_state.knowledge();
     {
         std::lock_guard lock(m_mutex);
         requests = m_requests.writtenRecords.takeLost(era);
@@ -174,8 +173,9 @@
     Records parts;
     Releases releases;
     std::lock_guard writeLock(m_storeWriteMutex);
-    const news::StoreEra era = knownStoreEra(m_state, m_store);
-    requeueLost(era);
+    const news::Knowledge known = m_state.knowledge();
+    const news::StoreEra era = knownStoreEra(known, m_store);
+    requeueLost(known, era);
     {
         std::lock_guard lock(m_mutex);
         requests = m_requests.pending();
--- a/apps/sagechute-edge/CrashJournal.h
+++ b/apps/sagechute-edge/CrashJournal.h
@@ -77,7 +77,7 @@
     void runReader();
 
     /// Queues the records again, before all others, that the store may have lost since this router wrote them.
-    void requeueLost(news::StoreEra);
+    void requeueLost(const news::Knowledge&, news::StoreEra);
 
     /// Writes all pending records and releases. @return false when the store did not accept them.
     bool flush();
--- a/apps/sagechute-edge/DepartureMonitor.h
+++ b/apps/sagechute-edge/DepartureMonitor.h
@@ -5,7 +5,8 @@
 
 namespace sagechute::edge {
 
-/// Reports in metrics and the log how late targets that leave were heeded, and stalls of this process.
+/// Reports in metrics and the log how late targets that leave were heeded, stalls of this process, and
+/// returns of the store from a copy.
 class DepartureMonitor {
 public:
     DepartureMonitor(EdgeState& state, EdgeMetrics& metrics)
--- a/apps/sagechute-edge/OwnRecords.cpp
+++ b/apps/sagechute-edge/OwnRecords.cpp
@@ -20,9 +20,8 @@
 
 } // namespace
 
-news::StoreEra knownStoreEra(const EdgeState& state, const news::FleetStore& store)
+news::StoreEra knownStoreEra(const news::Knowledge& known, const news::FleetStore& store)
 {
-    const news::Knowledge known = state.knowledge();
     return std::max({ store.era(), known.targetsNext.era, known.operatorNext.era });
 }
 
--- a/apps/sagechute-edge/OwnRecords.h
+++ b/apps/sagechute-edge/OwnRecords.h
@@ -14,7 +14,7 @@
 
 /// @return the newest era of the store that this router has seen in an answer or other routers have told it with newer
 /// data. A router for which others read the store learns of its return in the second way only.
-news::StoreEra knownStoreEra(const EdgeState&, const news::FleetStore&);
+news::StoreEra knownStoreEra(const news::Knowledge&, const news::FleetStore&);
 
 /// Drops the oldest records beyond maxPendingRecords, those that clear an exit last: a release that is lost keeps a
 /// request from being served, while a lost exit costs one target more at most.
--- a/apps/sagechute-edge/RouterDiscovery.cpp
+++ b/apps/sagechute-edge/RouterDiscovery.cpp
@@ -48,7 +48,7 @@
         const bool hasNoPeers = !m_fleet.knowsOtherRouters();
         if (!hasNoPeers && unsuspendedNow() - m_startedAt < announceDelay)
             continue;
-        if (m_schedule.isDue(unsuspendedNow(), knownStoreEra(m_state, m_store)) && m_fleet.shouldAnnounce())
+        if (m_schedule.isDue(unsuspendedNow(), knownStoreEra(m_state.knowledge(), m_store)) && m_fleet.shouldAnnounce())
             announce();
         if (hasNoPeers)
             searchStore();
@@ -59,7 +59,7 @@
 {
     m_metrics.storeCalls().Increment();
     // If the store returns during the call, the announcement may have come before.
-    const news::StoreEra era = knownStoreEra(m_state, m_store);
+    const news::StoreEra era = knownStoreEra(m_state.knowledge(), m_store);
     const absl::Status status = m_store.announce({ m_state.vm, m_fleet.gossipAddress() });
     if (status.ok())
         m_schedule.announced(era);
--- a/include/sagechute/News.h
+++ b/include/sagechute/News.h
@@ -338,6 +338,8 @@
         bool isSuspended = false; ///< Missing, and gets no requests.
         std::optional<TimePoint> heldUntil; ///< Listed by a copy after its removal, and gets no requests until then.
         std::optional<TimePoint> missingAfter; ///< Of a missing entry; see Departure::noticeAfter.
+
+        bool isUsed() const { return !target.draining && !isSuspended && !heldUntil; }
     };
 
     /// An interval without known reads, in which the store may have been unavailable.
--- a/include/sagechute/Quarantine.h
+++ b/include/sagechute/Quarantine.h
@@ -239,6 +239,9 @@
         TimePoint lastRequestedAt;
     };
 
+    /// @return the records of the subject that are cleared, or those that are not.
+    std::vector<CrashRecord> recordsOf(SubjectKey, bool isCleared) const;
+
     void evictIfFull();
     void dropClearedTargets(Entry&, SubjectKey);
 
--- a/src/news/EvacuatedZones.cpp
+++ b/src/news/EvacuatedZones.cpp
@@ -75,10 +75,8 @@
             changed.push_back({ zone, false, end });
     }
     for (const ZoneChange& it : changed) {
-        if (!it.isEvacuated) {
-            m_zones.erase(it.zone);
-            m_lifted[it.zone] = now;
-        }
+        if (!it.isEvacuated)
+            apply(now, it);
     }
     std::erase_if(m_doubtful, [&](const auto& it) { return !listed.contains(it.first); });
     m_next = end;
--- a/src/news/TargetRoster.cpp
+++ b/src/news/TargetRoster.cpp
@@ -259,7 +259,7 @@
 
 void TargetRoster::recordDeparture(const Entry& entry, bool isGone, std::optional<TimePoint> noticeAfter)
 {
-    if (!entry.target.draining && !entry.isSuspended && !entry.heldUntil)
+    if (entry.isUsed())
         m_departures.push_back({ entry.target.incarnation(), isGone, noticeAfter });
 }
 
@@ -458,7 +458,7 @@
     std::vector<dispatch::Target> result;
     for (const auto& [id, entry] : m_entries) {
         result.push_back(targetAt(entry, now));
-        result.back().draining = result.back().draining || entry.heldUntil;
+        result.back().draining = !entry.isUsed();
     }
     return result;
 }
--- a/src/quarantine/CrashRecordSet.cpp
+++ b/src/quarantine/CrashRecordSet.cpp
@@ -142,25 +142,19 @@
 
 std::vector<CrashRecord> CrashRecordSet::unclearedRecords(SubjectKey subject) const
 {
-    std::vector<CrashRecord> found;
-    const auto it = m_entries.find(subject);
-    if (it == m_entries.end())
-        return found;
-    for (const auto& [target, exit] : it->second.exits) {
-        if (!exit.record.isCleared)
-            found.push_back(exit.record);
-    }
-    return found;
+    return recordsOf(subject, false);
 }
 
-std::vector<CrashRecord> CrashRecordSet::clearedRecords(SubjectKey subject) const
+std::vector<CrashRecord> CrashRecordSet::clearedRecords(SubjectKey subject) const { return recordsOf(subject, true); }
+
+std::vector<CrashRecord> CrashRecordSet::recordsOf(SubjectKey subject, bool isCleared) const
 {
     std::vector<CrashRecord> found;
     const auto it = m_entries.find(subject);
     if (it == m_entries.end())
         return found;
     for (const auto& [target, exit] : it->second.exits) {
-        if (exit.record.isCleared)
+        if (exit.record.isCleared == isCleared)
             found.push_back(exit.record);
     }
     return found;
--- a/tests/OwnRecordsTest.cpp
+++ b/tests/OwnRecordsTest.cpp
@@ -121,11 +121,11 @@
         news::StoreEra answeredIn = 0;
     } store;
     EdgeState state({}, news::NewsTimes::make(2s, false), { "vm" }, { "z" }, 1, true);
-    CHECK(knownStoreEra(state, store) == 0);
+    CHECK(knownStoreEra(state.knowledge(), store) == 0);
     state.updateTargets([](news::TargetRoster& it) { it.known({ 5, 3 }, unsuspendedNow()); });
-    CHECK(knownStoreEra(state, store) == 3);
+    CHECK(knownStoreEra(state.knowledge(), store) == 3);
     state.installOperatorNews(unsuspendedNow(), { std::nullopt, {}, true, { 5, 4 } }, std::nullopt);
-    CHECK(knownStoreEra(state, store) == 4);
+    CHECK(knownStoreEra(state.knowledge(), store) == 4);
     store.answeredIn = 5;
-    CHECK(knownStoreEra(state, store) == 5);
+    CHECK(knownStoreEra(state.knowledge(), store) == 5);
 }
