--- a/review/harness.py
+++ b/review/harness.py
@@ -346,5 +346,8 @@
         case.is_over.set()
         case.record(text)
         case.end()
-    print(text)
+    try:
+        print(text, flush=True)
+    except OSError:
+        pass  # Nobody reads the output; the exit code stands.
     return code
