--- a/review/4/play.py
+++ b/review/4/play.py
@@ -13,6 +13,7 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import harness  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # With TROUBLE=0 the same is done without the disruption.
 SECONDS = 16
 UPLOADERS = 32  # As many clients as a small deployment has.
 BODY_BYTES = 4_000_000  # The configuration allows 4,194,304.
@@ -133,4 +134,4 @@
     return f"LOST: {cut}" if len(cut) > MOST_LOST else ""
 
 
-sys.exit(harness.play(FOLDER, body))
+sys.exit(harness.play(FOLDER, body, TROUBLE))
--- a/review/harness.py
+++ b/review/harness.py
@@ -78,8 +78,9 @@
 class Case:
     """One play: its processes, its record and its verdict."""
 
-    def __init__(self, folder, fields=None):
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(self, folder, trouble, fields=None):
+        """trouble: whether the disruption is played."""
+        self.trouble = trouble
         self.fields = {**FIELDS, **(fields or {})}
         self.record_file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self.lock = threading.Lock()
@@ -332,10 +333,10 @@
             self.sock = None
 
 
-def play(folder, body, fields=None):
+def play(folder, body, trouble, fields=None):
     """Plays a case and returns its exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    case = Case(folder, fields)
+    case = Case(folder, trouble, fields)
     text, code = "ended before its end", 2
     try:
         broken = body(case)
