--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,7 +1,9 @@
-"""A faulty worker sends its answer to a request that it shed a second time, late: when the router has sent the same request
-again on that connection. The worker runs it; the router takes the late answer for a promise that it has not run."""
+"""A full worker whose answers come a second time: does a request that was answered with a promise run all the same?
+
+One worker of six slots gets more requests than it has places for, so it rejects some of them and says so. With the
+disruption, one in twenty of its answers is sent once more 20 ms later on the same connection.
+"""
 
-import collections
 import os
 import random
 import sys
@@ -10,90 +12,111 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-import harness  # noqa: E402
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # With TROUBLE=0 the same is done without the disruption.
-SECONDS = 95
-CLIENTS = 30
-WORKERS = 2
-SLOTS = 12
+from harness import Client, Worker, play, read_message  # noqa: E402
+
+SLOTS = 6
+QUEUE = 6  # "queues a few more"
 WORK_S = 0.03
-SHED_SHARE = 0.3  # Of their requests, as in the site's largest `srv_grey`.
-EXTRA_SHARE = 0.05  # Of the answers of one worker of three, as in the site's largest `garble` (0.6 of the workers).
-TROUBLE_S = 5.5  # As long as a `garble` lasts, and a pause after it.
-PAUSE_S = 0.5
-NOT_RUN = (408, 421, 429, 503)
+EXTRA_SHARE = 0.05
+EXTRA_DELAY_S = 0.02
+CLIENTS = 24
+SECONDS = 80
+MAX_BACKOFF_S = 0.3
+PROMISES = (408, 421, 429, 503)
 
 
-class Desk:
-    """Runs what it gets, but sheds a part in times of trouble. Each answer has the request's attempt id."""
+class FullWorker:
+    """Serves SLOTS requests at once, queues QUEUE more and rejects the others."""
 
-    def __init__(self, is_garbling):
-        self.is_garbling = is_garbling
+    def __init__(self, case):
+        self.case = case
+        self.lock = threading.Lock()
         self.slots = threading.Semaphore(SLOTS)
+        self.held = self.rejections = self.extras = 0
         self.random = random.Random()
 
-    def is_trouble(self, case, share):
-        return case.trouble and case.now() % (TROUBLE_S + PAUSE_S) < TROUBLE_S and self.random.random() < share
-
     def serve(self, worker, sock):
-        late = b""  # The second answer, sent where the next answer is due.
-        buffered = b""
+        sending, buffered = threading.Lock(), b""
         while True:
-            message = harness.read_message(sock, buffered)
+            message = read_message(sock, buffered)
             if message is None:
                 return
             _, fields, _, buffered = message
-            request_id = fields["x-sagechute-attempt-id"]
-            if late:
-                worker.case.record(f"worker {worker.id} sends {late.split()[4].decode()}'s answer again, late, while {request_id} is due")
-                sock.sendall(late)
-            if self.is_trouble(worker.case, SHED_SHARE):
-                worker.case.record(f"worker {worker.id} sheds {request_id}")
-                answer = (f"HTTP/1.1 503 Busy\r\nX-Sagechute-Attempt-Id: {request_id}\r\nX-Sagechute-Not-Executed: 1\r\n"
-                          "Content-Length: 0\r\n\r\n").encode()
-            else:
-                with self.slots:
-                    worker.note_run(request_id)
-                    time.sleep(WORK_S * self.random.uniform(0.5, 1.5))
-                answer = worker.answer(request_id)
-            sock.sendall(answer)
-            late = answer if self.is_garbling and self.is_trouble(worker.case, EXTRA_SHARE) else b""
+            request_id = fields.get("x-sagechute-attempt-id", "")
+            answer = self.run(worker, request_id)
+            with sending:
+                sock.sendall(answer)
+            if self.case.trouble and self.random.random() < EXTRA_SHARE:
+                self.extras += 1
+                threading.Thread(target=self.repeat, args=(sock, sending, answer, request_id), daemon=True).start()
+
+    def run(self, worker, request_id):
+        with self.lock:
+            is_full = self.held >= SLOTS + QUEUE
+            self.held += 0 if is_full else 1
+            held = self.held
+        load = f"X-Sagechute-Instance-Load: {min(held, SLOTS)},{max(0, held - SLOTS)},{SLOTS}\r\n"
+        if is_full:
+            self.rejections += 1
+            self.case.record(f"worker {worker.id} is full and does not run {request_id}")
+            return (f"HTTP/1.1 503 Service Unavailable\r\nX-Sagechute-Attempt-Id: {request_id}\r\n"
+                    f"X-Sagechute-Not-Executed: 1\r\n{load}Content-Length: 0\r\n\r\n").encode()
+        with self.slots:
+            worker.note_run(request_id)
+            time.sleep(WORK_S)
+        with self.lock:
+            self.held -= 1
+        return worker.answer(request_id).replace(b"\r\n", b"\r\n" + load.encode(), 1)
+
+    def repeat(self, sock, sending, answer, request_id):
+        time.sleep(EXTRA_DELAY_S)
+        try:
+            with sending:
+                sock.sendall(answer)
+            self.case.record(f"the answer to {request_id} is sent once more: {answer.split()[1].decode()}")
+        except OSError:
+            pass
 
 
 def body(case):
+    full = FullWorker(case)
     case.start_store()
-    workers = [harness.Worker(case, f"i-desk{i}", "bid-desk", SLOTS, Desk(i == 0).serve) for i in range(WORKERS)]
-    case.configure([{"name": "bid-confirm", "pathPrefix": "/bid/", "kind": "unsafe", "service": "bid-desk", "attempts": 1}],
-                   ["bid-desk"])
-    case.start_routers(3)
-    case.wait_ready(workers)
-    answers = {}
-    end = time.monotonic() + SECONDS
-
-    def client(number):
-        it = harness.Client(case, case.routers[number % 3]["front"])
+    case.configure([{"name": "post-credit", "pathPrefix": "/posting/", "service": "posting-app", "kind": "unsafe"}],
+                   ["posting-app"])
+    worker = Worker(case, "i-0", "posting-app", SLOTS, full.serve)
+    case.start_routers(1)
+    case.wait_ready([worker])
+    end, statuses = time.monotonic() + SECONDS, {}
+
+    def use():
+        client = Client(case, case.routers[0]["front"])
         while time.monotonic() < end:
-            request_id, status, fields, _ = it.send("POST", "/bid/1", b"bid")
-            answers[request_id] = status
-            time.sleep(max(0.01, min(1.0, float(fields.get("retry-after", "0")))))
+            request_id, status, fields, _ = client.send("POST", "/posting/credit", b"x" * 600)
+            statuses[request_id] = status
+            if status == 503:
+                time.sleep(min(MAX_BACKOFF_S, float(fields.get("retry-after", "0.1"))))
+        client.close()
 
-    threads = [threading.Thread(target=client, args=(i,)) for i in range(CLIENTS)]
+    threads = [threading.Thread(target=use) for _ in range(CLIENTS)]
     for it in threads:
         it.start()
     for it in threads:
         it.join()
-    time.sleep(0.5)
-    runs = collections.Counter(request_id for worker in workers for _, request_id in worker.runs)
-    twice = [it for it, n in runs.items() if n > 1]
-    refused = [it for it, status in answers.items() if status in NOT_RUN and runs[it]]
-    served = sum(1 for it in answers.values() if it == 200)
-    text = f"{len(answers)} requests, {served} served, {len(twice)} run twice, {len(refused)} refused though run"
-    case.record(text)
-    print(text)
-    if served < 100:
-        raise harness.CannotRun("too few requests were served")
-    return f"TWICE: {twice}; REFUSED: {refused}" if twice or refused else ""
-
-
-sys.exit(harness.play(FOLDER, body, TROUBLE))
+    time.sleep(1)
+    runs = {}
+    for _, request_id in worker.runs:
+        runs[request_id] = runs.get(request_id, 0) + 1
+    refused = [it for it in runs if statuses.get(it) in PROMISES]
+    twice = [it for it in runs if runs[it] > 1]
+    counts = {it: sum(1 for status in statuses.values() if status == it) for it in sorted(set(statuses.values()))}
+    case.record(f"rejections by the worker: {full.rejections}; answers sent once more: {full.extras}")
+    case.record(f"statuses (0: no answer): {counts}")
+    case.record(f"answered with a promise and run: {len(refused)} {refused}")
+    case.record(f"run more than once: {len(twice)} {twice}")
+    if refused or twice:
+        return f"{len(refused)} unsafe requests were answered 503 and ran; {len(twice)} ran more than once"
+    return None
+
+
+sys.exit(play(FOLDER, body, os.environ.get("TROUBLE", "1") != "0"))
