--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,137 +1,119 @@
-"""Workers read long requests slowly: the router holds several copies of each, until the platform kills it for its memory."""
+"""The store forgets its history while an entry of another writer is in the list; a worker drains seconds later.
+
+The entry is there with and without the disruption. Without it the store keeps its history.
+"""
 
 import os
-import random
-import re
-import signal
-import socket
 import sys
 import threading
 import time
+import urllib.parse
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-import harness  # noqa: E402
-
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # With TROUBLE=0 the same is done without the disruption.
-SECONDS = 16
-UPLOADERS = 32  # As many clients as a small deployment has.
-BODY_BYTES = 4_000_000  # The configuration allows 4,194,304.
-UPLOAD_DEADLINE_MS = 12000
-SLOW_BYTES_PER_S = 400_000  # A worker reads a whole request within its deadline.
-READERS = 8  # Clients of the other, sound service.
-SOUND_WORK_S = 0.5
-MOST_LOST = 3
-
-
-class Upload:
-    """Reads a request at its pace, then runs it."""
-
-    def serve(self, worker, sock):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-        buffered = b""
-        while True:
-            while b"\r\n\r\n" not in buffered:
-                data = sock.recv(65536)
-                if not data:
-                    return
-                buffered += data
-            head, _, rest = buffered.partition(b"\r\n\r\n")
-            request_id = re.search(rb"(?i)x-sagechute-attempt-id: (\S+)", head)[1].decode()
-            length = int(re.search(rb"(?i)content-length: (\d+)", head)[1])
-            got = len(rest)
-            while got < length:
-                data = sock.recv(65536)
-                if not data:
-                    return
-                got += len(data)
-                if worker.case.trouble:
-                    time.sleep(len(data) / SLOW_BYTES_PER_S)
-            buffered = b""
-            worker.note_run(request_id)
-            sock.sendall(worker.answer(request_id))
-
-
-def serve_soundly(worker, sock):
+
+from harness import Client, Worker, play, read_message  # noqa: E402
+
+FOREIGN_KEY = "i-2 old"
+FOREIGN_VALUE = b'{"note": "kept for the audit"}'
+SILENT_S = 1.0  # platform_compact: "watches hear nothing for a second while changes are made"
+STABLE_S = 5.0  # More than stableMs, 4 s there.
+DRAIN_S = 3.0  # drainMs
+ASKED_S = 5.0
+PAUSE_S = 0.05
+TOPIC = "keyed.servers"
+
+
+class DrainingWorker(Worker):
+    """Says `draining` in its entry once `leaving` is set, and goes on serving."""
+
+    def __init__(self, *arguments):
+        self.leaving = threading.Event()
+        super().__init__(*arguments)
+
+    def entry(self, seq):
+        state = "draining" if self.leaving.is_set() else "ready"
+        return {"service": self.service, "address": self.address, "zone": "thamel-hall", "version": "v1", "slots": self.slots,
+                "state": state, "coldLeftMs": 0, "seq": seq, "born": self.born}
+
+    def beat(self):
+        seq = 0
+        while not self.case.is_over.is_set():
+            seq += 1
+            if not self.leaving.is_set():
+                self.case.put(TOPIC, self.id, self.entry(seq))
+            self.case.is_over.wait(1.2)
+
+    def leave(self):
+        """Returns when the store has acknowledged the report."""
+        self.leaving.set()
+        if not self.case.put(TOPIC, self.id, self.entry(1000)):
+            raise RuntimeError("the store did not take the report of draining")
+        acknowledged = self.case.now()
+        self.case.record(f"worker {self.id} is draining, acknowledged")
+        return acknowledged
+
+
+def serve(worker, sock):
     buffered = b""
     while True:
-        message = harness.read_message(sock, buffered)
+        message = read_message(sock, buffered)
         if message is None:
             return
         _, fields, _, buffered = message
-        worker.note_run(fields["x-sagechute-attempt-id"])
-        time.sleep(SOUND_WORK_S * random.uniform(0.5, 1.5))
-        sock.sendall(worker.answer(fields["x-sagechute-attempt-id"]))
+        request_id = fields.get("x-sagechute-attempt-id", "")
+        worker.note_run(request_id)
+        time.sleep(0.015)
+        sock.sendall(worker.answer(request_id))
 
 
-class MemoryLimit:
-    """The platform: kills a process that exceeds its memory."""
+def forget_history(case):
+    """The store answers no reads of the list for a second while the workers write, then drops the older records."""
+    case.record("the store's watches hear nothing")
+    case.call(case.store, "POST", f"/standin/fault?kind=silent&topic={TOPIC}")
+    time.sleep(SILENT_S)
+    case.call(case.store, "POST", f"/standin/forget?topic={TOPIC}")
+    case.call(case.store, "POST", "/standin/fault?kind=none")
+    case.record("the store has forgotten its history and answers again")
 
-    def __init__(self, case, process):
-        self.case, self.process, self.peak, self.killed_at = case, process, 0, None
-        threading.Thread(target=self.run, daemon=True).start()
 
-    def run(self):
-        limit = int(self.case.fields["limits.memoryMb"])
-        while not self.case.is_over.is_set():
-            try:
-                with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
-                    resident = int(re.search(r"VmRSS:\s+(\d+) kB", file.read())[1]) / 1024
-            except (OSError, TypeError):
-                return
-            self.peak = max(self.peak, resident)
-            if resident > limit:
-                self.killed_at = self.case.now()
-                self.case.record(f"the router holds {resident:.0f} MB of {limit} MB: killed")
-                self.process.send_signal(signal.SIGKILL)
-                return
-            time.sleep(0.01)
+def ask(case, seconds):
+    asked, end = 0, time.monotonic() + seconds
+    while time.monotonic() < end:
+        client = Client(case, case.routers[asked % len(case.routers)]["front"])
+        client.send("POST", "/score/submit", b"x" * 200, deadline_ms=1200)
+        client.close()
+        asked += 1
+        time.sleep(PAUSE_S)
+    return asked
 
 
 def body(case):
     case.start_store()
-    workers = [harness.Worker(case, f"i-upload{i}", "posting-app", 64, Upload().serve) for i in range(2)]
-    workers += [harness.Worker(case, f"i-sound{i}", "verify-app", 16, serve_soundly) for i in range(2)]
-    case.configure([{"name": "post-credit", "pathPrefix": "/credit/", "kind": "unsafe", "service": "posting-app", "attempts": 1,
-                     "goalMs": 12000, "timeoutMs": 12000},
-                    {"name": "post-verify", "pathPrefix": "/verify/", "kind": "safe", "service": "verify-app", "goalMs": 2500}],
-                   ["posting-app", "verify-app"])
-    case.start_routers(1)
+    case.configure([{"name": "score-submit", "pathPrefix": "/score/", "service": "scorekeep", "kind": "unsafe",
+                     "timeoutMs": 1200}], ["scorekeep"])
+    workers = [DrainingWorker(case, f"i-{i}", "scorekeep", 6, serve) for i in range(1, 5)]
+    case.start_routers(2)
     case.wait_ready(workers)
-    limit = MemoryLimit(case, case.routers[0]["process"])
-    end = time.monotonic() + SECONDS
-    uploads, lost = [], []
-
-    def upload(number):
-        time.sleep(1 + number * 0.1)  # Ten a second.
-        it = harness.Client(case, case.routers[0]["front"])
-        uploads.append(it.send("POST", "/credit/1", b"x" * BODY_BYTES, UPLOAD_DEADLINE_MS)[1])
-        it.close()
-
-    def verify():
-        it = harness.Client(case, case.routers[0]["front"])
-        while time.monotonic() < end and case.routers[0]["process"].poll() is None:
-            request_id, status, _, _ = it.send("GET", "/verify/1")
-            if status == 0:
-                lost.append(request_id)
-            time.sleep(0.02)
-
-    threads = [threading.Thread(target=upload, args=(i,)) for i in range(UPLOADERS)]
-    threads += [threading.Thread(target=verify) for _ in range(READERS)]
-    for it in threads:
-        it.start()
-    for it in threads:
-        it.join()
-    # Passed on to a sound worker on a kept connection, which then ended without an answer.
-    started = {request_id for worker in workers[2:] for _, request_id in worker.runs}
-    cut = [it for it in lost if it in started]
-    text = (f"peak {limit.peak:.0f} MB of {case.fields['limits.memoryMb']} MB; uploads {sorted(uploads)}; "
-            f"{len(cut)} requests to sound workers cut off")
-    case.record(text)
-    print(text)
-    if not any(worker.runs for worker in workers[2:]):
-        raise harness.CannotRun("the sound workers ran nothing")
-    return f"LOST: {cut}" if len(cut) > MOST_LOST else ""
-
-
-sys.exit(harness.play(FOLDER, body, TROUBLE))
+    path = f"/standin/put?topic={TOPIC}&key=" + urllib.parse.quote(FOREIGN_KEY)
+    if case.call(case.store, "POST", path, FOREIGN_VALUE)[0] != 200:
+        raise RuntimeError("the store did not take the entry")
+    case.record(f"another writer writes the entry {FOREIGN_KEY!r}")
+    time.sleep(2)
+    if case.trouble:
+        forget_history(case)
+    time.sleep(STABLE_S)
+    leaver = workers[0]
+    acknowledged = leaver.leave()
+    time.sleep(DRAIN_S + 0.5)
+    asked = ask(case, ASKED_S)
+    late = [(at, request_id) for at, request_id in leaver.runs if at > acknowledged + DRAIN_S + 0.5]
+    case.record(f"{len(late)} of {asked} requests reached worker {leaver.id} later than {DRAIN_S} s after the acknowledgement")
+    if late:
+        return (f"{len(late)} of {asked} requests reached a worker later than {DRAIN_S} s after the store acknowledged that it "
+                f"is draining, the last {late[-1][0] - acknowledged:.1f} s after it")
+    return None
+
+
+sys.exit(play(FOLDER, body, os.environ.get("TROUBLE", "1") != "0",
+              {"bounds.drainMs": "3000", "bounds.configApplyMs": "3000"}))
