--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,9 +1,11 @@
-"""The store forgets its history while an entry of another writer is in the list; a worker drains seconds later.
+"""Three entries of another writer in the list of workers, then one router is restarted as planned: does it stay up?
 
-The entry is there with and without the disruption. Without it the store keeps its history.
+The script plays the platform: it kills a router whose resident memory passes its `memoryMb` and starts it again. Without the
+disruption the entries aren't written; the router is restarted there too.
 """
 
 import os
+import signal
 import sys
 import threading
 import time
@@ -14,44 +16,14 @@
 
 from harness import Client, Worker, play, read_message  # noqa: E402
 
-FOREIGN_KEY = "i-2 old"
-FOREIGN_VALUE = b'{"note": "kept for the audit"}'
-SILENT_S = 1.0  # platform_compact: "watches hear nothing for a second while changes are made"
-STABLE_S = 5.0  # More than stableMs, 4 s there.
-DRAIN_S = 3.0  # drainMs
-ASKED_S = 5.0
-PAUSE_S = 0.05
-TOPIC = "keyed.servers"
-
-
-class DrainingWorker(Worker):
-    """Says `draining` in its entry once `leaving` is set, and goes on serving."""
-
-    def __init__(self, *arguments):
-        self.leaving = threading.Event()
-        super().__init__(*arguments)
-
-    def entry(self, seq):
-        state = "draining" if self.leaving.is_set() else "ready"
-        return {"service": self.service, "address": self.address, "zone": "thamel-hall", "version": "v1", "slots": self.slots,
-                "state": state, "coldLeftMs": 0, "seq": seq, "born": self.born}
-
-    def beat(self):
-        seq = 0
-        while not self.case.is_over.is_set():
-            seq += 1
-            if not self.leaving.is_set():
-                self.case.put(TOPIC, self.id, self.entry(seq))
-            self.case.is_over.wait(1.2)
-
-    def leave(self):
-        """Returns when the store has acknowledged the report."""
-        self.leaving.set()
-        if not self.case.put(TOPIC, self.id, self.entry(1000)):
-            raise RuntimeError("the store did not take the report of draining")
-        acknowledged = self.case.now()
-        self.case.record(f"worker {self.id} is draining, acknowledged")
-        return acknowledged
+FOREIGN_KEYS = ("a&1", "a&2", "a&3")
+FOREIGN_VALUE = b"\x00" * 2000  # Bytes that can't be read.
+MEMORY_MB = 260
+CLIENTS = 10
+SECONDS = 45
+WORK_S = 0.2
+RESTART_DELAY_S = 0.5
+MAX_LOST = 3  # "more than three times"
 
 
 def serve(worker, sock):
@@ -63,57 +35,91 @@
         _, fields, _, buffered = message
         request_id = fields.get("x-sagechute-attempt-id", "")
         worker.note_run(request_id)
-        time.sleep(0.015)
+        time.sleep(WORK_S)
         sock.sendall(worker.answer(request_id))
 
 
-def forget_history(case):
-    """The store answers no reads of the list for a second while the workers write, then drops the older records."""
-    case.record("the store's watches hear nothing")
-    case.call(case.store, "POST", f"/standin/fault?kind=silent&topic={TOPIC}")
-    time.sleep(SILENT_S)
-    case.call(case.store, "POST", f"/standin/forget?topic={TOPIC}")
-    case.call(case.store, "POST", "/standin/fault?kind=none")
-    case.record("the store has forgotten its history and answers again")
-
-
-def ask(case, seconds):
-    asked, end = 0, time.monotonic() + seconds
-    while time.monotonic() < end:
-        client = Client(case, case.routers[asked % len(case.routers)]["front"])
-        client.send("POST", "/score/submit", b"x" * 200, deadline_ms=1200)
-        client.close()
-        asked += 1
-        time.sleep(PAUSE_S)
-    return asked
+def resident_mb(pid):
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0
+
+
+class Platform:
+    def __init__(self, case, router):
+        self.case, self.router, self.kills, self.peak = case, router, 0, 0
+        threading.Thread(target=self.watch, daemon=True).start()
+
+    def watch(self):
+        while not self.case.is_over.wait(0.02):
+            process = self.router["process"]
+            try:
+                used = resident_mb(process.pid)
+            except OSError:
+                continue
+            self.peak = max(self.peak, used)
+            if used <= MEMORY_MB:
+                continue
+            process.kill()
+            process.wait()
+            self.kills += 1
+            self.case.record(f"platform: {self.router['name']} holds {used:.0f} MB, more than {MEMORY_MB}: killed")
+            if self.case.is_over.wait(RESTART_DELAY_S):
+                return
+            self.case.start_router(self.router)
 
 
 def body(case):
     case.start_store()
     case.configure([{"name": "score-submit", "pathPrefix": "/score/", "service": "scorekeep", "kind": "unsafe",
                      "timeoutMs": 1200}], ["scorekeep"])
-    workers = [DrainingWorker(case, f"i-{i}", "scorekeep", 6, serve) for i in range(1, 5)]
-    case.start_routers(2)
+    workers = [Worker(case, f"i-{i}", "scorekeep", 6, serve) for i in range(1, 5)]
+    case.start_routers(3)
     case.wait_ready(workers)
-    path = f"/standin/put?topic={TOPIC}&key=" + urllib.parse.quote(FOREIGN_KEY)
-    if case.call(case.store, "POST", path, FOREIGN_VALUE)[0] != 200:
-        raise RuntimeError("the store did not take the entry")
-    case.record(f"another writer writes the entry {FOREIGN_KEY!r}")
-    time.sleep(2)
+    case.wait("the routers know each other", lambda: all(len(case.peers_of(it)) == 2 for it in case.routers))
     if case.trouble:
-        forget_history(case)
-    time.sleep(STABLE_S)
-    leaver = workers[0]
-    acknowledged = leaver.leave()
-    time.sleep(DRAIN_S + 0.5)
-    asked = ask(case, ASKED_S)
-    late = [(at, request_id) for at, request_id in leaver.runs if at > acknowledged + DRAIN_S + 0.5]
-    case.record(f"{len(late)} of {asked} requests reached worker {leaver.id} later than {DRAIN_S} s after the acknowledgement")
-    if late:
-        return (f"{len(late)} of {asked} requests reached a worker later than {DRAIN_S} s after the store acknowledged that it "
-                f"is draining, the last {late[-1][0] - acknowledged:.1f} s after it")
+        for key in FOREIGN_KEYS:
+            path = "/standin/put?topic=keyed.servers&key=" + urllib.parse.quote(key)
+            if case.call(case.store, "POST", path, FOREIGN_VALUE)[0] != 200:
+                raise RuntimeError("the store did not take the entry")
+        case.record(f"another writer writes the entries {FOREIGN_KEYS}")
+    time.sleep(2)
+    router = case.routers[0]
+    router["process"].send_signal(signal.SIGTERM)
+    router["process"].wait(9)
+    case.record("router-0 has stopped after SIGTERM")
+    case.start_router(router)
+    case.wait("router-0 is ready", lambda: case.call(router["ready"], "GET", "/sagechute/ready")[0] == 200)
+    platform = Platform(case, router)
+    statuses, end = [], time.monotonic() + SECONDS
+
+    def use():
+        client, is_kept = Client(case, router["front"]), False
+        while time.monotonic() < end:
+            request_id, status, _, _ = client.send("POST", "/score/submit", b"x" * 200, deadline_ms=1200)
+            statuses.append((request_id, status, is_kept))
+            is_kept = client.sock is not None
+            if status != 200:
+                time.sleep(0.3)
+        client.close()
+
+    threads = [threading.Thread(target=use) for _ in range(CLIENTS)]
+    for it in threads:
+        it.start()
+    for it in threads:
+        it.join()
+    ran = {request_id for it in workers for _, request_id in it.runs}
+    lost = [request_id for request_id, status, is_kept in statuses if status == 0 and is_kept and request_id in ran]
+    served = sum(1 for _, status, _ in statuses if status == 200)
+    case.record(f"{served} of {len(statuses)} requests served; highest memory {platform.peak:.0f} MB; router-0 killed "
+                f"{platform.kills} times")
+    case.record(f"of kept connections, passed to a worker and closed without an answer: {len(lost)}")
+    if len(lost) > MAX_LOST:
+        return (f"LOST: {len(lost)} requests of kept connections were passed to sound workers and closed without an answer; the "
+                f"restarted router was killed for its memory {platform.kills} times")
     return None
 
 
-sys.exit(play(FOLDER, body, os.environ.get("TROUBLE", "1") != "0",
-              {"bounds.drainMs": "3000", "bounds.configApplyMs": "3000"}))
+sys.exit(play(FOLDER, body, os.environ.get("TROUBLE", "1") != "0", {"limits.memoryMb": str(MEMORY_MB)}))
