--- a/tests/late_answers_test.py
+++ b/tests/late_answers_test.py
@@ -27,6 +27,8 @@
 class Target(threading.Thread):
     """An application whose `answer` is called with each request on its connections, one at a time for each connection."""
 
+    service, slots = "app", 6
+
     def __init__(self, name, fleet, answer):
         super().__init__(daemon=True)
         self.name, self.fleet, self.answer = name, fleet, answer
@@ -40,8 +42,8 @@
         seq, born = 0, int(time.time() * 1000)
         while not self.is_over.is_set():
             seq += 1
-            entry = {"service": "app", "address": "127.0.0.1:%d" % self.listener.getsockname()[1], "zone": "a", "version": "v1",
-                     "slots": 6, "state": "ready", "coldLeftMs": 0, "seq": seq, "born": born}
+            entry = {"service": self.service, "address": "127.0.0.1:%d" % self.listener.getsockname()[1], "zone": "a", "version": "v1",
+                     "slots": self.slots, "state": "ready", "coldLeftMs": 0, "seq": seq, "born": born}
             self.fleet.command(self.fleet.store, f"/standin/put?topic=keyed.servers&key={self.name}", json.dumps(entry))
             self.is_over.wait(HEARTBEAT_S)
 
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -141,7 +141,7 @@
     """A store, workers and edge routers. Ends all of them by id when it is closed."""
 
     def __init__(self, build, routers=2, engines=2, applications=2, proxy=None, worker_arguments=(), others=None,
-                 zones=("a",), has_router_addresses=False):
+                 zones=("a",), has_router_addresses=False, router_settings=None):
         """proxy: given an address, returns the one by which routers reach it; absent: they reach it directly.
 
         others: the services of further workers, by name; engines if the service begins with llm.
@@ -149,8 +149,10 @@
         only one, and else in another, so that all workers are equally far.
         has_router_addresses: each router has a loopback address of its own, and all have the same ports for each other.
         Only then they meet by their seeds, as a router takes a seed's gossip port to be its own.
+        router_settings: further settings of each router, by name.
         """
         self.has_router_addresses = has_router_addresses
+        self.router_settings = router_settings or {}
         self.zones = zones
         self.build = build
         self.worker_arguments = list(worker_arguments)
@@ -209,7 +211,7 @@
             "readiness-listen": f"{address}:{ports[1]}", "control-listen": f"{address}:{ports[2]}",
             "locate-listen": f"{address}:{ports[3]}", "address": address,
             "port-range": f"{ports[4]},{ports[5]}", "seeds": seeds, "store": self.proxy(self.store),
-            "stop-grace-seconds": "4", "evacuation-bound-ms": str(EVACUATION_BOUND_MS),
+            "stop-grace-seconds": "4", "evacuation-bound-ms": str(EVACUATION_BOUND_MS), **self.router_settings,
         }
         path = os.path.join(self.directory, f"router-{index}.settings")
         if ports[5] < ports[4]:
