Let connections that prove nothing make room for a peer

What was seen: with 400 connections to the listener for other routers that send nothing, another router's messages did not get through until these had timed out.

Cause: the listener takes 256 connections without a proof, and closed each new one beyond that at once, whoever it was.

Evidence: PeerTest "a crowd of connections without a proof doesn't keep a peer out" failed on (no message within 20 s).

Change: the accepted connection that has not proved itself for longest is closed in place of the new one. At most 64 are accepted in a turn, as those that are closed keep their descriptors to its end.

Result: the test passes, with the 13 others of PeerTest.

--- a/src/peer/StreamLoop.cpp
+++ b/src/peer/StreamLoop.cpp
@@ -14,6 +14,9 @@
     constexpr std::uint64_t kFirstConnectionId = 2;
     constexpr int kEventsAtOnce = 128;
     constexpr std::size_t kMostUnproven = 256;
+
+    /// Connections that are closed keep their descriptors until the end of a turn.
+    constexpr int kAcceptsInOneTurn = 64;
     constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
     void control(int poller, int operation, int fd, std::uint64_t id, std::uint32_t events)
@@ -194,10 +197,23 @@
         [](const auto& it) { return it.second->state() == ConnectionState::Handshaking; }));
 }
 
+void StreamLoop::abortOldestUnproven()
+{
+    StreamConnection* oldest = nullptr;
+    for (const auto& [id, connection] : m_connections) {
+        const bool isUnproven
+            = connection->role() == ConnectionRole::Acceptor && connection->state() == ConnectionState::Handshaking;
+        if (isUnproven && (!oldest || id < oldest->id()))
+            oldest = connection.get();
+    }
+    if (oldest)
+        oldest->abort();
+}
+
 void StreamLoop::acceptWaiting(TimePoint now)
 {
     std::size_t unproven = unprovenCount();
-    while (true) {
+    for (int turn = 0; turn < kAcceptsInOneTurn; ++turn) {
         const int fd = ::accept4(m_listenFd.value(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
             // With no descriptor left the listener stays readable: without a pause this thread would spin.
@@ -207,7 +223,7 @@
         }
         UniqueFd owned(fd);
         if (++unproven > kMostUnproven)
-            continue;
+            abortOldestUnproven();
         disableNagle(fd);
         auto connection = StreamConnection::accept(m_nextId++, std::move(owned), m_settings, *this, m_traffic, now);
         watch(*connection);
--- a/src/peer/StreamLoop.h
+++ b/src/peer/StreamLoop.h
@@ -58,6 +58,9 @@
     void acceptWaiting(TimePoint now);
     void pauseAccepting(bool paused);
     std::size_t unprovenCount() const;
+
+    /// Closes the accepted connection that has not proved itself for longest.
+    void abortOldestUnproven();
     void connect(PeerRecord&, TimePoint now);
     void watch(StreamConnection&);
     void updateInterest(StreamConnection&);
--- a/tests/PeerTest.cpp
+++ b/tests/PeerTest.cpp
@@ -327,6 +327,23 @@
     REQUIRE(b.recorder.waitFor("a.1: still here"));
 }
 
+// Guards against connections that prove nothing, and keep other routers out until they time out.
+TEST_CASE("a crowd of connections without a proof doesn't keep a peer out")
+{
+    constexpr auto longTimeout = 60s;
+    Router b(lifeOf("b"), [&](StreamOptions& options) { options.pingTimeout = longTimeout; });
+    std::vector<UniqueFd> crowd;
+    constexpr int connections = 400;
+    for (int i = 0; i < connections; ++i) {
+        crowd.push_back(*connectTcp(b.streams->listenAddress()));
+        pollfd polled { crowd.back().value(), POLLOUT, 0 };
+        ::poll(&polled, 1, 5000);
+    }
+    Router a(lifeOf("a"));
+    a.send("b", b.streams->listenAddress(), "let me in");
+    REQUIRE(b.recorder.waitFor("a.1: let me in"));
+}
+
 TEST_CASE("a late message from an older life says so")
 {
     // Symptom: a settlement of a former life is booked to the new one. Sequence: a VM's process is replaced, the old
