Limit the prefixes that are remembered of each target

What callers can do: a prompt names its parts and their tokens itself. Parts of 0 tokens never fill the memory of the engine that a router keeps a model of, so that each request with a valid key adds up to 64 entries for good.

Cause: PrefixMemory evicts by tokens only. Found by reading for what requests leave behind; not seen in a trial.

Change: 524,288 entries for all targets together, about 60 MB, divided evenly.

Result: DispatchTest "an engine's cache is remembered by a limited number of prefixes" (1,000 prompts leave 10 entries; without the limit 1,001 by construction, not run); the other 36 cases of DispatchTest pass.

--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -14,6 +14,9 @@
     /// prefilling two.
     constexpr double outputTokenWeight = 2;
 
+    /// Limit on the prefixes that are remembered of all targets, about 60 MB.
+    constexpr std::size_t maxPrefixes = 1 << 19;
+
     /// Cost of a failure rate of 1; scaled by the actual rate. Well above the cost difference between a busy and an
     /// idle target, so that targets that fail more than others are avoided.
     constexpr double failureCostMs = 400;
@@ -152,6 +155,8 @@
     }
     detectLostTargets(now, targets, present);
     std::erase_if(m_targets, [&](const auto& it) { return !present.contains(it.first); });
+    for (const auto& [incarnation, model] : m_targets)
+        model->limitPrefixes(maxPrefixes / m_targets.size());
     std::erase_if(m_sentCold, [&](const auto& it) { return !present.contains(it.first); });
     m_coldTargets.removeExpired(now);
 }
--- a/src/dispatch/PrefixMemory.cpp
+++ b/src/dispatch/PrefixMemory.cpp
@@ -68,7 +68,7 @@
 
 void PrefixMemory::evictToCapacity()
 {
-    while (m_tokens > m_capacity && !m_order.empty()) {
+    while ((m_tokens > m_capacity || m_entries.size() > m_maxEntries) && !m_order.empty()) {
         const auto oldest = m_entries.find(m_order.back());
         m_tokens -= oldest->second.tokens;
         m_entries.erase(oldest);
--- a/src/dispatch/PrefixMemory.h
+++ b/src/dispatch/PrefixMemory.h
@@ -5,6 +5,7 @@
 
 #include <sagechute/Dispatch.h>
 
+#include <limits>
 #include <list>
 
 namespace sagechute::dispatch {
@@ -15,6 +16,9 @@
 public:
     void setCapacity(std::uint64_t tokens) { m_capacity = tokens; }
 
+    /// Limits the prefixes that are remembered, whatever their sizes: prompts state these themselves, also as 0.
+    void setMaxEntries(std::size_t entries) { m_maxEntries = entries; }
+
     /// The engine has been sent a prompt with these prefixes, shortest first.
     void touch(const std::vector<PrefixKey>&);
 
@@ -25,6 +29,7 @@
     std::uint32_t cachedTokens(const std::vector<PrefixKey>&) const;
 
     std::uint64_t tokens() const { return m_tokens; }
+    std::size_t entries() const { return m_entries.size(); }
 
 private:
     void evictToCapacity();
@@ -35,6 +40,7 @@
     };
 
     std::uint64_t m_capacity = 0;
+    std::size_t m_maxEntries = std::numeric_limits<std::size_t>::max();
     std::uint64_t m_tokens = 0;
     std::uint64_t m_unsharedCount = 0; ///< Makes the keys of unshared entries unique; they belong to no prompt.
     std::unordered_map<std::uint64_t, Entry> m_entries;
--- a/src/dispatch/TargetModel.h
+++ b/src/dispatch/TargetModel.h
@@ -29,6 +29,9 @@
     const TargetSpeed& speed() const { return m_speed; }
     void update(Target target, const Service*);
 
+    /// See PrefixMemory::setMaxEntries().
+    void limitPrefixes(std::size_t entries) { m_prefixCache.setMaxEntries(entries); }
+
     /// @return load in flight from all routers.
     TargetLoad totalLoad(TimePoint now) const;
 
--- a/tests/DispatchTest.cpp
+++ b/tests/DispatchTest.cpp
@@ -722,6 +722,18 @@
     CHECK(memory.cachedTokens(prefixesOf({ { 3, 50 }, { 1, 100 } })) == 0);
 }
 
+// Guards against prompts whose parts are said to have no tokens, and which are remembered without end.
+TEST_CASE("an engine's cache is remembered by a limited number of prefixes")
+{
+    PrefixMemory memory;
+    memory.setCapacity(300);
+    memory.setMaxEntries(10);
+    for (std::uint64_t id = 0; id < 1000; ++id)
+        memory.touch(prefixesOf({ { id, 0 }, { id + 1, 1 } }));
+    CHECK(memory.entries() <= 10);
+    CHECK(memory.cachedTokens(prefixesOf({ { 999, 0 }, { 1000, 1 } })) == 1);
+}
+
 TEST_CASE("a request of kind Once never runs twice, and is never reported as not run if it may have run")
 {
     rc::prop("for any sequence of attempts", [] {
