Free the memory of a dropped body

What callers saw: a router ended for its memory beside chunked bodies that it had already given up for want of memory.

Cause: a text was emptied by the assignment of {}, which keeps the memory of a std::string (libstdc++: it is an empty initializer list, and the assignment of an empty string keeps it, too). So a body that was dropped as the budget for bodies was used up gave its part of the budget back, and kept its memory for as long as its connection was open. The same for the queue of an answer whose connection was gone.

Change: net::freeText() swaps with an empty text.

Result: the test passes.

--- a/src/net/Exchange.cpp
+++ b/src/net/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "net/Exchange.h"
 
+#include "net/FreeText.h"
 #include "net/Loop.h"
 #include "net/ServerConnection.h"
 
@@ -215,7 +216,7 @@
         isLost = !wholly && !isOver() && m_phase != Phase::Aborted;
         m_detached = true;
         m_connection = nullptr;
-        m_queue = {};
+        freeText(m_queue);
         m_gone = m_gone || isLost;
         listeners.swap(m_closedListeners);
         drainedListener.swap(m_drainedListener);
--- a/src/net/HttpReader.cpp
+++ b/src/net/HttpReader.cpp
@@ -1,5 +1,7 @@
 #include "net/HttpReader.h"
 
+#include "net/FreeText.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -165,7 +167,7 @@
 void RequestReader::dropBody()
 {
     m_request.isBodyDropped = true;
-    m_request.body = {};
+    freeText(m_request.body);
 }
 
 AnswerReader::AnswerReader(AnswerSink& sink, bool hasBody)
--- a/tests/HttpReaderTest.cpp
+++ b/tests/HttpReaderTest.cpp
@@ -305,3 +305,16 @@
         }
     });
 }
+
+// Guards against a body that is dropped, and whose memory is kept with its connection.
+TEST_CASE("A dropped body frees its memory")
+{
+    constexpr std::size_t bytes = 1 << 20;
+    RequestReader reader(bytes);
+    reader.take("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n");
+    reader.take(std::string(bytes / 2, 'x'));
+    REQUIRE(reader.bodyMemory() >= bytes / 2);
+    reader.dropBody();
+    REQUIRE(reader.bodyMemory() == 0);
+    REQUIRE(reader.takeRequest().body.capacity() < bytes / 2);
+}
