Account for what each connection holds, and let connections yield

What callers saw: processes ended for their memory by bodies, heads, framing and answers of a few clients, and ordinary callers were shut out by a crowd that held all connections.

Change: ServerConnection charges what it holds to three budgets: heads with small bodies and bytes read ahead, by what they take once parsed; bodies, with old and new memory reserved before they grow; what callers have not taken of answers. YieldOrder says which connection yields when there is no place or no memory: the one without a whole request for longest, kept ones after it, and never one that is served. A body yields only after 2 s, so that uploads in progress end; it is read on without being kept and refused with 503. What is sent behind a request that is served stays in the kernel, whose buffers are limited where a server asks for it. Bytes read ahead are moved a bounded number of times (ReadAhead), where each read copied all before. A refused caller may go on sending as much as two bodies, so that it sees the refusal. Without descriptors a connection yields before accepting pauses.

--- a/include/sagechute/Net.h
+++ b/include/sagechute/Net.h
@@ -98,10 +98,10 @@
     ByteReservation& operator=(ByteReservation&&) = delete;
     ~ByteReservation() { release(); }
 
-    /// Raises the reservation to @p bytes; a larger one stays as it is.
-    /// @return false if the budget does not have them.
-    bool growTo(std::size_t bytes);
-    void release();
+    /// Raises or lowers the reservation to @p bytes.
+    /// @return false, and it stays as it is, if the budget does not have them.
+    bool resize(std::size_t bytes);
+    void release() { resize(0); }
 
 private:
     std::shared_ptr<ByteBudget> m_budget;
@@ -183,7 +183,9 @@
 enum class CloseReason {
     Idle, ///< No byte of a request came within the idle timeout.
     SlowRequest, ///< A request began, and its end did not come in time.
-    SlowReader, ///< The caller took nothing of its answer within ServerOptions::stalledAnswerTimeout.
+    SlowReader, ///< The caller took nothing of its answer within ServerOptions::stalledAnswerTimeout, or no memory was
+                ///< left for what it had not taken.
+    Yielded, ///< Another connection or request needed its place or its memory.
     CallerEnded, ///< The caller closed or reset it, or ended its sending side.
     Aborted, ///< The handler broke its answer off.
     Answered, ///< An answer that closes the connection went out to its end.
@@ -205,9 +207,18 @@
     EventLoop* loop = nullptr; ///< Drives the server, and outlives it; null: threads of its own do.
     unsigned threads = 2; ///< Where it has loops of its own.
     std::size_t maxBodyBytes = 4 << 20; ///< A larger body is refused with 413 before it is read.
-    /// Of the bodies of all requests that are being read or answered; see ServerRequest::isBodyDropped. Small bodies
-    /// are not counted. Null: no limit.
+    /// Of the bodies of all requests that are being read or answered; see ServerRequest::isBodyDropped. Null: no limit.
     std::shared_ptr<ByteBudget> bodyBudget;
+    /// Of the heads and small bodies of the same requests, and of what was read behind them. A request without room is
+    /// refused with 503 unless another one, incomplete for longer, can be closed. Null: no limit.
+    std::shared_ptr<ByteBudget> headBudget;
+    /// Of answers that callers have not taken. The caller that has taken nothing for longest is closed for another one.
+    /// Null: no limit.
+    std::shared_ptr<ByteBudget> answerBudget;
+    std::size_t receiveBufferBytes = 0; ///< The kernel's for each connection, which takes twice as much; 0: its own.
+    std::size_t sendBufferBytes = 0; ///< As receiveBufferBytes.
+    std::vector<Field> refusalFields; ///< Added to the server's own refusals: what they refuse has not run.
+    /// A new connection over the limit takes the place of one that serves nobody, in the order of YieldOrder.
     unsigned maxConnections = 4096;
     unsigned maxConnectionsPerAddress = 0; ///< 0: no bound of its own.
     std::chrono::seconds idleTimeout { 30 }; ///< Without a byte; a whole request may take twice as long to arrive.
@@ -217,8 +228,20 @@
     std::size_t streamBufferBytes = 256 << 10;
     /// Called for each closed connection on a server thread; must not block. Empty: nobody is told.
     std::function<void(const ClosedConnection&)> onClose;
+
+    /// Sets the budgets and the kernel's buffers, and lowers maxConnections, so that eleven sixteenths of @p bytes are
+    /// enough for all that callers make the server hold: a quarter for bodies, three sixteenths for the kernel's
+    /// receive buffers and the connections themselves, and an eighth each for heads and for answers.
+    void limitMemory(std::size_t bytes);
+
+    /// Sets maxConnections, or less where the descriptors of the process don't suffice: a quarter is left for others.
+    void limitConnections(std::size_t connections, std::size_t maxDescriptors);
 };
 
+/// @return BadRequest if a server of @p memoryBytes, see ServerOptions::limitMemory(), has no room for a body that
+///         grows to @p maxBodyBytes.
+absl::Status checkBodyLimit(std::size_t maxBodyBytes, std::size_t memoryBytes);
+
 /// An HTTP/1.1 server on its own threads.
 class HttpServer {
 public:
@@ -240,6 +263,9 @@
     /// its next request on. Any thread.
     virtual void setIdleTimeout(std::chrono::seconds) = 0;
 
+    /// Changes ServerOptions::maxBodyBytes, for requests that begin from then on. Any thread.
+    virtual void setMaxBodyBytes(std::size_t) = 0;
+
     virtual Endpoint endpoint() const = 0;
     virtual std::size_t openConnections() const = 0;
 
--- a/src/net/Exchange.cpp
+++ b/src/net/Exchange.cpp
@@ -19,9 +19,9 @@
 } // namespace
 
 Exchange::Exchange(
-    ServerRequest request, ByteReservation body, ServerConnection& connection, Loop& loop, std::size_t bufferBytes)
+    ServerRequest request, RequestMemory memory, ServerConnection& connection, Loop& loop, std::size_t bufferBytes)
     : m_request(std::move(request))
-    , m_bodyReservation(std::move(body))
+    , m_memory(std::move(memory))
     , m_loop(loop)
     , m_bufferBytes(bufferBytes)
     , m_connection(&connection)
@@ -183,6 +183,12 @@
     return state;
 }
 
+std::size_t Exchange::queuedBytes()
+{
+    std::lock_guard lock(m_mutex);
+    return m_queue.size();
+}
+
 bool Exchange::isAborted()
 {
     std::lock_guard lock(m_mutex);
--- a/src/net/Exchange.h
+++ b/src/net/Exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <sagechute/Net.h>
+#include "net/RequestMemory.h"
 
 #include <mutex>
 
@@ -30,7 +30,7 @@
 
     /// @param bufferBytes of a stream that the connection takes at a time; when the queue has fallen to half of it, the
     ///        writer is told to go on.
-    Exchange(ServerRequest, ByteReservation body, ServerConnection&, Loop&, std::size_t bufferBytes);
+    Exchange(ServerRequest, RequestMemory, ServerConnection&, Loop&, std::size_t bufferBytes);
 
     const ServerRequest& request() const override { return m_request; }
     void respond(ServerResponse) override;
@@ -52,6 +52,9 @@
     /// dropped.
     StreamState takeQueued(std::string& bytes);
 
+    /// @return bytes of a stream that takeQueued() has not taken.
+    std::size_t queuedBytes();
+
     /// @return whether the answer was broken off, and what is left of it is not to be sent.
     bool isAborted();
 
@@ -69,7 +72,7 @@
     void moveQueued(std::string& bytes);
 
     const ServerRequest m_request;
-    const ByteReservation m_bodyReservation;
+    const RequestMemory m_memory;
     Loop& m_loop;
     const std::size_t m_bufferBytes;
 
--- a/src/net/HttpReader.cpp
+++ b/src/net/HttpReader.cpp
@@ -33,6 +33,31 @@
         return bytes.size() < leastLastChunk && bytes.substr(0, 1) == "0";
     }
 
+    /// @return what the text takes beside the object that holds it.
+    std::size_t heapBytes(const std::string& text)
+    {
+        static const std::size_t inPlace = std::string().capacity();
+        constexpr std::size_t allocationOverhead = 16;
+        return text.capacity() > inPlace ? text.capacity() + allocationOverhead : 0;
+    }
+
+    std::size_t heapBytes(const std::vector<Field>& fields)
+    {
+        std::size_t bytes = fields.capacity() * sizeof(Field);
+        for (const Field& it : fields)
+            bytes += heapBytes(it.name) + heapBytes(it.value);
+        return bytes;
+    }
+
+    /// A body up to this size is not counted as a body: it takes no more than the head of a request may.
+    constexpr std::size_t maxUncountedBodyBytes = 16 << 10;
+
+    std::size_t smallBodyBytes(const ServerRequest& request)
+    {
+        const std::size_t bytes = heapBytes(request.body);
+        return bytes > maxUncountedBodyBytes ? 0 : bytes;
+    }
+
     std::string_view toStd(boost::beast::string_view text) { return { text.data(), text.size() }; }
 
     ReadProblem problemOf(const boost::beast::error_code& ec)
@@ -127,6 +152,7 @@
     if (name == http::field::expect && isSameName(toStd(value), "100-continue"))
         m_expectsContinue = true;
     m_request.headers.push_back({ std::string(toStd(nameText)), std::string(toStd(value)) });
+    m_fieldMemory += heapBytes(m_request.headers.back().name) + heapBytes(m_request.headers.back().value);
 }
 
 void RequestReader::on_header_impl(ErrorCode& ec)
@@ -150,18 +176,29 @@
     return bytes.size();
 }
 
+std::size_t RequestReader::headMemory() const
+{
+    return m_request.headers.capacity() * sizeof(Field) + m_fieldMemory + heapBytes(m_request.rawTarget)
+        + smallBodyBytes(m_request);
+}
+
 std::size_t RequestReader::bodyMemory() const
 {
     if (m_request.isBodyDropped)
         return 0;
     const auto announced = content_length();
-    return std::max<std::size_t>(announced.value_or(0), m_request.body.capacity());
+    const std::size_t bytes = std::max<std::size_t>(announced.value_or(0), m_request.body.capacity());
+    return bytes > maxUncountedBodyBytes ? bytes : 0;
 }
 
-void RequestReader::allocateBody()
+std::size_t RequestReader::bodyMemoryAfter(std::size_t n) const
 {
-    if (const auto announced = content_length())
-        m_request.body.reserve(*announced);
+    const std::size_t capacity = m_request.body.capacity();
+    const std::size_t needed = std::min(m_request.body.size() + n, m_mostBodyBytes);
+    if (m_request.isBodyDropped || content_length() || needed <= capacity)
+        return bodyMemory();
+    const std::size_t grown = std::max(needed, std::min(2 * capacity, m_mostBodyBytes));
+    return grown > maxUncountedBodyBytes ? grown : 0;
 }
 
 void RequestReader::dropBody()
@@ -170,6 +207,12 @@
     freeText(m_request.body);
 }
 
+std::size_t headMemory(const ServerRequest& request)
+{
+    return heapBytes(request.headers) + heapBytes(request.query) + heapBytes(request.rawTarget)
+        + heapBytes(request.path) + smallBodyBytes(request);
+}
+
 AnswerReader::AnswerReader(AnswerSink& sink, bool hasBody)
     : m_sink(sink)
 {
--- a/src/net/HttpReader.h
+++ b/src/net/HttpReader.h
@@ -17,9 +17,16 @@
     AmbiguousLength, ///< Its body's length is announced in more than one way.
     HeadersTooLarge,
     BodyTooLarge,
+    FramingTooLarge, ///< The head of a chunk, or all trailers.
     SinkIsFull, ///< The bytes that were not taken are to be given again.
 };
 
+/// Limit on the head of a chunk with its extensions, and on all trailers. They are kept until they are complete.
+inline constexpr std::size_t maxFramingBytes = 16 << 10;
+
+/// @return the memory that a request takes beside a large body, which counts by itself.
+std::size_t headMemory(const ServerRequest&);
+
 /// One request on its way in.
 class RequestReader final : private boost::beast::http::basic_parser<true> {
 public:
@@ -37,14 +44,21 @@
     /// @return whether the caller waits for leave to send the body.
     bool expectsContinue() const { return m_expectsContinue; }
 
+    /// @return the memory of what has been read of the request, but for a large body.
+    std::size_t headMemory() const;
+
     /// @return the memory for the body: of its announced length, or, in chunks, of what has come; 0 if it is dropped.
     std::size_t bodyMemory() const;
 
-    /// Allocates memory for the announced length, which otherwise is copied several times as it grows.
-    void allocateBody();
+    /// @return the memory that bodyMemory() may become when the next @p n bytes are taken.
+    std::size_t bodyMemoryAfter(std::size_t n) const;
+
+    /// Allocates memory for the body, which otherwise is copied several times as it grows.
+    void allocateBody(std::size_t bytes) { m_request.body.reserve(bytes); }
 
     /// Reads the body without keeping it.
     void dropBody();
+    bool isBodyDropped() const { return m_request.isBodyDropped; }
     ServerRequest takeRequest() { return std::move(m_request); }
 
 private:
@@ -69,6 +83,7 @@
     const std::size_t m_mostBodyBytes;
     ServerRequest m_request;
     std::size_t m_bodyBytes = 0; ///< Read.
+    std::size_t m_fieldMemory = 0; ///< Of the texts in m_request.headers.
     ReadProblem m_problem = ReadProblem::None;
     std::size_t m_headBytes = 0;
     unsigned m_lengths = 0; ///< Fields that announce the body's length.
--- a/src/net/ListenSocket.cpp
+++ b/src/net/ListenSocket.cpp
@@ -37,10 +37,20 @@
         setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
     }
 
+    /// Accepted connections inherit these. Their windows are agreed on before they are accepted.
+    void limitBuffers(int fd, const ServerOptions& options)
+    {
+        if (options.receiveBufferBytes)
+            setOption(fd, SOL_SOCKET, SO_RCVBUF, static_cast<int>(options.receiveBufferBytes));
+        if (options.sendBufferBytes)
+            setOption(fd, SOL_SOCKET, SO_SNDBUF, static_cast<int>(options.sendBufferBytes));
+    }
+
 } // namespace
 
-absl::StatusOr<ListenSocket> ListenSocket::make(const Endpoint& endpoint, std::chrono::seconds silenceLimit)
+absl::StatusOr<ListenSocket> ListenSocket::make(const ServerOptions& options)
 {
+    const Endpoint& endpoint = options.listen;
     auto address = SocketAddress::make(endpoint);
     if (!address)
         return listenError(endpoint, EINVAL);
@@ -52,7 +62,8 @@
         return listenError(endpoint, errno);
     setOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
     setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-    probeSilentConnections(fd, silenceLimit);
+    probeSilentConnections(fd, options.idleTimeout);
+    limitBuffers(fd, options);
     if (bind(fd, address->data(), address->size()) || listen(fd, ListenSocket::backlog))
         return listenError(endpoint, errno);
 
--- a/src/net/ListenSocket.h
+++ b/src/net/ListenSocket.h
@@ -13,9 +13,10 @@
     FileDescriptor fd;
     Endpoint endpoint;
 
-    /// @param silenceLimit time after which the kernel starts to probe a silent connection of this socket.
+    /// @param options its address and the kernel's buffers; after its idle timeout the kernel starts to probe a silent
+    ///        connection.
     /// @return the socket, or an error whose remedy names the address.
-    static absl::StatusOr<ListenSocket> make(const Endpoint&, std::chrono::seconds silenceLimit);
+    static absl::StatusOr<ListenSocket> make(const ServerOptions& options);
 };
 
 } // namespace sagechute::net
--- a/src/net/LoopServer.cpp
+++ b/src/net/LoopServer.cpp
@@ -18,6 +18,21 @@
     /// Without a descriptor left a connection can't be taken, and the kernel would tell of it without end.
     constexpr Duration pauseTime = std::chrono::milliseconds(50);
 
+    /// A connection that is to make place may turn out to have a whole request.
+    constexpr int mostTriesForPlace = 8;
+
+    /// Whose turn it is to yield, and how it does.
+    struct YieldRule {
+        ServerConnection* (YieldOrder::*first)(TimePoint) const;
+        void (ServerConnection::*yield)();
+    };
+
+    constexpr YieldRule yieldRules[] = {
+        { &YieldOrder::firstInRequest, &ServerConnection::yieldMemory },
+        { &YieldOrder::firstWithSlowBody, &ServerConnection::yieldBody },
+        { &YieldOrder::firstStuck, &ServerConnection::yieldMemory },
+    };
+
     constexpr Duration longestSweep = std::chrono::seconds(1);
     constexpr int sweepsPerIdle = 4;
 
@@ -57,6 +72,7 @@
         }
 
         void setIdleTimeout(std::chrono::seconds timeout) override { m_share->idleSeconds = timeout.count(); }
+        void setMaxBodyBytes(std::size_t bytes) override { m_share->maxBodyBytes = bytes; }
         Endpoint endpoint() const override { return m_listener.endpoint; }
         std::size_t openConnections() const override { return m_share->openConnections; }
         std::size_t openRequests() const override { return m_share->openRequests; }
@@ -72,7 +88,7 @@
 
 absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::make(const ServerOptions& options, Handler handler)
 {
-    auto listener = ListenSocket::make(options.listen, options.idleTimeout);
+    auto listener = ListenSocket::make(options);
     if (!listener.ok())
         return listener.status();
     std::vector<std::unique_ptr<Loop>> own;
@@ -92,6 +108,8 @@
     share->options = options;
     share->handler = std::move(handler);
     share->idleSeconds = options.idleTimeout.count();
+    share->maxBodyBytes = options.maxBodyBytes;
+    share->parts = loops.size();
     return std::make_unique<ServerOverLoops>(std::move(own), loops, std::move(share), std::move(*listener));
 }
 
@@ -154,9 +172,13 @@
     socklen_t size = sizeof(peer);
     FileDescriptor fd(accept4(m_listener, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd.isOpen()) {
-        if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+        const int error = errno;
+        if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM) {
+            if (yieldPlace())
+                return true;
             pauseListening();
-        return errno == ECONNABORTED || errno == EINTR;
+        }
+        return error == ECONNABORTED || error == EINTR;
     }
     std::string address = SocketAddress::toEndpoint(reinterpret_cast<sockaddr*>(&peer)).address;
     // Shed at once: a connection that is left in the kernel's queue holds up those behind it, for seconds.
@@ -170,7 +192,8 @@
 
 bool LoopServer::admits(const std::string& address)
 {
-    if (++m_share->openConnections > options().maxConnections) {
+    ++m_share->openConnections;
+    if (!makePlace()) {
         --m_share->openConnections;
         return false;
     }
@@ -186,6 +209,40 @@
     return true;
 }
 
+bool LoopServer::makePlace()
+{
+    // Each part closes only connections of its own, so none may have all.
+    const std::size_t ownLimit = (options().maxConnections + m_share->parts - 1) / m_share->parts;
+    const auto isFull
+        = [&] { return m_share->openConnections > options().maxConnections || m_connections.size() >= ownLimit; };
+    for (int i = 0; i < mostTriesForPlace && isFull(); ++i) {
+        if (!yieldPlace())
+            return false;
+    }
+    return !isFull();
+}
+
+bool LoopServer::yieldPlace()
+{
+    ServerConnection* const connection = m_order.firstToLeave(steadyNow());
+    if (connection)
+        connection->yieldPlace();
+    return connection;
+}
+
+bool LoopServer::reserve(
+    Resource resource, ByteReservation& reservation, std::size_t bytes, const ServerConnection& self)
+{
+    const YieldRule& rule = yieldRules[static_cast<std::size_t>(resource)];
+    while (!reservation.resize(bytes)) {
+        ServerConnection* const other = (m_order.*rule.first)(steadyNow());
+        if (!other || other == &self)
+            return false;
+        (other->*rule.yield)();
+    }
+    return true;
+}
+
 void LoopServer::pauseListening()
 {
     m_loop.unwatch(m_listener);
--- a/src/net/ServerConnection.cpp
+++ b/src/net/ServerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Concat.h"
 #include "net/ConnectionEnd.h"
+#include "net/FreeText.h"
 #include "net/LoopServer.h"
 
 #include <boost/beast/http/status.hpp>
@@ -19,17 +20,22 @@
 
     constexpr std::uint32_t readEvents = EPOLLIN | EPOLLRDHUP;
 
-    /// While a request is served, what its caller sends behind it is kept up to this.
-    constexpr std::size_t mostAheadBytes = 64 << 10;
-
-    /// A body up to this size is not counted against the budget: it takes no more than the head of a request may.
-    constexpr std::size_t maxUncountedBodyBytes = 16 << 10;
-
-    /// A caller that is being refused may go on sending for so long and so much; were the connection closed at once,
-    /// the kernel would reset it and the refusal might be lost on its way.
+    /// A caller that is being refused may go on sending for so long, and as much as two bodies may have and this: were
+    /// the connection closed at once, the kernel would reset it and the refusal might be lost on its way.
     constexpr Duration lingerTime = std::chrono::seconds(2);
     constexpr std::size_t mostLingerBytes = 256 << 10;
 
+    /// Buffers of a connection up to this size are kept for its next answer.
+    constexpr std::size_t mostKeptBytes = 16 << 10;
+
+    /// A handler that waits for its answer needs its request's head about as often again, in other forms.
+    constexpr std::size_t headForms = 2;
+
+    /// After a refusal for want of memory.
+    constexpr std::string_view retryAfterSeconds = "1";
+    constexpr int unavailable = 503;
+    constexpr int firstFailure = 400;
+
     /// From this time on the loop lags so much that what the kernel said last may be wrong.
     constexpr Duration staleAfter = std::chrono::milliseconds(20);
 
@@ -75,6 +81,10 @@
         case ReadProblem::HeadersTooLarge:
             return makeError(
                 ErrorKind::TooLarge, "The request's headers are too large", "Send fewer or shorter headers");
+        case ReadProblem::FramingTooLarge:
+            return makeError(ErrorKind::BadRequest,
+                concat("The head of a chunk, or the trailers, exceed ", maxFramingBytes, " bytes"),
+                "Send fewer or shorter chunk extensions and trailers");
         case ReadProblem::Malformed:
         case ReadProblem::SinkIsFull:
         case ReadProblem::None:
@@ -100,6 +110,8 @@
         return "aborted";
     case CloseReason::Answered:
         return "answered";
+    case CloseReason::Yielded:
+        return "yielded";
     case CloseReason::Stopped:
         return "stopped";
     }
@@ -113,7 +125,10 @@
     , m_readingSince(steadyNow())
     , m_lastByteAt(m_readingSince)
     , m_idleLimit(server.idleLimit())
+    , m_answerMemory(server.options().answerBudget)
 {
+    m_memory.emplace(server.options());
+    m_server.order().add(m_place, *this, m_readingSince);
     m_events = readEvents;
     m_server.loop().watch(m_fd.value(), m_events, *this);
 }
@@ -197,8 +212,28 @@
         readSome(peerEnds);
 }
 
+void ServerConnection::yieldPlace()
+{
+    if (!isStuck() && hasBytesInKernel())
+        readSome(hasEnded(m_fd.value()));
+    if (!m_isClosed && (!m_exchange || isStuck()))
+        abandon(CloseReason::Yielded);
+}
+
+void ServerConnection::yieldBody()
+{
+    m_reader->dropBody();
+    m_memory->body.release();
+    updateStanding();
+}
+
 void ServerConnection::readSome(bool peerEnds)
 {
+    if (m_exchange) {
+        // What is sent behind a request that is served stays in the kernel, whose buffer is bounded.
+        setEvents(m_events & ~EPOLLIN);
+        return;
+    }
     auto& buf = m_server.loop().buffer();
     const ssize_t n = recv(m_fd.value(), buf.data(), buf.size(), 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
@@ -212,54 +247,60 @@
         discard(static_cast<std::size_t>(n));
         return;
     }
-    const std::string_view bytes(buf.data(), static_cast<std::size_t>(n));
-    if (m_exchange || !m_ahead.empty()) {
-        m_ahead += bytes;
-        if (m_exchange) {
-            if (m_ahead.size() > mostAheadBytes)
-                setEvents(m_events & ~EPOLLIN);
-            return;
-        }
-        const std::string all = std::move(m_ahead);
-        m_ahead.clear();
-        takeBytes(all, peerEnds);
-        return;
-    }
-    takeBytes(bytes, peerEnds);
+    std::string_view bytes(buf.data(), static_cast<std::size_t>(n));
+    if (m_ahead.isEmpty()) {
+        bytes.remove_prefix(takeBytes(bytes, peerEnds));
+        if (!m_isClosed && !m_isRefused && !bytes.empty())
+            m_ahead.append(bytes);
+        holdHead();
+    } else {
+        m_ahead.append(bytes);
+        takeAhead(peerEnds);
+    }
+    updateStanding();
 }
 
 void ServerConnection::discard(std::size_t n)
 {
     m_lingerBytes += n;
-    if (m_lingerBytes > mostLingerBytes)
+    if (m_lingerBytes > mostLingerBytes + 2 * m_server.maxBodyBytes())
         close(CloseReason::Answered);
 }
 
-void ServerConnection::takeBytes(std::string_view bytes, bool peerEnds)
+std::size_t ServerConnection::takeBytes(std::string_view bytes, bool peerEnds)
 {
+    const std::size_t n = bytes.size();
     while (!bytes.empty() && !m_exchange && !m_isClosed && !m_isRefused) {
         if (!readRequest(bytes, peerEnds))
             break;
     }
+    return n - bytes.size();
+}
+
+void ServerConnection::takeAhead(bool peerEnds)
+{
+    const std::size_t n = takeBytes(m_ahead.bytes(), peerEnds);
     if (!m_isClosed && !m_isRefused)
-        m_ahead += bytes;
+        m_ahead.remove(n);
+    holdHead();
 }
 
 bool ServerConnection::readRequest(std::string_view& bytes, bool peerEnds)
 {
     if (!m_reader) {
-        m_reader.emplace(m_server.options().maxBodyBytes);
-        m_bodyReservation.emplace(m_server.options().bodyBudget);
+        m_reader.emplace(m_server.maxBodyBytes());
         m_readingSince = m_lastByteAt;
         m_hasInvited = false;
     }
+    if (m_reader->hasHead())
+        prepareBody(bytes.size());
     bytes.remove_prefix(m_reader->take(bytes));
     if (m_reader->problem() != ReadProblem::None) {
         refuse(m_reader->problem());
         return false;
     }
     if (m_reader->hasHead())
-        reserveBody();
+        holdBody();
     if (!m_reader->isDone()) {
         if (m_reader->hasHead() && m_reader->expectsContinue() && !m_hasInvited) {
             m_hasInvited = true;
@@ -278,17 +319,60 @@
     return true;
 }
 
-void ServerConnection::reserveBody()
+void ServerConnection::prepareBody(std::size_t n)
+{
+    const std::size_t held = m_reader->bodyMemory();
+    const std::size_t grown = m_reader->bodyMemoryAfter(n);
+    // The old memory is there until its bytes have moved into the new.
+    if (grown > held && m_server.reserve(Resource::Bodies, m_memory->body, held + grown, *this))
+        m_reader->allocateBody(grown);
+    else if (grown > held)
+        yieldBody();
+}
+
+void ServerConnection::holdBody()
 {
     const std::size_t bytes = m_reader->bodyMemory();
-    if (bytes <= maxUncountedBodyBytes)
+    if (!m_server.reserve(Resource::Bodies, m_memory->body, bytes, *this))
+        yieldBody();
+    else if (bytes)
+        m_reader->allocateBody(bytes);
+}
+
+void ServerConnection::holdHead()
+{
+    if (m_isClosed || m_isRefused)
         return;
-    if (m_bodyReservation->growTo(bytes)) {
-        m_reader->allocateBody();
+    if (m_reader && m_reader->hasHead() && m_ahead.bytes().size() > maxFramingBytes) {
+        refuse(ReadProblem::FramingTooLarge);
         return;
     }
-    m_reader->dropBody();
-    m_bodyReservation->release();
+    const std::size_t bytes = m_ahead.memory() + (m_reader ? m_reader->headMemory() : 0);
+    if (!m_server.reserve(Resource::Heads, m_memory->head, bytes, *this) && !m_exchange)
+        refuseForMemory();
+}
+
+void ServerConnection::holdAnswer()
+{
+    const std::size_t bytes = m_out.capacity() + (m_exchange ? m_exchange->queuedBytes() : 0);
+    if (!m_server.reserve(Resource::Answers, m_answerMemory, bytes, *this))
+        abandon(CloseReason::SlowReader);
+}
+
+void ServerConnection::updateStanding()
+{
+    if (m_isClosed || m_isLingering)
+        return;
+    Standing standing = m_place.standing;
+    if (isStuck())
+        standing = Standing::Stuck;
+    else if (m_exchange)
+        standing = Standing::Busy;
+    else if (m_reader && m_reader->isBodyDropped())
+        standing = Standing::InDroppedBody;
+    else if (m_reader)
+        standing = m_reader->hasHead() ? Standing::InBody : Standing::InHead;
+    m_server.order().move(m_place, standing, m_lastByteAt);
 }
 
 void ServerConnection::dispatch()
@@ -307,16 +391,23 @@
         return;
     }
     decodeTarget(request);
-    m_exchange = std::make_shared<Exchange>(std::move(request), std::move(*m_bodyReservation), *this, m_server.loop(),
-        m_server.options().streamBufferBytes);
+    if (!m_server.reserve(Resource::Heads, m_memory->head, headForms * headMemory(request), *this)) {
+        refuseForMemory();
+        return;
+    }
+    m_exchange = std::make_shared<Exchange>(
+        std::move(request), std::move(*m_memory), *this, m_server.loop(), m_server.options().streamBufferBytes);
+    m_memory.emplace(m_server.options());
     m_server.handle(m_exchange);
     schedule();
 }
 
-void ServerConnection::refuse(ReadProblem problem)
+void ServerConnection::refuse(ReadProblem problem) { answerOnItsOwn(errorOf(problem, m_server.maxBodyBytes())); }
+
+void ServerConnection::refuseForMemory()
 {
-    m_reader.reset();
-    answerOnItsOwn(errorOf(problem, m_server.options().maxBodyBytes));
+    answerOnItsOwn(makeError(ErrorKind::QueueFull, "No memory is left for the request",
+        concat("Send it again after ", retryAfterSeconds, " s")));
 }
 
 void ServerConnection::answerOnItsOwn(const absl::Status& error)
@@ -325,7 +416,13 @@
     m_isRefused = true;
     m_keepsConnection = false;
     m_isHead = false;
-    const ServerResponse response = errorResponse(error);
+    m_reader.reset();
+    m_memory.emplace(m_server.options());
+    ServerResponse response = errorResponse(error);
+    const auto& fields = m_server.options().refusalFields;
+    response.headers.insert(response.headers.end(), fields.begin(), fields.end());
+    if (response.status == unavailable)
+        response.headers.push_back({ "Retry-After", std::string(retryAfterSeconds) });
     appendHead(response, false);
     m_out += response.body;
     m_isWhole = true;
@@ -344,6 +441,8 @@
     if (isStuck()) {
         if (!m_isWhole && m_exchange->isAborted())
             breakOff();
+        else
+            holdAnswer();
         return;
     }
     if (!m_isWhole && !m_isStreaming && !beginAnswer())
@@ -368,12 +467,16 @@
         close(CloseReason::Aborted);
         return false;
     case Exchange::Next::SendWhole:
+        m_wasServed = response.status < firstFailure;
         appendHead(response, false);
-        if (!m_isHead)
+        if (!m_isHead) {
+            m_out.reserve(m_out.size() + response.body.size());
             m_out += response.body;
+        }
         m_isWhole = true;
         return true;
     case Exchange::Next::SendStream:
+        m_wasServed = response.status < firstFailure;
         m_isChunked = !m_isOldVersion;
         appendHead(response, true);
         m_isStreaming = true;
@@ -403,6 +506,8 @@
         if (m_isChunked)
             m_out += "\r\n";
     }
+    if (m_piece.capacity() > mostKeptBytes)
+        freeText(m_piece);
     if (state == Exchange::StreamState::Finished) {
         if (m_isChunked && !m_isHead)
             m_out += "0\r\n\r\n";
@@ -454,6 +559,7 @@
 
 void ServerConnection::flush()
 {
+    bool hasProgressed = false;
     while (m_outStart < m_out.size()) {
         const ssize_t n
             = send(m_fd.value(), m_out.data() + m_outStart, m_out.size() - m_outStart, MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -463,6 +569,9 @@
             if (!(m_events & EPOLLOUT))
                 m_stalledSince = steadyNow();
             setEvents(m_events | EPOLLOUT);
+            if (hasProgressed || m_place.standing != Standing::Stuck)
+                m_server.order().renew(m_place, Standing::Stuck, m_stalledSince);
+            holdAnswer();
             return;
         }
         if (n < 0) {
@@ -470,13 +579,19 @@
             return;
         }
         m_stalledSince = steadyNow();
+        hasProgressed = true;
         m_outStart += static_cast<std::size_t>(n);
     }
+    if (m_out.capacity() > mostKeptBytes)
+        freeText(m_out);
     m_out.clear();
     m_outStart = 0;
+    m_answerMemory.release();
     setEvents(m_events & ~EPOLLOUT);
     if (m_isWhole)
         endAnswer();
+    else
+        updateStanding();
 }
 
 void ServerConnection::endAnswer()
@@ -494,11 +609,11 @@
     }
     m_lastByteAt = steadyNow();
     setEvents(m_events | EPOLLIN);
-    if (m_ahead.empty())
+    m_server.order().renew(m_place, m_wasServed ? Standing::Kept : Standing::Silent, m_lastByteAt);
+    if (m_ahead.isEmpty())
         return;
-    const std::string all = std::move(m_ahead);
-    m_ahead.clear();
-    takeBytes(all, false);
+    takeAhead(false);
+    updateStanding();
 }
 
 void ServerConnection::beginLinger()
@@ -506,7 +621,8 @@
     m_isRefused = true;
     m_isLingering = true;
     m_lastByteAt = steadyNow();
-    m_ahead = {};
+    m_ahead.clear();
+    m_server.order().renew(m_place, Standing::Lingering, m_lastByteAt);
     shutdown(m_fd.value(), SHUT_WR);
     setEvents(readEvents);
 }
@@ -534,7 +650,7 @@
     m_isClosed = true;
     if (const auto& onClose = m_server.options().onClose)
         onClose({ reason, m_exchange ? &m_exchange->request() : nullptr,
-            !m_isRefused && (!m_ahead.empty() || hasBytesInKernel()) });
+            !m_isRefused && (!m_ahead.isEmpty() || hasBytesInKernel()) });
     if (m_exchange) {
         const auto exchange = std::move(m_exchange);
         exchange->detach(false);
@@ -542,6 +658,14 @@
     }
     m_server.loop().unwatch(m_fd.value());
     m_fd = FileDescriptor();
+    m_server.order().remove(m_place);
+    // Whoever closes it for memory needs that now; the connection itself is freed later.
+    m_reader.reset();
+    m_ahead.clear();
+    freeText(m_out);
+    m_outStart = 0;
+    m_memory.reset();
+    m_answerMemory.release();
     m_server.closed(*this);
 }
 
--- a/src/net/ServerConnection.h
+++ b/src/net/ServerConnection.h
@@ -3,6 +3,8 @@
 #include "net/Exchange.h"
 #include "net/HttpReader.h"
 #include "net/Loop.h"
+#include "net/ReadAhead.h"
+#include "net/YieldOrder.h"
 
 #include <algorithm>
 
@@ -39,16 +41,41 @@
     /// Closes the connection and tells whoever waits for the exchange.
     void abandon(CloseReason);
 
+    const YieldOrder::Place& place() const { return m_place; }
+
+    /// Closes the connection for the sake of another one, unless what the kernel has ready completes its request.
+    void yieldPlace();
+
+    /// Closes the connection for the sake of another one's memory.
+    void yieldMemory() { abandon(CloseReason::Yielded); }
+
+    /// Gives up the memory of the body that is read; the request is then refused at its end.
+    void yieldBody();
+
 private:
     void onReady(std::uint32_t events) override;
     void onDeferred() override;
 
     void readSome(bool peerEnds);
-    void takeBytes(std::string_view, bool peerEnds);
+
+    /// @return how many bytes were taken; more are needed for the others, or a request is served.
+    std::size_t takeBytes(std::string_view, bool peerEnds);
+    void takeAhead(bool peerEnds);
     bool readRequest(std::string_view&, bool peerEnds);
-    void reserveBody();
+
+    /// Makes room for a body before the next @p n bytes of the connection are read into it.
+    void prepareBody(std::size_t n);
+    void holdBody();
+
+    /// Counts what has been read and not been given to the handler.
+    void holdHead();
+
+    /// Counts what the caller has not taken of its answer.
+    void holdAnswer();
+    void updateStanding();
     void dispatch();
     void refuse(ReadProblem);
+    void refuseForMemory();
     void answerOnItsOwn(const absl::Status&);
     void discard(std::size_t n);
 
@@ -74,12 +101,13 @@
 
     // Reading.
     std::optional<RequestReader> m_reader;
-    std::string m_ahead; ///< Read, and not yet taken: part of a line, or requests behind the one that is served.
+    ReadAhead m_ahead;
     TimePoint m_readingSince;
     TimePoint m_lastByteAt;
     Duration m_idleLimit; ///< In force since the last request.
     bool m_hasInvited = false; ///< The body was asked for by an interim answer.
-    std::optional<ByteReservation> m_bodyReservation; ///< Of the request that is being read.
+    std::optional<RequestMemory> m_memory; ///< Of the request that is being read, and of m_ahead.
+    YieldOrder::Place m_place;
 
     // The request that is served.
     std::shared_ptr<Exchange> m_exchange;
@@ -91,6 +119,8 @@
     bool m_isStreaming = false;
     bool m_isChunked = false;
     bool m_isWhole = false; ///< All of the answer is in m_out.
+    bool m_wasServed = false; ///< The last request was answered, and not with a failure.
+    ByteReservation m_answerMemory; ///< Of what the caller has not taken.
     std::string m_out;
     std::size_t m_outStart = 0;
     TimePoint m_stalledSince; ///< While the caller takes nothing of m_out.
--- a/tests/NetFixtures.h
+++ b/tests/NetFixtures.h
@@ -184,6 +184,9 @@
         setsockopt(m_fd.value(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     }
 
+    /// Has the kernel keep about @p bytes that have not been read.
+    void limitReceiveBuffer(int bytes) { setsockopt(m_fd.value(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)); }
+
     std::string readToEnd() { return readUntil(std::string_view("\0never\0", 7)); }
 
     /// Reads up to the end of the connection. @return how often @p wanted came.
@@ -236,7 +239,7 @@
 class RawServer {
 public:
     RawServer()
-        : m_socket(ListenSocket::make({ "127.0.0.1", 0 }, std::chrono::seconds(30)).value())
+        : m_socket(ListenSocket::make(loopback()).value())
     {
     }
 
