Limit what clients make an edge router hold, at each of its listeners

Causes: the listeners had no budgets but one for bodies; the memory for answers was 32 MB whatever the process has; the limit of 8 MB for a body held where the configuration allows less; the listeners' connections and those to targets exceeded the descriptors together (3,100 callers, 800 others and 800 targets of 3,900); the allocator raises its threshold for own mappings with each large block that is freed, and then keeps such blocks.

Change: Options divides memory and descriptors among the listeners, by ServerOptions::limitMemory(): eleven sixteenths of the memory for callers, of a sixteenth for the directory, of a thirty-second part each for readiness, control and metrics. 2,600 callers' connections at 4,100 descriptors and 260 MB (3,100 before), 1,706 at 160 MB (2,275). The body limit follows the configuration, and 413 is sent without the rest of the body. Answers that are held until they are whole may take a sixteenth of the memory, and at least one of the largest size. process::limitFreedMemory() sets the allocator's thresholds.

A router of 160 MB serves the largest body, with a length, in large and in small chunks, and the largest head, as one field or as many.

--- a/apps/sagechute-edge/EdgeState.h
+++ b/apps/sagechute-edge/EdgeState.h
@@ -159,10 +159,6 @@
     std::atomic<TimePoint> configReadAt { TimePoint {} };
     std::atomic<TimePoint> targetsReadAt { TimePoint {} };
     std::atomic<int> activeRequests { 0 };
-    /// Limit on all answers that are held, beyond what each may hold. Buffers that grow may take twice as much, a
-    /// quarter of the memory of the smallest VMs.
-    static constexpr std::size_t maxAnswerBytes = 32 << 20;
-    net::ByteBudget answerBudget { maxAnswerBytes }; ///< See relay::RequestFlowDelegate::reserveBuffer().
 
 private:
     template <typename Change> void updateTargetsLocked(Change&& change)
--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -37,7 +37,6 @@
     /// Added to the configured time for which callers reuse idle connections, so that the router keeps them open for
     /// longer than that.
     constexpr std::chrono::seconds idleTimeoutMargin { 2 };
-    constexpr unsigned maxInternalConnections = 200;
 
     net::ServerResponse textResponse(int status, std::string body = {})
     {
@@ -68,23 +67,13 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - (unsuspendedNow() - at)).count();
     }
 
-    /// @param maxCallerConnections limit on the callers' listener; 0 for all other listeners.
-    /// @param bodyBudget of the callers' listener; null for all other listeners.
-    absl::StatusOr<std::unique_ptr<net::HttpServer>> listen(net::EventLoop& loop, const std::string& address,
-        unsigned maxCallerConnections, std::shared_ptr<net::ByteBudget> bodyBudget, net::HttpServer::Handler handler,
-        std::function<void(const net::ClosedConnection&)> onClose)
+    absl::StatusOr<std::unique_ptr<net::HttpServer>> listen(
+        net::ServerOptions options, const std::string& address, net::HttpServer::Handler handler)
     {
         const auto endpoint = net::parseEndpoint(address);
         if (!endpoint.ok())
             return endpoint.status();
-        net::ServerOptions options;
         options.listen = *endpoint;
-        options.loop = &loop;
-        options.maxBodyBytes = maxCallerConnections ? maxCallerBodyBytes : maxInternalBodyBytes;
-        options.bodyBudget = std::move(bodyBudget);
-        options.maxConnections = maxCallerConnections ? maxCallerConnections : maxInternalConnections;
-        options.idleTimeout = maxCallerConnections ? callerIdleTimeout : internalIdleTimeout;
-        options.onClose = std::move(onClose);
         return net::HttpServer::make(options, std::move(handler));
     }
 
@@ -103,29 +92,37 @@
     struct Listener {
         std::unique_ptr<net::HttpServer>& server;
         std::string address;
+        net::ServerOptions options;
         net::HttpServer::Handler handler;
     };
     const std::chrono::seconds cacheTime
         = std::min(maxLocateCacheTime, std::chrono::seconds(static_cast<int>(options.locateKeptSeconds)));
-    const unsigned callerConnectionLimit = options.maxCallerConnections();
-    const auto bodyBudget = std::make_shared<net::ByteBudget>(options.maxBodyMemory());
+    net::ServerOptions callers = options.callerLimits();
+    callers.loop = &m_context.loop;
+    callers.maxBodyBytes = maxCallerBodyBytes;
+    callers.idleTimeout = callerIdleTimeout;
+    callers.onClose = [this](const net::ClosedConnection& closed) { reportClosed(closed); };
+    const auto notForRequests = [this](net::ServerOptions limits) {
+        limits.loop = &m_context.loop;
+        limits.maxBodyBytes = maxInternalBodyBytes;
+        limits.idleTimeout = internalIdleTimeout;
+        return limits;
+    };
+    const net::ServerOptions locate = notForRequests(options.locateLimits());
     const std::vector<Listener> all {
-        { m_callers, options.callersListen,
+        { m_callers, options.callersListen, callers,
             [this](const ExchangePointer& it) { m_context.requestHandler.handle(it); } },
-        { m_readiness, options.readinessListen, [this](const ExchangePointer& it) { handleReadiness(*it); } },
-        { m_control, options.controlListen, [this](const ExchangePointer& it) { handleControl(it); } },
-        { m_locate, options.locateListen,
+        { m_readiness, options.readinessListen, notForRequests(options.internalLimits()),
+            [this](const ExchangePointer& it) { handleReadiness(*it); } },
+        { m_control, options.controlListen, notForRequests(options.internalLimits()),
+            [this](const ExchangePointer& it) { handleControl(it); } },
+        { m_locate, options.locateListen, locate,
             [this, cacheTime](const ExchangePointer& it) { handleLocate(*it, cacheTime); } },
-        { m_metrics, options.endpointFor(options.metricsPort()),
+        { m_metrics, options.endpointFor(options.metricsPort()), notForRequests(options.internalLimits()),
             [this](const ExchangePointer& it) { handleControl(it); } },
     };
     for (const Listener& it : all) {
-        const bool isForCallers = &it.server == &m_callers;
-        std::function<void(const net::ClosedConnection&)> onClose;
-        if (isForCallers)
-            onClose = [this](const net::ClosedConnection& closed) { reportClosed(closed); };
-        auto server = listen(m_context.loop, it.address, isForCallers ? callerConnectionLimit : 0,
-            isForCallers ? bodyBudget : nullptr, it.handler, std::move(onClose));
+        auto server = listen(it.options, it.address, it.handler);
         if (!server.ok())
             return server.status();
         it.server = std::move(*server);
@@ -136,9 +133,11 @@
 void Listeners::updateLimits()
 {
     const auto table = m_context.state.table();
-    if (table)
-        m_callers->setIdleTimeout(
-            std::chrono::ceil<std::chrono::seconds>(table->config().limits.idle) + idleTimeoutMargin);
+    if (table) {
+        const auto& limits = table->config().limits;
+        m_callers->setIdleTimeout(std::chrono::ceil<std::chrono::seconds>(limits.idle) + idleTimeoutMargin);
+        m_callers->setMaxBodyBytes(limits.bodyBytes);
+    }
     RouterWork work { m_context.loop.busyTime(), m_context.state.requestsAccepted, m_context.state.requestsShed,
         m_context.state.chunksRelayed };
     const TimePoint now = steadyNow();
--- a/apps/sagechute-edge/Options.cpp
+++ b/apps/sagechute-edge/Options.cpp
@@ -1,5 +1,7 @@
 #include "Options.h"
 
+#include <sagechute/Relay.h>
+
 #include <charconv>
 #include <cmath>
 
@@ -33,6 +35,29 @@
             "for example --port-range 7400,7415");
     }
 
+    /// How a process's descriptors are divided.
+    struct DescriptorShares {
+        explicit DescriptorShares(std::uint64_t maxDescriptors)
+        {
+            // The platform reserves 200 for files. A flooded router has been observed to use 800 sockets to targets.
+            constexpr std::uint64_t maxFiles = 200;
+            constexpr std::uint64_t maxTargets = 800;
+            constexpr std::uint64_t maxLocate = 200;
+            constexpr std::uint64_t maxInternal = 100;
+            constexpr std::uint64_t internalListeners = 3;
+            const std::uint64_t files = std::min(maxFiles, maxDescriptors / 8);
+            const std::uint64_t sockets = maxDescriptors - files;
+            locate = static_cast<unsigned>(std::min(maxLocate, sockets / 16));
+            internal = static_cast<unsigned>(std::min(maxInternal, sockets / 32));
+            callers = static_cast<unsigned>(
+                sockets - std::min(maxTargets, sockets / 4) - locate - internalListeners * internal);
+        }
+
+        unsigned callers = 0;
+        unsigned locate = 0;
+        unsigned internal = 0; ///< Of each listener for readiness, control and metrics.
+    };
+
     absl::Status checkEvacuationBound(std::uint64_t boundMs)
     {
         // With a bound of a few milliseconds every router would read the store all the time.
@@ -113,23 +138,36 @@
     return result;
 }
 
-unsigned Options::maxCallerConnections() const
+net::ServerOptions Options::callerLimits() const
+{
+    net::ServerOptions limits;
+    limits.maxConnections = DescriptorShares(maxDescriptors).callers;
+    limits.limitMemory(memoryBytes());
+    return limits;
+}
+
+net::ServerOptions Options::locateLimits() const
+{
+    constexpr std::size_t memoryShare = 16;
+    net::ServerOptions limits;
+    limits.maxConnections = DescriptorShares(maxDescriptors).locate;
+    limits.limitMemory(memoryBytes() / memoryShare);
+    return limits;
+}
+
+net::ServerOptions Options::internalLimits() const
 {
-    // 200 descriptors that the platform reserves for files, and 800 sockets to targets, as many as a flooded router has
-    // been observed to use.
-    constexpr std::uint64_t otherDescriptors = 200 + 800;
-    constexpr std::uint64_t leastConnections = 100;
-    // Memory per connection, most of it for headers; connections may use half of the process's memory.
-    constexpr std::uint64_t connectionKilobytes = 36;
-    const std::uint64_t byDescriptors = maxDescriptors > otherDescriptors ? maxDescriptors - otherDescriptors : 0;
-    const std::uint64_t byMemory = memoryMb * 1024 / 2 / connectionKilobytes;
-    return static_cast<unsigned>(std::max(leastConnections, std::min(byDescriptors, byMemory)));
+    constexpr std::size_t memoryShare = 32;
+    net::ServerOptions limits;
+    limits.maxConnections = DescriptorShares(maxDescriptors).internal;
+    limits.limitMemory(memoryBytes() / memoryShare);
+    return limits;
 }
 
-std::size_t Options::maxBodyMemory() const
+std::size_t Options::maxAnswerMemory() const
 {
-    // Connections may use half of the process's memory, and answers on their way have a limit of their own.
-    return static_cast<std::size_t>(memoryMb) * 1024 * 1024 / 4;
+    // At least as much as one answer may have.
+    return std::max(memoryBytes() / 16, relay::maxBufferedBodyBytes);
 }
 
 bool Options::appliesEvacuations() const { return evacuationBoundMs > 0; }
--- a/apps/sagechute-edge/Options.h
+++ b/apps/sagechute-edge/Options.h
@@ -54,10 +54,24 @@
     std::vector<std::string> gossipSeeds() const;
 
     /// @return the limit on callers' connections, from the descriptor and memory limits.
-    unsigned maxCallerConnections() const;
+    unsigned maxCallerConnections() const { return callerLimits().maxConnections; }
 
-    /// @return the memory in bytes that large bodies of callers' requests may take together.
-    std::size_t maxBodyMemory() const;
+    /// @return the limits of the listener for callers' requests: connections, and the memory for what they make the
+    ///         process hold.
+    net::ServerOptions callerLimits() const;
+
+    /// @return as callerLimits(), of the listener where callers look up router addresses.
+    net::ServerOptions locateLimits() const;
+
+    /// @return as callerLimits(), of each of the three listeners for readiness, control and metrics.
+    net::ServerOptions internalLimits() const;
+
+    /// @return the memory in bytes for all answers that are held until they are whole, beyond what each may hold.
+    ///         Buffers that grow may take twice as much.
+    std::size_t maxAnswerMemory() const;
+
+    /// @return the memory limit of this process in bytes.
+    std::size_t memoryBytes() const { return static_cast<std::size_t>(memoryMb) << 20; }
 
     /// @return the CPU limit of this process in cores of ordinary speed.
     double cores() const { return cpuShare * coreSpeed; }
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -214,9 +214,9 @@
     m_context.metrics.recordAnswerEnd(responseEnd);
 }
 
-bool Relay::reserveBuffer(std::size_t bytes) { return m_context.state.answerBudget.reserve(bytes); }
+bool Relay::reserveBuffer(std::size_t bytes) { return m_context.answerBudget.reserve(bytes); }
 
-void Relay::releaseBuffer(std::size_t bytes) { m_context.state.answerBudget.release(bytes); }
+void Relay::releaseBuffer(std::size_t bytes) { m_context.answerBudget.release(bytes); }
 
 void Relay::onTargetSignals(
     TimePoint now, const dispatch::TargetIncarnation& target, const dispatch::TargetSignals& signals)
--- a/apps/sagechute-edge/Relay.h
+++ b/apps/sagechute-edge/Relay.h
@@ -19,6 +19,7 @@
     const TargetProtocol& targetProtocol;
     TimerQueue& timers;
     EdgeMetrics& metrics;
+    net::ByteBudget& answerBudget; ///< See relay::RequestFlowDelegate::reserveBuffer().
 };
 
 /// A request to be relayed, with its route, customer and service.
--- a/apps/sagechute-edge/main.cpp
+++ b/apps/sagechute-edge/main.cpp
@@ -70,8 +70,10 @@
         if (!fleet.ok())
             return failStart(fleet.status());
         AdaptiveRateLimiter overloadMeter(options.cores(), options.maxCallerConnections());
+        net::ByteBudget answerBudget(options.maxAnswerMemory());
         RequestHandler requestHandler(
-            { state, **targetClient, *callerProtocol, *targetProtocol, timers, edgeMetrics }, overloadMeter);
+            { state, **targetClient, *callerProtocol, *targetProtocol, timers, edgeMetrics, answerBudget },
+            overloadMeter);
         CrashJournal crashJournal(state, **fleet, *store, options);
         auto listeners = Listeners::make(options,
             { state, **fleet, requestHandler, crashJournal, overloadMeter, *entryProtocol, *callerProtocol, metrics,
@@ -109,6 +111,7 @@
     {
         // First of all: until it blocks SIGHUP, a reload request ends the process.
         process::StopSignal stop;
+        process::limitFreedMemory();
         Options options;
         SettingsWatcher settingsWatcher(argc, argv);
         if (const auto code = settingsWatcher.read(options))
--- a/include/sagechute/Process.h
+++ b/include/sagechute/Process.h
@@ -112,6 +112,13 @@
 /// Writes one event as "event name=value ...", values quoted where needed.
 void log(LogLevel, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// Has the allocator give freed memory back to the system, so that the memory of a process follows what it holds. Call
+/// it before any thread starts.
+void limitFreedMemory();
+
+/// @return how many descriptors the process may have open.
+std::size_t maxDescriptors();
+
 /// The process's metrics and their text form for /metrics.
 class Metrics {
 public:
--- a/include/sagechute/Relay.h
+++ b/include/sagechute/Relay.h
@@ -9,6 +9,10 @@
 
 namespace sagechute::relay {
 
+/// Limit for buffered responses, i.e. those that are not streams; a longer response is rejected. Responses in the
+/// deployments are far smaller.
+inline constexpr std::size_t maxBufferedBodyBytes = 16 << 20;
+
 /// A request whose route, customer and service have been resolved.
 struct RequestInfo {
     std::string id; ///< Targets echo it in their responses.
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -32,10 +32,6 @@
     /// Interval at which a hedge that was refused is asked for again.
     constexpr Duration hedgeRetryInterval = std::chrono::milliseconds(200);
 
-    /// Limit for buffered responses, i.e. those that are not streams; a longer response is rejected. Responses in these
-    /// deployments are far smaller.
-    constexpr std::size_t maxBufferedBodyBytes = 16 << 20;
-
     /// Each response may hold this much, so that one without end doesn't take the room of the others.
     constexpr std::size_t unreservedBytes = 64 << 10;
 
