Limit what clients make the other product's processes hold

What callers saw: 120 bodies of 4 MB short of their end made the router with its own API hold 493 to 621 MB, chunk extensions without end 1,232 MB; idle connections kept callers, operators and probes of the steward out.

Causes: no budgets at all; a body was copied for each attempt, so that it was held twice while a target read it; connections over the limit were closed whoever they were; more connections than descriptors were allowed.

Connections are limited to three quarters of the process's descriptors. An attempt shares the body of its request. A body that was dropped for want of memory is refused with 503 and Retry-After, as not run; so are the server's own refusals of the router (Sagechute-Outcome: not-run).

ApiTest, WatchTest and AttemptSenderTest pass.

--- a/apps/sagechute-api/main.cpp
+++ b/apps/sagechute-api/main.cpp
@@ -8,6 +8,8 @@
 
 using namespace sagechute;
 
+constexpr std::size_t maxConnections = 1024;
+
 struct ApiSettings {
     std::string listen = "127.0.0.1:8400";
     std::string vmId;
@@ -23,6 +25,7 @@
     std::uint64_t changeThreads = 16;
     std::uint64_t maxBody = 256 << 10;
     std::uint64_t maxWatches = 128;
+    std::uint64_t memoryMb = 256;
 };
 
 process::Settings declare(ApiSettings& out)
@@ -43,6 +46,9 @@
         .count("change-threads", out.changeThreads, 1, 256, "changes carried out at a time")
         .count("max-body-bytes", out.maxBody, 1024, 16 << 20, "largest body of a request")
         .count("max-watches", out.maxWatches, 1, 4096, "watches open at a time")
+        .count("memory-mb", out.memoryMb, 64, 1'000'000,
+            "memory of this process in MB; what clients make it hold is limited to a part of it")
+        .check([&out] { return net::checkBodyLimit(out.maxBody, out.memoryMb << 20); })
         .check([&out] { return net::parseEndpoint(out.listen).status(); })
         .check([&out] { return operators::parseOperatorKeys(out.operatorKeys).status(); })
         .check([&out] {
@@ -75,7 +81,8 @@
     net::ServerOptions options;
     options.listen = *net::parseEndpoint(settings.listen);
     options.maxBodyBytes = settings.maxBody;
-    options.maxConnections = 1024;
+    options.limitConnections(maxConnections, process::maxDescriptors());
+    options.limitMemory(settings.memoryMb << 20);
     return options;
 }
 
@@ -88,6 +95,7 @@
 int run(const ApiSettings& settings)
 {
     process::StopSignal stop;
+    process::limitFreedMemory();
     if (const absl::Status status = process::startLogging("sagechute-api", settings.logLevel, { settings.vmId }, 0);
         !status.ok())
         return fail(status);
--- a/apps/sagechute-router/AttemptSender.cpp
+++ b/apps/sagechute-router/AttemptSender.cpp
@@ -28,6 +28,12 @@
         }
     }
 
+    /// @return the body of the request, which lives as long as the request.
+    std::shared_ptr<const std::string> bodyOf(const std::shared_ptr<CallerRequest>& caller)
+    {
+        return { caller, &caller->request().body };
+    }
+
     AttemptEnd toAttemptEnd(const net::TransferResult& result)
     {
         switch (result.end) {
@@ -323,7 +329,7 @@
     request.method = "POST";
     request.url
         = "http://" + action.address + (action.mode == config::TargetMode::Engine ? "/v1/generate" : "/v1/call");
-    request.body = caller->request().body;
+    request.sharedBody = bodyOf(caller);
     copyHeaders(targetHeaders, caller->request(), request);
     request.headers.push_back({ std::string(requestIdHeader), caller->idText() });
     request.headers.push_back({ "Sagechute-Customer", caller->customer().value });
@@ -353,7 +359,7 @@
     net::ClientRequest request;
     request.method = "POST";
     request.url = "http://" + action.address + caller->request().path;
-    request.body = caller->request().body;
+    request.sharedBody = bodyOf(caller);
     copyHeaders(forwardedHeaders, caller->request(), request);
     request.headers.push_back({ "Sagechute-Forwarded", self.value });
     request.connectTimeout = m_settings.connectTimeout;
--- a/apps/sagechute-router/CallerRequestHandler.cpp
+++ b/apps/sagechute-router/CallerRequestHandler.cpp
@@ -121,6 +121,12 @@
         if (const config::Service* service = snapshot->config->findService(ServiceId { std::string(serviceName) }))
             mode = service->mode;
     }
+    if (request.isBodyDropped) {
+        rejectBeforeAdmission(*exchange,
+            makeError(ErrorKind::QueueFull, "no memory is left for the request's body",
+                "send it again after Retry-After seconds, or to another address"));
+        return;
+    }
     auto arrival = readArrival(request, customer, mode);
     if (!arrival.ok()) {
         rejectBeforeAdmission(*exchange, arrival.status());
--- a/apps/sagechute-router/Options.cpp
+++ b/apps/sagechute-router/Options.cpp
@@ -40,6 +40,8 @@
         .count("client-threads", clientThreads, 1, 64, "threads that relay responses from targets")
         .count("max-connections", maxConnections, 16, 60000, "maximum number of open caller connections")
         .count("max-body-bytes", maxBodyBytes, 1024, 256 << 20, "largest request body in bytes")
+        .count("memory-mb", memoryMb, 64, 1'000'000,
+            "memory of this process in MB; what callers make it hold is limited to a part of it")
         .duration("summary-interval", summaryInterval, milliseconds(50), seconds(10),
             "interval between exchanges of service counters")
         .duration("freshness", freshness, seconds(1), seconds(60),
@@ -55,6 +57,7 @@
         .secret("fleet-secret", fleetSecret, "shared secret that authenticates fleet members, the same on all VMs")
         .check([this] { return scheduling::parsePolicy(policy).status(); })
         .check([this] { return checkAddress("listen", listen); })
+        .check([this] { return net::checkBodyLimit(maxBodyBytes, memoryMb << 20); })
         .check([this] { return checkAddress("peer-listen", peerListen); })
         .check([this] { return checkAddress("gossip-listen", gossipListen); })
         .check([this] {
@@ -72,6 +75,15 @@
         });
 }
 
+net::ServerOptions Options::callerLimits() const
+{
+    net::ServerOptions limits;
+    limits.maxBodyBytes = maxBodyBytes;
+    limits.limitConnections(maxConnections, process::maxDescriptors());
+    limits.limitMemory(memoryMb << 20);
+    return limits;
+}
+
 routing::RouterSettings Options::routerSettings(Incarnation incarnation, const std::string& callerAddress,
     const std::string& peerAddress, const std::string& gossipAddress) const
 {
--- a/apps/sagechute-router/Options.h
+++ b/apps/sagechute-router/Options.h
@@ -27,6 +27,7 @@
     std::uint64_t httpThreads = 2;
     std::uint64_t clientThreads = 2;
     std::uint64_t maxConnections = 8192;
+    std::uint64_t memoryMb = 1024;
     std::uint64_t maxBodyBytes = 4 << 20;
     std::uint64_t offerWindow = 32;
     std::uint64_t windowSlack = 1;
@@ -41,6 +42,9 @@
     /// Registers the settings and their validation.
     void declare(process::Settings&);
 
+    /// @return the limits of the listener for callers.
+    net::ServerOptions callerLimits() const;
+
     /// The addresses are those that callers and other routers connect to, with the ports actually bound.
     routing::RouterSettings routerSettings(Incarnation, const std::string& callerAddress,
         const std::string& peerAddress, const std::string& gossipAddress) const;
--- a/apps/sagechute-router/main.cpp
+++ b/apps/sagechute-router/main.cpp
@@ -125,11 +125,10 @@
             m_log = logservice::makeHttpLog(*m_logClient, m_options.platform, logTimeout);
 
             m_requestHandler = std::make_unique<CallerRequestHandler>(m_snapshot, m_eventQueue, m_statusExporter, life);
-            net::ServerOptions server;
+            net::ServerOptions server = m_options.callerLimits();
             server.listen = *net::parseEndpoint(m_options.listen);
             server.threads = static_cast<unsigned>(m_options.httpThreads);
-            server.maxBodyBytes = m_options.maxBodyBytes;
-            server.maxConnections = static_cast<unsigned>(m_options.maxConnections);
+            server.refusalFields = { { "Sagechute-Outcome", std::string(toString(Outcome::NotRun)) } };
             auto httpServer = net::HttpServer::make(server,
                 [this](const std::shared_ptr<net::ServerExchange>& exchange) { m_requestHandler->handle(exchange); });
             if (!httpServer.ok())
@@ -262,6 +261,7 @@
     {
         // First of all: until it blocks SIGHUP, a reload request ends the process.
         process::StopSignal stop;
+        process::limitFreedMemory();
         Options options;
         process::Settings settings(
             "sagechute-router", "routes requests from callers and shares targets fairly among customers");
--- a/apps/sagechute-steward/Daemon.cpp
+++ b/apps/sagechute-steward/Daemon.cpp
@@ -43,6 +43,8 @@
     listen.listen = *net::parseEndpoint(options.listen);
     listen.threads = 1;
     listen.maxBodyBytes = 4096;
+    listen.limitConnections(listen.maxConnections, process::maxDescriptors());
+    listen.limitMemory(options.memoryMb << 20);
     auto server = net::HttpServer::make(listen,
         [pages = &daemon->m_pages](const std::shared_ptr<net::ServerExchange>& exchange) { pages->handle(*exchange); });
     if (!server.ok())
--- a/apps/sagechute-steward/Options.cpp
+++ b/apps/sagechute-steward/Options.cpp
@@ -41,6 +41,8 @@
         .requiredText("platform", platform, "base URL of the platform's services")
         .text("listen", listen, "address for metrics, health and progress")
         .text("log-level", logLevel, "debug, info, warning or error")
+        .count("memory-mb", memoryMb, 64, 1'000'000,
+            "memory of this process in MB; what clients make it hold is limited to a part of it")
         .duration("log-timeout", logTimeout, milliseconds(100), seconds(60), "timeout of a request to the log")
         .duration("lease-term", lease.term, seconds(2), seconds(300),
             "time without a record of the holder after which another steward may acquire the lease")
--- a/apps/sagechute-steward/Options.h
+++ b/apps/sagechute-steward/Options.h
@@ -11,6 +11,7 @@
     std::string platform;
     std::string listen = "127.0.0.1:9300";
     std::string logLevel = "info";
+    std::uint64_t memoryMb = 256;
     Duration logTimeout = std::chrono::seconds(3);
     LeaseSettings lease;
     SnapshotSettings snapshots;
--- a/apps/sagechute-steward/main.cpp
+++ b/apps/sagechute-steward/main.cpp
@@ -18,6 +18,7 @@
 {
     // First of all: until it blocks SIGHUP, a reload request ends the process.
     process::StopSignal signal;
+    process::limitFreedMemory();
     steward::Options options;
     process::Settings settings("sagechute-steward",
         "sends orders to targets and writes configuration snapshots while it holds a lease in the log");
--- a/src/operators/ApiServer.cpp
+++ b/src/operators/ApiServer.cpp
@@ -57,6 +57,14 @@
             "ask somebody with the role " + std::string(toString(needed)));
     }
 
+    net::ServerResponse busyResponse(std::string_view message)
+    {
+        net::ServerResponse response
+            = net::errorResponse(makeError(ErrorKind::QueueFull, message, "send it again in a second"));
+        response.headers.push_back({ "Retry-After", "1" });
+        return response;
+    }
+
 } // namespace
 
 std::unique_ptr<Api> Api::make(ApiOptions options, config::LogPort& log, net::HttpClient& client)
@@ -120,6 +128,8 @@
     call.path = splitPath(exchange->request().path);
     if (!call.who)
         return refuse(call, unknownKey());
+    if (exchange->request().isBodyDropped)
+        return call.exchange->respond(busyResponse("no memory is left for the request's body"));
     dispatch(call);
 }
 
@@ -190,10 +200,7 @@
 {
     if (m_workers.tryRun(std::move(job)))
         return;
-    net::ServerResponse response = net::errorResponse(makeError(
-        ErrorKind::QueueFull, "too many changes are under way here; nothing was changed", "send it again in a second"));
-    response.headers.push_back({ "Retry-After", "1" });
-    exchange->respond(std::move(response));
+    exchange->respond(busyResponse("too many changes are under way here; nothing was changed"));
 }
 
 void ApiServer::audit(config::AuditEntry entry)
