Leave the control listener room for other routers' requests

What callers would see: routers that start together ask a few for what these know, with answers of up to some hundred KB.

Change: the control listener has a sixteenth of the memory, half of it for answers, and 200 connections by descriptors; callers 2,500 at 4,100 descriptors. The allocator has four arenas in place of two, as many as the router with its own API has busy threads.

Result: OtherListeners.idle_control, all_listeners, unread_metrics and Callers.idle_connections hold (9 to 17 of 64 MB), once each.

--- a/apps/sagechute-edge/Listeners.cpp
+++ b/apps/sagechute-edge/Listeners.cpp
@@ -114,7 +114,7 @@
             [this](const ExchangePointer& it) { m_context.requestHandler.handle(it); } },
         { m_readiness, options.readinessListen, notForRequests(options.internalLimits()),
             [this](const ExchangePointer& it) { handleReadiness(*it); } },
-        { m_control, options.controlListen, notForRequests(options.internalLimits()),
+        { m_control, options.controlListen, notForRequests(options.controlLimits()),
             [this](const ExchangePointer& it) { handleControl(it); } },
         { m_locate, options.locateListen, locate,
             [this, cacheTime](const ExchangePointer& it) { handleLocate(*it, cacheTime); } },
--- a/apps/sagechute-edge/Options.cpp
+++ b/apps/sagechute-edge/Options.cpp
@@ -44,18 +44,21 @@
             constexpr std::uint64_t maxTargets = 800;
             constexpr std::uint64_t maxLocate = 200;
             constexpr std::uint64_t maxInternal = 100;
-            constexpr std::uint64_t internalListeners = 3;
+            constexpr std::uint64_t maxControl = 200;
+            constexpr std::uint64_t internalListeners = 2;
             const std::uint64_t files = std::min(maxFiles, maxDescriptors / 8);
             const std::uint64_t sockets = maxDescriptors - files;
             locate = static_cast<unsigned>(std::min(maxLocate, sockets / 16));
+            control = static_cast<unsigned>(std::min(maxControl, sockets / 16));
             internal = static_cast<unsigned>(std::min(maxInternal, sockets / 32));
             callers = static_cast<unsigned>(
-                sockets - std::min(maxTargets, sockets / 4) - locate - internalListeners * internal);
+                sockets - std::min(maxTargets, sockets / 4) - locate - control - internalListeners * internal);
         }
 
         unsigned callers = 0;
         unsigned locate = 0;
-        unsigned internal = 0; ///< Of each listener for readiness, control and metrics.
+        unsigned control = 0;
+        unsigned internal = 0; ///< Of each listener for readiness and metrics.
     };
 
     absl::Status checkEvacuationBound(std::uint64_t boundMs)
@@ -155,6 +158,17 @@
     return limits;
 }
 
+net::ServerOptions Options::controlLimits() const
+{
+    constexpr std::size_t memoryShare = 16;
+    const std::size_t bytes = memoryBytes() / memoryShare;
+    net::ServerOptions limits;
+    limits.maxConnections = DescriptorShares(maxDescriptors).control;
+    limits.limitMemory(bytes);
+    limits.answerBudget = std::make_shared<net::ByteBudget>(bytes / 2);
+    return limits;
+}
+
 net::ServerOptions Options::internalLimits() const
 {
     constexpr std::size_t memoryShare = 32;
--- a/apps/sagechute-edge/Options.h
+++ b/apps/sagechute-edge/Options.h
@@ -63,7 +63,10 @@
     /// @return as callerLimits(), of the listener where callers look up router addresses.
     net::ServerOptions locateLimits() const;
 
-    /// @return as callerLimits(), of each of the three listeners for readiness, control and metrics.
+    /// @return as callerLimits(), of the listener for other routers and operators, whose answers are the largest.
+    net::ServerOptions controlLimits() const;
+
+    /// @return as callerLimits(), of each of the listeners for readiness and metrics.
     net::ServerOptions internalLimits() const;
 
     /// @return the memory in bytes for all answers that are held until they are whole, beyond what each may hold.
--- a/src/process/Resources.cpp
+++ b/src/process/Resources.cpp
@@ -13,7 +13,7 @@
     constexpr int trimmedBytes = 1 << 20;
 
     /// Each arena keeps freed memory of its own.
-    constexpr int maxArenas = 2;
+    constexpr int maxArenas = 4;
 
 } // namespace
 
