Test that idle connections make place on each of a server's threads

Each part of a server on several threads may have its share of the connections only, so that there is always one of its own to close. The service of a test is renamed, as its path looked like a folder.

--- a/tests/UnrulyConnectionsTest.cpp
+++ b/tests/UnrulyConnectionsTest.cpp
@@ -62,6 +62,25 @@
     REQUIRE(server->openConnections() == 3);
 }
 
+// Guards against idle connections on one thread that leave no place for those that another thread accepts.
+TEST_CASE("Idle connections make place on each of a server's threads")
+{
+    auto options = loopback();
+    options.threads = 3;
+    options.maxConnections = 6;
+    auto server = makeServer(respondEmpty, options);
+    std::vector<RawConnection> idle;
+    constexpr int connections = 30;
+    idle.reserve(connections);
+    for (int i = 0; i < connections; ++i)
+        idle.push_back(connectAndSend(*server, ""));
+    for (int i = 0; i < connections; ++i) {
+        auto caller = connectAndSend(*server, wholeRequest);
+        REQUIRE_THAT(caller.readUntil("\r\n\r\n"), Catch::Contains(" 200 "));
+        REQUIRE(server->openConnections() <= options.maxConnections + 1);
+    }
+}
+
 // Guards against a new connection that ends a request in progress.
 TEST_CASE("A connection whose request is served keeps its place")
 {
--- a/tests/unruly_clients_test.py
+++ b/tests/unruly_clients_test.py
@@ -363,9 +363,9 @@
 
     deployment = {"zones": ["z"], "customers": [{"name": "head-desk", "weight": 1.0}],
                   "pools": [{"name": "pool", "targets": 1, "mode": "application", "slots": 8, "flags": ["--service-time", "1ms"]}],
-                  "services": [{"name": "work", "pool": "pool", "mode": "application", "repeatable": True}]}
+                  "services": [{"name": "jobs", "pool": "pool", "mode": "application", "repeatable": True}]}
     authorization = "Authorization: Bearer key-of-head-desk"
-    path = "/v1/services/work/requests"
+    path = "/v1/services/jobs/requests"
 
     def setUp(self):
         self.directory = tempfile.mkdtemp(prefix="sagechute-unruly-")
