Replace the test of a new connection that is closed at the bound

Its point, that nothing beyond the bound hangs in the kernel's queue, is now checked in both cases: where another one is silent, that one is closed at once and the newcomer and the third are served (the same as before for all but the newcomer, which is now served); where all wait for answers, the newcomer is closed at once, and both are answered.

--- a/tests/NetPathTest.cpp
+++ b/tests/NetPathTest.cpp
@@ -151,22 +151,52 @@
     REQUIRE(caller.endsInOrder());
 }
 
-// Symptom: connections hang in the kernel's queue for seconds. Sequence: more callers connect than a router may hold.
-// Cause: those beyond its bound were left in the queue, before others that could have been served.
-TEST_CASE("A connection beyond the bound is closed at once, and the others are served")
+// Guards against connections beyond the bound that hang in the kernel's queue before others that could be served.
+TEST_CASE("A connection beyond the bound takes the place of a silent one at once, and the others are served")
 {
     auto options = loopback();
     options.maxConnections = 2;
     options.threads = 1;
     auto server = makeServer(echo, options);
     auto first = RawConnection::connectTo(server->endpoint());
+    waitUntil([&] { return server->openConnections() == 1; });
     auto second = RawConnection::connectTo(server->endpoint());
     waitUntil([&] { return server->openConnections() == 2; });
-    REQUIRE(RawConnection::connectTo(server->endpoint()).readToEnd().empty());
+    auto third = RawConnection::connectTo(server->endpoint());
+    REQUIRE(first.readToEnd().empty());
+    third.send("GET /third HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE_THAT(third.readUntil("/third "), Catch::Contains(" 200 "));
     second.send("GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
     REQUIRE_THAT(second.readUntil("/second "), Catch::Contains(" 200 "));
 }
 
+// Guards against the same where all connections are in use.
+TEST_CASE("A connection beyond the bound is closed at once if all others wait for answers, and these are served")
+{
+    auto options = loopback();
+    options.maxConnections = 2;
+    options.threads = 1;
+    std::mutex mutex;
+    std::vector<ExchangePointer> waiting;
+    auto server = makeServer(
+        [&](const ExchangePointer& exchange) {
+            std::lock_guard lock(mutex);
+            waiting.push_back(exchange);
+        },
+        options);
+    auto first = RawConnection::connectTo(server->endpoint());
+    auto second = RawConnection::connectTo(server->endpoint());
+    first.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+    second.send("GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    waitUntil([&] { return server->openRequests() == 2; });
+    REQUIRE(RawConnection::connectTo(server->endpoint()).readToEnd().empty());
+    std::lock_guard lock(mutex);
+    for (const ExchangePointer& it : waiting)
+        echo(it);
+    REQUIRE_THAT(first.readUntil("/first "), Catch::Contains(" 200 "));
+    REQUIRE_THAT(second.readUntil("/second "), Catch::Contains(" 200 "));
+}
+
 // Symptom: a caller gets the answer to another request. Sequence: a target sends an answer twice, or one that comes too
 // late, and the connection is used again. Cause: bytes that nobody asked for were taken for the next answer.
 TEST_CASE("A connection on which a target said more than it was asked is not used again")
