Say which limit holds for a customer, and what is left of it

The line did not say whether the limit comes from a customer whose requests are shed or from a flood, how much it allows, or whether the router's allowance was a debt; two hypotheses could not be told apart, and where lines are dropped no counter tells such refusals from those for shares.

Change: refusals by a limit have the reason over-limit, also in sagechute_edge_refusals_total; a request's line has limit-tokens, limit-left and limit-beside instead of far-above. Decisions and statuses are as before.

--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -1,6 +1,7 @@
 #include "Relay.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sagechute::edge {
 
@@ -30,6 +31,8 @@
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
     }
 
+    std::string formatTokens(double n) { return std::to_string(std::llround(n)); }
+
     /// @return the IDs of the parts that other requests may have in common with this one: all but the last.
     std::string sharedPartsText(const dispatch::PromptSize& prompt)
     {
@@ -346,6 +349,7 @@
     const Duration duration = steadyNow() - m_order.arrived;
     const news::Knowledge known = m_context.state.knowledge();
     const dispatch::Admission& admission = admissionOf(record);
+    const std::optional<dispatch::GrantLimit>& limit = admission.grantLimit;
     m_context.metrics.recordRequest(m_order.route->name, record.status, duration);
     if (record.isLost)
         m_context.metrics.recordLostAnswer(record);
@@ -369,7 +373,9 @@
             { "parts", sharedPartsText(m_order.facts.prompt) }, { "wait-ms", formatDurationMs(admission.wait) },
             { "allowed-ms", formatDurationMs(admission.allowed) },
             { "share-percent", std::to_string(static_cast<int>(admission.share * percent)) },
-            { "far-above", admission.isFarAbove ? "yes" : "no" },
+            { "limit-tokens", limit ? formatTokens(limit->fleetTokens) : "none" },
+            { "limit-left", limit ? formatTokens(limit->allowance) : "none" },
+            { "limit-beside", limit ? limit->beside.value : "" },
             { "size-helped", admission.isSizeBoosted ? "yes" : "no" },
             { "sums-age-ms", admission.oldestReportAge ? formatDurationMs(*admission.oldestReportAge) : "none" },
             { "come-back-ms", formatDurationMs(record.refusal.retryAfter) },
--- a/include/sagechute/Dispatch.h
+++ b/include/sagechute/Dispatch.h
@@ -274,12 +274,20 @@
 /// Identifies a placed attempt until it ends.
 using AttemptId = std::uint64_t;
 
+/// Limit on what a customer may be granted beside another one that gets far less.
+struct GrantLimit {
+    CustomerId beside; ///< The customer that gets less and whose requests are shed; empty: the limited one floods.
+    double fleetTokens = 0; ///< Tokens that all routers together may grant in the share window.
+    double allowance = 0; ///< Tokens that this router may grant now; negative after a request larger than that.
+    bool isSpent = false; ///< The customer's requests are refused.
+};
+
 /// Inputs of an admission decision, for the log.
 struct Admission {
     Duration wait {}; ///< Predicted queueing delay at the best target, behind other requests.
     Duration allowed {}; ///< Maximum queueing delay for which the request is admitted.
     double share = 0; ///< The customer's usage relative to its fair share; 0: there is enough capacity for all.
-    bool isFarAbove = false; ///< The customer was granted far more than another one whose requests are shed.
+    std::optional<GrantLimit> grantLimit; ///< Absent if none holds for the customer.
     bool isSizeBoosted = false; ///< Allowed to wait longer than its share permits, as its size class is starved.
     /// Age of the oldest peer report in the aggregated usage; absent without recent reports.
     std::optional<Duration> oldestReportAge;
@@ -302,6 +310,7 @@
     NoTarget,
     Overloaded,
     OverShare,
+    OverLimit, ///< See GrantLimit.
     RetryBudget,
     Backoff, ///< All targets that could take it are in a backoff pause.
     Quarantined, ///< Targets crash when they run it; see quarantine::CrashGuard.
--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -232,23 +232,25 @@
     }
 }
 
-std::optional<double> CustomerShares::grantLimit(const CustomerId& customer, const CustomerUsage& self) const
+std::optional<GrantLimit> CustomerShares::shedLimit(const CustomerId& customer, const CustomerUsage& self) const
 {
-    std::optional<double> lowest;
+    std::optional<GrantLimit> lowest;
     for (const auto& [id, usage] : m_shedCustomers) {
         const double limit = maxGrantRatio * usage.granted + minGrantMargin;
-        if (id != customer && usage.requested + usage.shed >= self.granted && self.requested > limit)
-            lowest = std::min(lowest.value_or(limit), limit);
+        const bool isLimiting
+            = id != customer && usage.requested + usage.shed >= self.granted && self.requested > limit;
+        if (isLimiting && (!lowest || limit < lowest->fleetTokens))
+            lowest = GrantLimit { id, limit };
     }
     return lowest;
 }
 
-bool CustomerShares::isAllowanceSpent(TimePoint now, const CustomerId& customer, double fleetLimit)
+std::optional<double> CustomerShares::allowance(TimePoint now, const CustomerId& customer, double fleetLimit)
 {
     using Seconds = std::chrono::duration<double>;
     const auto local = m_localUsage.find(customer);
     if (local == m_localUsage.end())
-        return false;
+        return std::nullopt;
     const CustomerUsage& all = m_totalUsage.at(customer);
     const double part = all.requested > 0 ? std::min(1.0, local->second.requested / all.requested) : 0;
     const auto [it, isNew] = m_allowances.try_emplace(customer);
@@ -259,25 +261,28 @@
     allowance.at = now;
     allowance.perSecond = part * fleetLimit / Seconds(m_window).count();
     allowance.tokens = std::min(allowance.tokens, allowance.perSecond * Seconds(maxAccrualTime).count());
-    return allowance.tokens <= 0;
+    return allowance.tokens;
 }
 
-bool CustomerShares::isFarAboveOthers(TimePoint now, const CustomerId& customer)
+std::optional<GrantLimit> CustomerShares::grantLimit(TimePoint now, const CustomerId& customer)
 {
     const auto self = m_totalUsage.find(customer);
-    const std::optional<double> shedLimit
-        = self == m_totalUsage.end() ? std::nullopt : grantLimit(customer, self->second);
+    const std::optional<GrantLimit> shed
+        = self == m_totalUsage.end() ? std::nullopt : shedLimit(customer, self->second);
     const bool isFlood = m_floods.contains(customer);
-    if (!shedLimit && !isFlood) {
+    if (!shed && !isFlood) {
         m_allowances.erase(customer);
-        return false;
+        return std::nullopt;
     }
-    const double noLimit = std::numeric_limits<double>::infinity();
-    const double floodLimit = isFlood ? floodGrantRatio * m_grantedLevel : noLimit;
+    const double floodLimit = floodGrantRatio * m_grantedLevel;
+    GrantLimit limit = shed && (!isFlood || shed->fleetTokens < floodLimit) ? *shed : GrantLimit { {}, floodLimit };
+    const std::optional<double> left = allowance(now, customer, limit.fleetTokens);
+    limit.allowance = left.value_or(0);
     // The aggregate is not compared with the flood limit: all routers would see it fall below the limit at the same
     // moment and admit too much together.
-    const bool isOverShedLimit = shedLimit && self->second.granted > *shedLimit;
-    return isAllowanceSpent(now, customer, std::min(floodLimit, shedLimit.value_or(noLimit))) || isOverShedLimit;
+    const bool isOverShedLimit = shed && self->second.granted > shed->fleetTokens;
+    limit.isSpent = (left && *left <= 0) || isOverShedLimit;
+    return limit;
 }
 
 } // namespace sagechute::dispatch
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -51,7 +51,7 @@
     ///         be served.
     double shareRatio(TimePoint now, const CustomerId&, double capacity);
 
-    /// Detects a customer that is granted a multiple of what another one gets.
+    /// Limits a customer that is granted a multiple of what another one gets.
     ///
     /// The first load: the engines have room, but the other customer is refused. This happens when all callers of the
     /// other customer use one small router, which can carry only a fraction of their requests, while this customer's
@@ -65,10 +65,10 @@
     ///
     /// Grants made between two aggregates are not known to other routers, and each router admits as if it were the only
     /// one. So each router gets a part of the customer's limit, proportional to its part of the customer's requests.
-    /// @return whether all routers together, or this one by its part, have granted the customer as much as it may have
-    ///         beside another one that sends as much and whose requests are shed, or beside an underserved one. Uses
-    ///         the aggregate of the last shareRatio().
-    bool isFarAboveOthers(TimePoint now, const CustomerId&);
+    /// @return the limit beside another customer that sends as much and whose requests are shed, or beside an
+    ///         underserved one; spent if all routers together, or this one by its part, have granted as much. Absent if
+    ///         none holds. Uses the aggregate of the last shareRatio().
+    std::optional<GrantLimit> grantLimit(TimePoint now, const CustomerId&);
 
     /// @return age of the oldest report in the aggregate; absent if no other router has reported within the window.
     std::optional<Duration> oldestReportAge(TimePoint now) const;
@@ -101,13 +101,12 @@
         double perSecond = 0;
     };
 
-    /// @return tokens in the window that the customer may have beside others whose requests are mostly shed; absent if
-    ///         no such customer limits it.
-    std::optional<double> grantLimit(const CustomerId&, const CustomerUsage&) const;
+    /// @return the lowest limit beside customers whose requests are mostly shed; absent if none of them limits it.
+    std::optional<GrantLimit> shedLimit(const CustomerId&, const CustomerUsage&) const;
 
     /// @param fleetLimit tokens in the window that all routers together may grant.
-    /// @return whether this router's part of the limit is used up.
-    bool isAllowanceSpent(TimePoint now, const CustomerId&, double fleetLimit);
+    /// @return what is left of this router's part of the limit, in tokens; absent if it has had no such requests.
+    std::optional<double> allowance(TimePoint now, const CustomerId&, double fleetLimit);
     void add(TimePoint now, const CustomerId&, CustomerUsage);
     void expire(TimePoint now);
     std::map<CustomerId, CustomerUsage> totalUsage(TimePoint now);
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -517,9 +517,10 @@
     const double share = isShared ? m_shares.shareRatio(now, request.customer, windowCapacity()) : 0;
     admission.share = share;
     admission.oldestReportAge = m_shares.oldestReportAge(now);
-    admission.isFarAbove = isShared && m_shares.isFarAboveOthers(now, request.customer);
-    if (admission.isFarAbove)
-        return refuse(RefusalReason::OverShare, noTargetRetryAfter, admission);
+    if (isShared)
+        admission.grantLimit = m_shares.grantLimit(now, request.customer);
+    if (admission.grantLimit && admission.grantLimit->isSpent)
+        return refuse(RefusalReason::OverLimit, noTargetRetryAfter, admission);
     // The wait leaves the request's own time out: an application that paused would seem too slow for any request, and
     // without requests that estimate would never change.
     const Duration ownDelay = best.model->ownDelay(now, best.prefillTokens);
--- a/src/dispatch/NextStep.cpp
+++ b/src/dispatch/NextStep.cpp
@@ -53,6 +53,8 @@
         return "overloaded";
     case RefusalReason::OverShare:
         return "over-share";
+    case RefusalReason::OverLimit:
+        return "over-limit";
     case RefusalReason::RetryBudget:
         return "retry-budget";
     case RefusalReason::Backoff:
--- a/src/relay/RequestFlow.cpp
+++ b/src/relay/RequestFlow.cpp
@@ -481,7 +481,10 @@
 
 void RequestFlow::refuse(const dispatch::Refusal& refusal)
 {
-    const int status = refusal.reason == dispatch::RefusalReason::OverShare ? tooManyRequests : unavailable;
+    using dispatch::RefusalReason;
+    const bool isCustomersOwn
+        = refusal.reason == RefusalReason::OverShare || refusal.reason == RefusalReason::OverLimit;
+    const int status = isCustomersOwn ? tooManyRequests : unavailable;
     m_delegate.refuse(status, toString(refusal.reason), refusal.retryAfter);
     conclude(status, "refused-or-failed");
 }
--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -19,6 +19,13 @@
 const CustomerId flooding { "flooding" };
 const CustomerId pinned { "pinned" };
 
+/// @return whether the customer's requests are refused because others get far less.
+bool isLimitSpent(CustomerShares& shares, TimePoint now, const CustomerId& customer)
+{
+    const std::optional<GrantLimit> limit = shares.grantLimit(now, customer);
+    return limit && limit->isSpent;
+}
+
 /// A fleet whose engines have less capacity than its two customers demand, and whose routers exchange reports with a
 /// delay.
 struct Fleet {
@@ -70,7 +77,7 @@
             CustomerShares& it = m_routers[m_random.below(m_routers.size())];
             it.requested(now, flooding, requestTokens);
             it.shareRatio(now, flooding, capacity);
-            if (it.isFarAboveOthers(now, flooding))
+            if (isLimitSpent(it, now, flooding))
                 continue;
             it.granted(now, flooding, requestTokens);
             granted += requestTokens;
@@ -228,7 +235,7 @@
     shares.granted(start, flooding, floodUsage.granted / 30);
     constexpr double configuredCapacity = 1e6;
     shares.shareRatio(start, flooding, configuredCapacity);
-    return shares.isFarAboveOthers(start, flooding);
+    return isLimitSpent(shares, start, flooding);
 }
 
 } // namespace
