--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -18,6 +18,7 @@
 constexpr double preFloodFraction = 0.1; ///< Load of the flooding customer before the flood, relative to the flood.
 const CustomerId flooding { "flooding" };
 const CustomerId pinned { "pinned" };
+const CustomerId steady { "steady" };
 
 /// @return whether the customer's requests are refused because others get far less.
 bool isLimitSpent(CustomerShares& shares, TimePoint now, const CustomerId& customer)
@@ -34,12 +35,15 @@
     double floodPerSecond = 0; ///< Tokens, spread evenly over all routers.
     double servedPerSecond = 0; ///< Tokens of the pinned customer that its only router can process.
     double shedPerSecond = 0; ///< Tokens of the pinned customer that this router sheds.
+    std::size_t shedFrom = 0; ///< In seconds. Before, the pinned customer demands and gets preFloodFraction of it.
+    double steadyPerSecond = 0; ///< Tokens of a third customer, which uses another router alone, all the time.
 };
 
-/// Tokens granted to both customers in each second.
+/// Tokens granted to each customer in each second.
 struct Granted {
     std::vector<double> flooding;
     std::vector<double> pinned;
+    std::vector<double> steady;
 };
 
 class SharesSimulation {
@@ -56,12 +60,18 @@
         Granted granted;
         granted.flooding.assign(seconds, 0);
         granted.pinned.assign(seconds, 0);
+        granted.steady.assign(seconds, 0);
         for (TimePoint now = start; now < start + std::chrono::seconds(seconds); now += step) {
             const auto second = static_cast<std::size_t>((now - start) / 1s);
             report(now);
             const double part = second < floodStart ? preFloodFraction : 1;
-            flood(now, part * m_fleet.floodPerSecond, granted.flooding[second]);
-            servePinned(now, granted.pinned[second]);
+            m_flooding.addDemand(part * m_fleet.floodPerSecond);
+            while (m_flooding.takeRequest())
+                request(m_routers[m_random.below(m_routers.size())], now, flooding, granted.flooding[second]);
+            m_steady.addDemand(m_fleet.steadyPerSecond);
+            while (m_steady.takeRequest())
+                request(m_routers.back(), now, steady, granted.steady[second]);
+            servePinned(now, second >= m_fleet.shedFrom, granted.pinned[second]);
         }
         return granted;
     }
@@ -70,28 +80,41 @@
     static constexpr double requestTokens = 12'000; ///< Tokens.
     static constexpr double capacity = 8e6; ///< Tokens in the window; both customers have the same share of it.
 
-    void flood(TimePoint now, double perSecond, double& granted)
-    {
-        m_pendingTokens += perSecond * std::chrono::duration<double>(step).count();
-        for (; m_pendingTokens >= requestTokens; m_pendingTokens -= requestTokens) {
-            CustomerShares& it = m_routers[m_random.below(m_routers.size())];
-            it.requested(now, flooding, requestTokens);
-            it.shareRatio(now, flooding, capacity);
-            if (isLimitSpent(it, now, flooding))
-                continue;
-            it.granted(now, flooding, requestTokens);
-            granted += requestTokens;
+    /// Demand that arrives continuously, in whole requests.
+    class Demand {
+    public:
+        void addDemand(double perSecond) { m_tokens += perSecond * std::chrono::duration<double>(step).count(); }
+
+        bool takeRequest()
+        {
+            const bool hasRequest = m_tokens >= requestTokens;
+            m_tokens -= hasRequest ? requestTokens : 0;
+            return hasRequest;
         }
+
+    private:
+        double m_tokens = 0;
+    };
+
+    static void request(CustomerShares& router, TimePoint now, const CustomerId& customer, double& granted)
+    {
+        router.requested(now, customer, requestTokens);
+        router.shareRatio(now, customer, capacity);
+        if (isLimitSpent(router, now, customer))
+            return;
+        router.granted(now, customer, requestTokens);
+        granted += requestTokens;
     }
 
-    void servePinned(TimePoint now, double& granted)
+    void servePinned(TimePoint now, bool isShed, double& granted)
     {
         CustomerShares& it = m_routers.front();
         const double part = std::chrono::duration<double>(step).count();
-        it.requested(now, pinned, m_fleet.servedPerSecond * part);
-        it.granted(now, pinned, m_fleet.servedPerSecond * part);
-        it.shed(now, pinned, m_fleet.shedPerSecond * part);
-        granted += m_fleet.servedPerSecond * part;
+        const double served = (isShed ? 1 : preFloodFraction) * m_fleet.servedPerSecond * part;
+        it.requested(now, pinned, served);
+        it.granted(now, pinned, served);
+        it.shed(now, pinned, isShed ? m_fleet.shedPerSecond * part : 0);
+        granted += served;
     }
 
     /// Sends each router the delayed sum of the reports of the others.
@@ -133,7 +156,8 @@
     std::vector<CustomerShares> m_routers;
     std::deque<std::pair<TimePoint, std::vector<std::map<CustomerId, CustomerUsage>>>> m_reportsInTransit;
     TimePoint m_nextReport = start;
-    double m_pendingTokens = 0;
+    Demand m_flooding;
+    Demand m_steady;
 };
 
 double sum(const std::vector<double>& perSecond, std::size_t from, std::size_t n)
@@ -175,6 +199,34 @@
         CHECK(sum(it.flooding, from, 6) < 1.7 * sum(it.pinned, from, 6));
 }
 
+// Guards against refusing all requests of a customer for what it was granted before anybody had to wait, while another
+// one that came later is served.
+TEST_CASE("what was granted before a limit began does not count against it", "[.][limit]")
+{
+    const Duration reportAge = GENERATE(80ms, 240ms, 400ms);
+    const double steadyPerSecond = GENERATE(1.2e6, 2.4e6);
+    const Granted it = SharesSimulation({ 295, reportAge, 4e6, 1e6, 8e6, floodStart, steadyPerSecond }).run(16);
+    for (std::size_t from = floodStart; from + 6 <= it.flooding.size(); ++from) {
+        CAPTURE(from, reportAge.count(), steadyPerSecond, it.steady, it.flooding, it.pinned);
+        CHECK(sum(it.flooding, from, 6) < 1.9 * sum(it.steady, from, 6));
+        CHECK(sum(it.steady, from, 6) < 1.9 * sum(it.flooding, from, 6));
+        CHECK(sum(it.steady, from, 6) < 1.9 * sum(it.pinned, from, 6));
+        CHECK(sum(it.steady, from, 2) > 0);
+    }
+}
+
+// Guards against hundreds of routers each granting a flood one request at once, which together is twice as much as a
+// customer gets of which its only router sheds nearly all.
+TEST_CASE("a flood gets less than twice as much as a customer of which little is served", "[.][limit]")
+{
+    const Duration reportAge = GENERATE(80ms, 240ms, 400ms);
+    const Granted it = SharesSimulation({ 295, reportAge, 3e6, 0.14e6, 5e6 }).run(16);
+    for (std::size_t from = floodStart; from + 6 <= it.flooding.size(); ++from) {
+        CAPTURE(from, reportAge.count(), it.flooding, it.pinned);
+        CHECK(sum(it.flooding, from, 6) < 1.9 * sum(it.pinned, from, 6));
+    }
+}
+
 TEST_CASE("a flood beside a customer with shed requests is limited in small fleets too")
 {
     const Granted it = SharesSimulation({ 6, 80ms, 10e6, 1e6, 5e6 }).run(16);
