Count what a limit allows from the time when others are shed

Cause: a customer may have 1.6 times what another one gets whose router sheds its requests. That limit was compared with what the customer was granted in the four seconds before, and the allowance of its router began with the same grants as a debt. What it had when nobody was refused was so charged twice, and paid back before anything was let in. A customer that came later had no such debt.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -18,6 +18,9 @@
     /// An unused allowance of a router accrues for at most this time.
     constexpr Duration maxAccrualTime = std::chrono::milliseconds(500);
 
+    /// Shorter observations of a rate are too noisy.
+    constexpr Duration minShedTime = std::chrono::milliseconds(500);
+
     /// Demand counts as fully served from this granted fraction on, as single requests are refused for other reasons.
     constexpr double fullyServedFraction = 0.98;
 
@@ -186,8 +189,8 @@
         m_level = fairShareLevel(m_totalUsage, capacity);
         m_grantedLevel = fairShareLevel(m_totalUsage);
         m_underservedBelow = std::min(m_grantedLevel, underservedFraction * maxGranted(m_totalUsage));
-        updateFloods();
-        updateShedCustomers();
+        updateFloods(now);
+        updateShedCustomers(now);
     }
     const auto self = m_totalUsage.find(customer);
     if (self == m_totalUsage.end() || m_level <= 0)
@@ -213,75 +216,134 @@
     });
 }
 
-void CustomerShares::updateFloods()
+void CustomerShares::updateFloods(TimePoint now)
 {
-    std::set<CustomerId> floods;
+    std::map<CustomerId, TimePoint> floods;
     for (const auto& [id, usage] : m_totalUsage) {
-        if (m_isRelayed && isFlooding(id, usage))
-            floods.insert(id);
+        if (!m_isRelayed || !isFlooding(id, usage))
+            continue;
+        const auto known = m_floods.find(id);
+        floods.emplace(id, known == m_floods.end() ? now : known->second);
     }
     m_floods = std::move(floods);
 }
 
-void CustomerShares::updateShedCustomers()
+void CustomerShares::updateShedCustomers(TimePoint now)
 {
-    m_shedCustomers.clear();
+    std::map<CustomerId, ShedCustomer> customers;
     for (const auto& [id, usage] : m_totalUsage) {
-        if (usage.shed > usage.granted)
-            m_shedCustomers.emplace(id, usage);
+        if (usage.shed <= usage.granted)
+            continue;
+        const auto known = m_shedCustomers.find(id);
+        ShedCustomer shed { usage, now, usage.granted };
+        if (known != m_shedCustomers.end()) {
+            shed.since = known->second.since;
+            shed.grantedBefore = known->second.grantedBefore;
+        }
+        customers.emplace(id, shed);
     }
+    m_shedCustomers = std::move(customers);
+}
+
+double CustomerShares::grantedWhileShed(TimePoint now, const ShedCustomer& customer) const
+{
+    const auto shedTime = now - customer.since;
+    if (shedTime < minShedTime || shedTime >= m_window)
+        return customer.usage.granted;
+    const double part = std::chrono::duration<double>(shedTime) / std::chrono::duration<double>(m_window);
+    // What remains in the window of the time before says nothing about the rate now.
+    const double grantedSince = customer.usage.granted - (1 - part) * customer.grantedBefore;
+    return std::max(customer.usage.granted, grantedSince / part);
 }
 
-std::optional<GrantLimit> CustomerShares::shedLimit(const CustomerId& customer, const CustomerUsage& self) const
+std::optional<CustomerShares::ReasonedLimit> CustomerShares::shedLimit(
+    TimePoint now, const CustomerId& customer, const CustomerUsage& self) const
 {
-    std::optional<GrantLimit> lowest;
-    for (const auto& [id, usage] : m_shedCustomers) {
-        const double limit = maxGrantRatio * usage.granted + minGrantMargin;
+    std::optional<ReasonedLimit> lowest;
+    for (const auto& [id, other] : m_shedCustomers) {
+        const double limit = maxGrantRatio * grantedWhileShed(now, other) + minGrantMargin;
         const bool isLimiting
-            = id != customer && usage.requested + usage.shed >= self.granted && self.requested > limit;
-        if (isLimiting && (!lowest || limit < lowest->fleetTokens))
-            lowest = GrantLimit { id, limit };
+            = id != customer && other.usage.requested + other.usage.shed >= self.granted && self.requested > limit;
+        if (isLimiting && (!lowest || limit < lowest->limit.fleetTokens))
+            lowest = ReasonedLimit { { id, limit }, other.since };
     }
     return lowest;
 }
 
-std::optional<double> CustomerShares::allowance(TimePoint now, const CustomerId& customer, double fleetLimit)
+std::optional<CustomerShares::ReasonedLimit> CustomerShares::lowestLimit(
+    TimePoint now, const CustomerId& customer) const
+{
+    const auto self = m_totalUsage.find(customer);
+    if (self == m_totalUsage.end())
+        return std::nullopt;
+    std::optional<ReasonedLimit> shed = shedLimit(now, customer, self->second);
+    const auto flood = m_floods.find(customer);
+    const double floodTokens = floodGrantRatio * m_grantedLevel;
+    if (flood == m_floods.end() || (shed && shed->limit.fleetTokens < floodTokens))
+        return shed;
+    return ReasonedLimit { { {}, floodTokens }, flood->second };
+}
+
+double CustomerShares::recentlyRequested(TimePoint now, const CustomerId& customer, Duration time) const
+{
+    double requested = 0;
+    for (auto it = m_entries.rbegin(); it != m_entries.rend() && now - it->at < time; ++it)
+        requested += it->customer == customer ? it->usage.requested : 0;
+    return requested;
+}
+
+double CustomerShares::excessGrants(TimePoint now, const CustomerId& customer, Duration time, double perSecond) const
+{
+    double granted = 0;
+    double excess = 0;
+    for (auto it = m_entries.rbegin(); it != m_entries.rend() && now - it->at < time; ++it) {
+        granted += it->customer == customer ? it->usage.granted : 0;
+        excess = std::max(excess, granted - perSecond * std::chrono::duration<double>(now - it->at).count());
+    }
+    return excess;
+}
+
+double CustomerShares::allowance(
+    TimePoint now, const CustomerId& customer, double tokens, const ReasonedLimit& reasoned)
 {
     using Seconds = std::chrono::duration<double>;
+    // Requests that other routers have not reported yet are not counted here either: while demand grows, the parts of
+    // all routers would add up to more than the limit.
+    const Duration lag = std::min(m_window / 2, oldestReportAge(now).value_or(Duration::zero()) + bucketSpan);
     const auto local = m_localUsage.find(customer);
-    if (local == m_localUsage.end())
-        return std::nullopt;
-    const CustomerUsage& all = m_totalUsage.at(customer);
-    const double part = all.requested > 0 ? std::min(1.0, local->second.requested / all.requested) : 0;
+    const double requested = local == m_localUsage.end() ? 0 : local->second.requested;
+    const double reported = (requested - recentlyRequested(now, customer, lag)) * Seconds(m_window).count()
+        / Seconds(m_window - lag).count();
+    const double others = std::max(0.0, m_totalUsage.at(customer).requested - requested);
+    const double part = reported + others > 0 ? reported / (reported + others) : 1;
+    const double perSecond = part * reasoned.limit.fleetTokens / Seconds(m_window).count();
     const auto [it, isNew] = m_allowances.try_emplace(customer);
     Allowance& allowance = it->second;
-    if (isNew)
-        allowance = { std::min(0.0, part * fleetLimit - local->second.granted), now, 0 };
+    if (isNew) {
+        const Duration counted = std::min(m_window, now - reasoned.since + lag);
+        // Hundreds of routers that each grant one request when the limit begins may exceed it many times together.
+        const double phase = m_random.fraction() * tokens;
+        allowance = { -excessGrants(now, customer, counted, perSecond) - phase, now, 0 };
+    }
     allowance.tokens += allowance.perSecond * Seconds(now - allowance.at).count();
     allowance.at = now;
-    allowance.perSecond = part * fleetLimit / Seconds(m_window).count();
-    allowance.tokens = std::min(allowance.tokens, allowance.perSecond * Seconds(maxAccrualTime).count());
+    allowance.perSecond = perSecond;
+    allowance.tokens = std::min(allowance.tokens, perSecond * Seconds(maxAccrualTime).count());
     return allowance.tokens;
 }
 
-std::optional<GrantLimit> CustomerShares::grantLimit(TimePoint now, const CustomerId& customer)
+std::optional<GrantLimit> CustomerShares::grantLimit(TimePoint now, const CustomerId& customer, double tokens)
 {
-    const auto self = m_totalUsage.find(customer);
-    const std::optional<GrantLimit> shed
-        = self == m_totalUsage.end() ? std::nullopt : shedLimit(customer, self->second);
-    const bool isFlood = m_floods.contains(customer);
-    if (!shed && !isFlood) {
+    const std::optional<ReasonedLimit> lowest = lowestLimit(now, customer);
+    if (!lowest) {
         m_allowances.erase(customer);
         return std::nullopt;
     }
-    const double floodLimit = floodGrantRatio * m_grantedLevel;
-    GrantLimit limit = shed && (!isFlood || shed->fleetTokens < floodLimit) ? *shed : GrantLimit { {}, floodLimit };
-    const std::optional<double> left = allowance(now, customer, limit.fleetTokens);
-    limit.allowance = left.value_or(0);
-    // The aggregate is not compared with the flood limit: all routers would see it fall below the limit at the same
-    // moment and admit too much together.
-    const bool isOverShedLimit = shed && self->second.granted > shed->fleetTokens;
-    limit.isSpent = (left && *left <= 0) || isOverShedLimit;
+    // The aggregate is not compared with the limit: all routers would see it fall below the limit at the same moment
+    // and admit too much together.
+    GrantLimit limit = lowest->limit;
+    limit.allowance = allowance(now, customer, tokens, *lowest);
+    limit.isSpent = limit.allowance <= 0;
     return limit;
 }
 
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -6,7 +6,6 @@
 #include <sagechute/Dispatch.h>
 
 #include <deque>
-#include <set>
 
 namespace sagechute::dispatch {
 
@@ -17,8 +16,10 @@
 /// can be served equally is refused first; one below it is refused last.
 class CustomerShares {
 public:
-    explicit CustomerShares(Duration window)
+    /// @param seed differs from router to router.
+    explicit CustomerShares(Duration window, std::uint64_t seed = 0)
         : m_window(window)
+        , m_random(seed)
     {
     }
 
@@ -65,10 +66,14 @@
     ///
     /// Grants made between two aggregates are not known to other routers, and each router admits as if it were the only
     /// one. So each router gets a part of the customer's limit, proportional to its part of the customer's requests.
+    /// A limit counts what is granted from the time on at which the other customer's requests are refused. If it
+    /// counted what was granted before, when nobody had to wait, all requests of a customer would be refused for
+    /// seconds while others are served.
+    /// @param tokens of the request.
     /// @return the limit beside another customer that sends as much and whose requests are shed, or beside an
-    ///         underserved one; spent if all routers together, or this one by its part, have granted as much. Absent if
-    ///         none holds. Uses the aggregate of the last shareRatio().
-    std::optional<GrantLimit> grantLimit(TimePoint now, const CustomerId&);
+    ///         underserved one; spent if this router has granted its part. Absent if none holds. Uses the aggregate of
+    ///         the last shareRatio().
+    std::optional<GrantLimit> grantLimit(TimePoint now, const CustomerId&, double tokens);
 
     /// @return age of the oldest report in the aggregate; absent if no other router has reported within the window.
     std::optional<Duration> oldestReportAge(TimePoint now) const;
@@ -101,23 +106,49 @@
         double perSecond = 0;
     };
 
+    /// Customer whose requests are mostly shed because routers lack CPU time.
+    struct ShedCustomer {
+        CustomerUsage usage;
+        TimePoint since; ///< When this router learned of it.
+        double grantedBefore = 0; ///< In the window, at that time.
+    };
+
+    /// @return tokens that the customer would be granted in a whole window at the rate since its requests are shed.
+    double grantedWhileShed(TimePoint now, const ShedCustomer&) const;
+
+    /// Limit and when its reason arose.
+    struct ReasonedLimit {
+        GrantLimit limit;
+        TimePoint since;
+    };
+
     /// @return the lowest limit beside customers whose requests are mostly shed; absent if none of them limits it.
-    std::optional<GrantLimit> shedLimit(const CustomerId&, const CustomerUsage&) const;
+    std::optional<ReasonedLimit> shedLimit(TimePoint now, const CustomerId&, const CustomerUsage&) const;
+
+    /// @return the lowest limit; absent if none holds.
+    std::optional<ReasonedLimit> lowestLimit(TimePoint now, const CustomerId&) const;
+
+    /// @param tokens of the request.
+    /// @return what is left of this router's part of the limit, in tokens.
+    double allowance(TimePoint now, const CustomerId&, double tokens, const ReasonedLimit&);
+
+    /// @return tokens that were requested from this router in that time before now.
+    double recentlyRequested(TimePoint now, const CustomerId&, Duration time) const;
 
-    /// @param fleetLimit tokens in the window that all routers together may grant.
-    /// @return what is left of this router's part of the limit, in tokens; absent if it has had no such requests.
-    std::optional<double> allowance(TimePoint now, const CustomerId&, double fleetLimit);
+    /// @return what this router has granted above the rate in that time before now and did not make up for since.
+    double excessGrants(TimePoint now, const CustomerId&, Duration time, double perSecond) const;
     void add(TimePoint now, const CustomerId&, CustomerUsage);
     void expire(TimePoint now);
     std::map<CustomerId, CustomerUsage> totalUsage(TimePoint now);
-    void updateShedCustomers();
+    void updateShedCustomers(TimePoint now);
 
     /// @return whether the customer is granted more than twice as much as one that requests far less; once it was,
     ///         whether any such customer has unmet demand.
     bool isFlooding(const CustomerId&, const CustomerUsage&) const;
-    void updateFloods();
+    void updateFloods(TimePoint now);
 
     const Duration m_window;
+    SeededRandom m_random;
     std::deque<Entry> m_entries;
     std::map<CustomerId, LocalUsage> m_localUsage;
     std::map<VmId, PeerUsage> m_peers;
@@ -126,11 +157,10 @@
     double m_level = 0;
     double m_grantedLevel = 0; ///< Fair level of what was granted, without the bound of the configured capacity.
     double m_underservedBelow = 0; ///< A customer that was granted fewer tokens is underserved.
-    /// Customers whose requests are mostly shed because routers lack CPU time.
-    std::map<CustomerId, CustomerUsage> m_shedCustomers;
+    std::map<CustomerId, ShedCustomer> m_shedCustomers;
     std::map<CustomerId, Allowance> m_allowances;
     bool m_isRelayed = false;
-    std::set<CustomerId> m_floods; ///< Customers whose grants are limited because they flood.
+    std::map<CustomerId, TimePoint> m_floods; ///< Customers whose grants are limited because they flood; since when.
 };
 
 /// @return the max-min fair level L, for which the sum of min(requested, L) equals @p capacity; infinity if the
--- a/src/dispatch/LocalDispatcher.cpp
+++ b/src/dispatch/LocalDispatcher.cpp
@@ -127,7 +127,7 @@
     , m_ownZone(std::move(ownZone))
     , m_random(seed)
     , m_coldAllowance(settings.self)
-    , m_shares(settings.shareWindow)
+    , m_shares(settings.shareWindow, seed)
 {
 }
 
@@ -518,7 +518,7 @@
     admission.share = share;
     admission.oldestReportAge = m_shares.oldestReportAge(now);
     if (isShared)
-        admission.grantLimit = m_shares.grantLimit(now, request.customer);
+        admission.grantLimit = m_shares.grantLimit(now, request.customer, tokensOf(request.prompt));
     if (admission.grantLimit && admission.grantLimit->isSpent)
         return refuse(RefusalReason::OverLimit, noTargetRetryAfter, admission);
     // The wait leaves the request's own time out: an application that paused would seem too slow for any request, and
--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -15,6 +15,7 @@
 constexpr TimePoint start { 1000s };
 constexpr Duration step = 10ms;
 constexpr std::size_t floodStart = 4; ///< In seconds.
+constexpr double requestTokens = 12'000; ///< Tokens.
 constexpr double preFloodFraction = 0.1; ///< Load of the flooding customer before the flood, relative to the flood.
 const CustomerId flooding { "flooding" };
 const CustomerId pinned { "pinned" };
@@ -23,7 +24,7 @@
 /// @return whether the customer's requests are refused because others get far less.
 bool isLimitSpent(CustomerShares& shares, TimePoint now, const CustomerId& customer)
 {
-    const std::optional<GrantLimit> limit = shares.grantLimit(now, customer);
+    const std::optional<GrantLimit> limit = shares.grantLimit(now, customer, requestTokens);
     return limit && limit->isSpent;
 }
 
@@ -51,8 +52,9 @@
     explicit SharesSimulation(const Fleet& fleet)
         : m_fleet(fleet)
         , m_random(7)
-        , m_routers(fleet.routers, CustomerShares(4s))
     {
+        for (std::size_t i = 0; i < fleet.routers; ++i)
+            m_routers.emplace_back(4s, i);
     }
 
     Granted run(unsigned seconds)
@@ -77,7 +79,6 @@
     }
 
 private:
-    static constexpr double requestTokens = 12'000; ///< Tokens.
     static constexpr double capacity = 8e6; ///< Tokens in the window; both customers have the same share of it.
 
     /// Demand that arrives continuously, in whole requests.
@@ -139,7 +140,7 @@
         m_reportsInTransit.emplace_back(now, std::move(parts));
         while (!m_reportsInTransit.empty() && now - m_reportsInTransit.front().first >= m_fleet.reportAge) {
             for (std::size_t i = 0; i < m_routers.size(); ++i)
-                m_routers[i].setPeerUsage(now, { "others" }, m_reportsInTransit.front().second[i]);
+                m_routers[i].setPeerUsage(now, { "others" }, m_reportsInTransit.front().second[i], m_fleet.reportAge);
             m_reportsInTransit.pop_front();
         }
     }
@@ -201,7 +202,7 @@
 
 // Guards against refusing all requests of a customer for what it was granted before anybody had to wait, while another
 // one that came later is served.
-TEST_CASE("what was granted before a limit began does not count against it", "[.][limit]")
+TEST_CASE("what was granted before a limit began does not count against it")
 {
     const Duration reportAge = GENERATE(80ms, 240ms, 400ms);
     const double steadyPerSecond = GENERATE(1.2e6, 2.4e6);
@@ -217,7 +218,7 @@
 
 // Guards against hundreds of routers each granting a flood one request at once, which together is twice as much as a
 // customer gets of which its only router sheds nearly all.
-TEST_CASE("a flood gets less than twice as much as a customer of which little is served", "[.][limit]")
+TEST_CASE("a flood gets less than twice as much as a customer of which little is served")
 {
     const Duration reportAge = GENERATE(80ms, 240ms, 400ms);
     const Granted it = SharesSimulation({ 295, reportAge, 3e6, 0.14e6, 5e6 }).run(16);
