Take a status that HTTP does not have for no answer

Cause: the reader of answers takes any three digits. Nothing behind it looks at the range either.

Change: a status below 100 or above 599 is malformed, like a line that is no HTTP/1.1; unsafe requests end as 502, safe ones are tried again. The reader serves every HTTP client of both products, so answers to health checks, the steward's calls and the store's answers are covered by the same line.

--- a/src/net/HttpReader.cpp
+++ b/src/net/HttpReader.cpp
@@ -24,6 +24,10 @@
     /// Separators of a field in a message's head.
     constexpr std::size_t fieldOverhead = 4;
 
+    /// Range of HTTP's statuses.
+    constexpr int leastStatus = 100;
+    constexpr int mostStatus = 599;
+
     /// The parser's precondition where a body's only chunk is the last one, "0\r\n\r\n".
     constexpr std::size_t leastLastChunk = 5;
 
@@ -240,6 +244,13 @@
         put_eof(ec);
 }
 
+void AnswerReader::on_response_impl(int status, Text, int, ErrorCode& ec)
+{
+    m_status = status;
+    if (status < leastStatus || status > mostStatus)
+        ec = http::error::bad_status;
+}
+
 void AnswerReader::on_field_impl(http::field id, Text name, Text value, ErrorCode& ec)
 {
     // Callers would get the bytes of another coding as if they were the body.
--- a/src/net/HttpReader.h
+++ b/src/net/HttpReader.h
@@ -130,7 +130,7 @@
     using Text = boost::beast::string_view;
 
     void on_request_impl(boost::beast::http::verb, Text, Text, int, ErrorCode&) override { }
-    void on_response_impl(int status, Text, int, ErrorCode&) override { m_status = status; }
+    void on_response_impl(int status, Text, int, ErrorCode& ec) override;
     void on_field_impl(boost::beast::http::field, Text name, Text value, ErrorCode&) override;
     void on_header_impl(ErrorCode&) override;
     void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override { }
--- a/tests/HttpReaderTest.cpp
+++ b/tests/HttpReaderTest.cpp
@@ -241,6 +241,29 @@
     CHECK(sink.heads == 0);
 }
 
+// Guards against a status that is no HTTP status and reaches a caller as an answer.
+TEST_CASE("an answer whose status HTTP does not have is refused")
+{
+    const std::string status = GENERATE("000", "001", "099", "600", "999");
+    Keeping sink;
+    AnswerReader reader(sink, true);
+    feed(reader, "HTTP/1.1 " + status + " OK\r\nContent-Length: 1\r\n\r\na", false);
+    CHECK(reader.problem() == ReadProblem::Malformed);
+    CHECK(sink.heads == 0);
+    CHECK(sink.body.empty());
+}
+
+// Guards against a check of statuses that takes unusual ones for none.
+TEST_CASE("an answer with any status of HTTP is read")
+{
+    const std::string status = GENERATE("200", "299", "399", "499", "599");
+    Keeping sink;
+    AnswerReader reader(sink, true);
+    feed(reader, "HTTP/1.1 " + status + " \r\nContent-Length: 1\r\n\r\na", false);
+    CHECK(isWhole(reader));
+    CHECK(std::to_string(reader.status()) == status);
+}
+
 // Guards against an answer that is said to be whole and isn't, or with bytes that are not its own.
 TEST_CASE("an answer is whole only where a simple reader says so, too, however its bytes are split")
 {
