Take an answer that is reset during its request for a broken one

Cause: the kernel reports a reset once. When send() has failed by it, the bytes that came before can still be read, and then recv() reports the end of the connection as if it were closed properly, which ends an answer without length. It happens only if the request is larger than what the kernel takes at once; with 2 MB the router had sent all and saw the reset itself.

Change: after a failed send(), an answer that only the connection's end would end is broken. Answers with a length or chunks are complete as before.

--- a/src/net/ClientConnection.cpp
+++ b/src/net/ClientConnection.cpp
@@ -183,6 +183,7 @@
         }
         if (n < 0) {
             // The answer may have come before the server closed.
+            m_hasSendFailed = true;
             if (m_sent)
                 receive();
             else
@@ -321,6 +322,11 @@
 
 void ClientConnection::takeEnd()
 {
+    // The kernel reports a reset only once: after send() has failed by it, the connection seems to end properly.
+    if (m_hasSendFailed && m_reader->hasHead() && m_reader->endsWithConnection()) {
+        fail(false, "the connection was reset before the request had left");
+        return;
+    }
     m_reader->takeEnd();
     if (m_reader->isDone())
         complete(true);
--- a/src/net/ClientConnection.h
+++ b/src/net/ClientConnection.h
@@ -68,6 +68,7 @@
     bool m_isConnected = false;
     bool m_isUsed = false;
     bool m_isClosed = false;
+    bool m_hasSendFailed = false;
     Loop::TimerId m_connectTimer = 0;
     Loop::TimerId m_ackTimer = 0;
 
--- a/tests/AttemptSenderTest.cpp
+++ b/tests/AttemptSenderTest.cpp
@@ -19,17 +19,14 @@
 class RepeatableRequest {
 public:
     explicit RepeatableRequest(net::HttpServer::Handler target)
-        : m_target(net::makeServer(std::move(target)))
-        , m_router(net::makeServer([this](const net::ExchangePointer& exchange) { m_arrived.set(exchange); }))
-        , m_caller(net::RawConnection::connectTo(m_router->endpoint()))
-        , m_client(net::makeClient())
-        , m_sender(*m_client, m_events, {})
+        : RepeatableRequest(net::makeServer(std::move(target)), {}, 0)
+    {
+    }
+
+    /// @param target endpoint that a test serves by hand.
+    RepeatableRequest(const net::Endpoint& target, std::size_t bodyBytes)
+        : RepeatableRequest(nullptr, target, bodyBytes)
     {
-        m_caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
-        auto counters = std::make_shared<delivery::AdmissionCounters>();
-        static_cast<void>(counters->enter({}, 0));
-        m_request = std::make_shared<CallerRequest>(
-            RequestId { { { "vm" }, 1 }, 1 }, CustomerId { "c" }, m_arrived.wait(), std::move(counters), false);
     }
 
     /// @return how another attempt ended.
@@ -38,7 +35,7 @@
         routing::StartAttempt action;
         action.id = m_request->id();
         action.attempt = ++m_attempts;
-        action.address = toString(m_target->endpoint());
+        action.address = toString(m_target ? m_target->endpoint() : m_endpoint);
         action.mode = config::TargetMode::Application;
         action.answerLimit = 5s;
         m_sender.start(m_request, action);
@@ -58,7 +55,24 @@
     }
 
 private:
-    std::unique_ptr<net::HttpServer> m_target;
+    RepeatableRequest(std::unique_ptr<net::HttpServer> target, net::Endpoint endpoint, std::size_t bodyBytes)
+        : m_target(std::move(target))
+        , m_endpoint(std::move(endpoint))
+        , m_router(net::makeServer([this](const net::ExchangePointer& exchange) { m_arrived.set(exchange); }))
+        , m_caller(net::RawConnection::connectTo(m_router->endpoint()))
+        , m_client(net::makeClient())
+        , m_sender(*m_client, m_events, {})
+    {
+        m_caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+            + std::string(bodyBytes, 'x'));
+        auto counters = std::make_shared<delivery::AdmissionCounters>();
+        static_cast<void>(counters->enter({}, 0));
+        m_request = std::make_shared<CallerRequest>(
+            RequestId { { { "vm" }, 1 }, 1 }, CustomerId { "c" }, m_arrived.wait(), std::move(counters), false);
+    }
+
+    std::unique_ptr<net::HttpServer> m_target; ///< Null if a test serves the endpoint.
+    net::Endpoint m_endpoint;
     net::Promised<net::ExchangePointer> m_arrived;
     std::unique_ptr<net::HttpServer> m_router;
     net::RawConnection m_caller;
@@ -97,3 +111,24 @@
     CHECK(request.attempt() == AttemptEnd::Crossed);
     CHECK(request.openConnections(0) == 0);
 }
+
+// Guards against an answer with a status that is no HTTP status, and against the beginning of an answer whose target
+// resets the connection while the request is sent, being taken for complete answers.
+TEST_CASE("an answer with an unknown status, and one that is reset during the request, are broken")
+{
+    const std::string head = GENERATE(as<std::string> {}, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n", "HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n");
+    CAPTURE(head);
+    net::RawServer target;
+    RepeatableRequest request(target.endpoint(), 1 << 20);
+    std::thread serving([&] {
+        auto connection = target.accept();
+        const std::string received = connection.readUntil("\r\n\r\n");
+        const std::size_t id = received.find(idField);
+        connection.resetOnClose();
+        connection.send(head + received.substr(id, received.find("\r\n", id) - id) + "\r\n\r\n{}");
+        std::this_thread::sleep_for(50ms);
+    });
+    CHECK(request.attempt() == AttemptEnd::Broken);
+    serving.join();
+}
--- a/tests/NetClientTest.cpp
+++ b/tests/NetClientTest.cpp
@@ -389,3 +389,32 @@
     REQUIRE(found >= Duration(request.unackedTimeout) - std::chrono::milliseconds(50));
     REQUIRE(found < std::chrono::seconds(5));
 }
+
+// Guards against the beginning of an answer that is taken for a complete one, as its target answered and reset the
+// connection while the request's body was still on its way.
+TEST_CASE("An answer without length is not complete if its connection is reset while the request is sent")
+{
+    const std::string head = GENERATE(as<std::string> {}, "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n");
+    const std::string part = GENERATE(as<std::string> {}, "", "the beginning");
+    const bool hasPause = GENERATE(false, true);
+    RawServer target;
+    auto request = requestTo(target.endpoint());
+    request.method = "POST";
+    request.sendOnce = true;
+    request.body = std::string(4 << 20, 'x');
+    std::thread serving([&] {
+        auto connection = target.accept();
+        connection.readUntil("\r\n\r\n");
+        connection.skip(20'000);
+        connection.resetOnClose();
+        connection.send(head + part);
+        // With a pause the answer is read before the reset arrives, without one it may be lost with it.
+        if (hasPause)
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    });
+    const ClientResponse answer = makeClient()->perform(request);
+    serving.join();
+    CAPTURE(head, part, hasPause, answer.result.detail);
+    REQUIRE(answer.result.end == TransferEnd::BrokenAfterSend);
+}
