--- a/tools/trial_faults.py
+++ b/tools/trial_faults.py
@@ -347,7 +347,7 @@
                "close-in-crlf-event", "reset-between-events", "doubled-event", "swapped-events", "silent-in-event")
 SILENCES = ("late-answer", "pause-between-events")  # Of a sound answer, once.
 CUTS = ("lose", "reset", "break", "short-of-length", "close-in-head", "reset-in-event", "silent-after-head", "hang")
-STRANGE = ("foreign", "foreign-first", "no-http", "zero-bytes", "two-lengths", "no-id", "unsigned")
+STRANGE = ("foreign", "foreign-first", "no-http", "zero-bytes", "unknown-status", "two-lengths", "no-id", "unsigned")
 ENDLESS = ("endless-field", "endless-fields", "endless-interim", "endless-no-http", "endless-chunk-extension",
            "endless-trailer", "endless-trailers", "endless-body", "endless-foreign-body", "endless-refusal", "endless-event",
            "endless-lines", "endless-comments")
