Bound how far a limit reaches back beside a silent router

Cause: an allowance deducts what was granted since the oldest report, as the router could not know of the limit then. The last report of a router that fell silent counts in the sums for the whole window, and its age was taken for that of all: 2 s instead of 0.4 to 0.7 s.

Change: at most one second, which reports of live routers don't reach.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -48,6 +48,9 @@
     /// unfairRatio, and above 1, so that the level rises again when engines have room.
     constexpr double floodGrantRatio = 1.2;
 
+    /// Reports of live routers are not older; the last one of a router that fell silent says nothing about the others.
+    constexpr Duration maxReportLag = std::chrono::seconds(1);
+
     constexpr Duration aggregateTtl = std::chrono::milliseconds(25);
 
     void addUsage(CustomerUsage& sum, const CustomerUsage& usage)
@@ -309,7 +312,8 @@
     using Seconds = std::chrono::duration<double>;
     // Requests that other routers have not reported yet are not counted here either: while demand grows, the parts of
     // all routers would add up to more than the limit.
-    const Duration lag = std::min(m_window / 2, oldestReportAge(now).value_or(Duration::zero()) + bucketSpan);
+    const Duration lag
+        = std::min({ maxReportLag, m_window / 2, oldestReportAge(now).value_or(Duration::zero()) + bucketSpan });
     const auto local = m_localUsage.find(customer);
     const double requested = local == m_localUsage.end() ? 0 : local->second.requested;
     const double reported = (requested - recentlyRequested(now, customer, lag)) * Seconds(m_window).count()
--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -216,6 +216,24 @@
     }
 }
 
+// Guards against a debt for seconds before the limit because one router's last report is old.
+TEST_CASE("a limit does not reach back further if a router has fallen silent")
+{
+    constexpr double stepTokens = 100'000;
+    CustomerShares shares(4s);
+    shares.setPeerUsage(start, { "silent" }, {});
+    TimePoint now = start;
+    for (; now < start + 3s; now += 100ms) {
+        shares.requested(now, steady, stepTokens);
+        shares.granted(now, steady, stepTokens);
+    }
+    shares.setPeerUsage(now, { "others" }, { { pinned, { 1e6, 1e6, 8e6 } } });
+    shares.shareRatio(now, steady, 8e6);
+    const std::optional<GrantLimit> limit = shares.grantLimit(now, steady, requestTokens);
+    REQUIRE(limit);
+    CHECK(limit->allowance > -7 * stepTokens);
+}
+
 // Guards against hundreds of routers each granting a flood one request at once, which together is twice as much as a
 // customer gets of which its only router sheds nearly all.
 TEST_CASE("a flood gets less than twice as much as a customer of which little is served")
