Limit a customer whose requests are shed only above the limit

Change: beside another one, a customer whose own requests are shed is limited only if all routers granted it more than the limit.

Measured: the new case of CustomerSharesTest fails before and passes now; the others, DispatchReplayTest and DispatchTest pass, UnequalSharesTest's ratios are as before.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -265,11 +265,13 @@
 std::optional<CustomerShares::ReasonedLimit> CustomerShares::shedLimit(
     TimePoint now, const CustomerId& customer, const CustomerUsage& self) const
 {
+    const bool isShed = m_shedCustomers.contains(customer);
     std::optional<ReasonedLimit> lowest;
     for (const auto& [id, other] : m_shedCustomers) {
         const double limit = maxGrantRatio * grantedWhileShed(now, other) + minGrantMargin;
-        const bool isLimiting
-            = id != customer && other.usage.requested + other.usage.shed >= self.granted && self.requested > limit;
+        // A customer whose own requests are shed is already held back by its routers.
+        const bool isBelow = isShed ? self.granted <= limit : self.requested <= limit;
+        const bool isLimiting = id != customer && other.usage.requested + other.usage.shed >= self.granted && !isBelow;
         if (isLimiting && (!lowest || limit < lowest->limit.fleetTokens))
             lowest = ReasonedLimit { { id, limit }, other.since };
     }
--- a/tests/CustomerSharesTest.cpp
+++ b/tests/CustomerSharesTest.cpp
@@ -231,6 +231,17 @@
     }
 }
 
+// Guards against two customers whose routers shed most of their requests being refused for each other's sake, too.
+TEST_CASE("a customer whose requests are shed is limited beside another such one only above the limit")
+{
+    const double granted = GENERATE(2e6, 6e6);
+    CustomerShares shares(4s);
+    shares.setPeerUsage(start, { "others" }, { { pinned, { 2e6, 2e6, 16e6 } }, { steady, { 6e6, granted, 24e6 } } });
+    shares.requested(start, steady, requestTokens);
+    shares.shareRatio(start, steady, 8e6);
+    CHECK(shares.grantLimit(start, steady, requestTokens).has_value() == granted > 1.6 * 2e6 + 60'000);
+}
+
 // Guards against a debt for seconds before the limit because one router's last report is old.
 TEST_CASE("a limit does not reach back further if a router has fallen silent")
 {
