Split what a router may grant into parts, and share a test's set-up

Read once more as a newcomer would: the allowance of a router took its part of the demand, the lag of reports and the token bucket in one function, and the tests of early answers had the set-up of those of late ones again.

Change: reportLag() and demandPart() are functions of their own with their reasons in the header, which also says when a customer whose requests are shed is limited; TargetsTest is the base of both tests. Behaviour is as before.

--- a/src/dispatch/CustomerShares.cpp
+++ b/src/dispatch/CustomerShares.cpp
@@ -311,28 +311,35 @@
     return excess;
 }
 
-double CustomerShares::allowance(
-    TimePoint now, const CustomerId& customer, double tokens, const ReasonedLimit& reasoned)
+Duration CustomerShares::reportLag(TimePoint now) const
 {
-    using Seconds = std::chrono::duration<double>;
-    // Requests that other routers have not reported yet are not counted here either: while demand grows, the parts of
-    // all routers would add up to more than the limit.
-    const Duration lag
-        = std::min({ maxReportLag, m_window / 2, oldestReportAge(now).value_or(Duration::zero()) + bucketSpan });
+    return std::min({ maxReportLag, m_window / 2, oldestReportAge(now).value_or(Duration::zero()) + bucketSpan });
+}
+
+double CustomerShares::demandPart(TimePoint now, const CustomerId& customer) const
+{
+    const Duration lag = reportLag(now);
     const auto local = m_localUsage.find(customer);
     const double requested = local == m_localUsage.end() ? 0 : local->second.requested;
-    const double reported = (requested - recentlyRequested(now, customer, lag)) * Seconds(m_window).count()
-        / Seconds(m_window - lag).count();
+    const double windowFraction
+        = std::chrono::duration<double>(m_window - lag) / std::chrono::duration<double>(m_window);
+    const double reported = (requested - recentlyRequested(now, customer, lag)) / windowFraction;
     const double others = std::max(0.0, m_totalUsage.at(customer).requested - requested);
-    const double part = reported + others > 0 ? reported / (reported + others) : 1;
-    const double perSecond = part * reasoned.limit.fleetTokens / Seconds(m_window).count();
+    return reported + others > 0 ? reported / (reported + others) : 1;
+}
+
+double CustomerShares::allowance(
+    TimePoint now, const CustomerId& customer, double tokens, const ReasonedLimit& reasoned)
+{
+    using Seconds = std::chrono::duration<double>;
+    const double fleetTokens = reasoned.limit.fleetTokens;
+    const double perSecond = demandPart(now, customer) * fleetTokens / Seconds(m_window).count();
     // What accrues between two requests of the customer at a router, on average.
-    const double perRequest
-        = tokens * std::min(1.0, reasoned.limit.fleetTokens / std::max(m_totalUsage.at(customer).requested, 1.0));
+    const double perRequest = tokens * std::min(1.0, fleetTokens / std::max(m_totalUsage.at(customer).requested, 1.0));
     const auto [it, isNew] = m_allowances.try_emplace(customer);
     Allowance& allowance = it->second;
     if (isNew) {
-        const Duration counted = std::min(m_window, now - reasoned.since + lag);
+        const Duration counted = std::min(m_window, now - reasoned.since + reportLag(now));
         // By chance, some of hundreds of routers have granted a request more than their part.
         const double excess = std::max(0.0, excessGrants(now, customer, counted, perSecond) - tokens);
         // If all of them granted one when the limit begins, they would exceed it many times together.
--- a/src/dispatch/CustomerShares.h
+++ b/src/dispatch/CustomerShares.h
@@ -66,6 +66,9 @@
     ///
     /// Grants made between two aggregates are not known to other routers, and each router admits as if it were the only
     /// one. So each router gets a part of the customer's limit, proportional to its part of the customer's requests.
+    /// A customer whose own requests are shed is limited beside another such one only if it was granted more than the
+    /// limit.
+    ///
     /// A limit counts what is granted from the time on at which the other customer's requests are refused. If it
     /// counted what was granted before, when nobody had to wait, all requests of a customer would be refused for
     /// seconds while others are served.
@@ -128,6 +131,14 @@
     /// @return the lowest limit; absent if none holds.
     std::optional<ReasonedLimit> lowestLimit(TimePoint now, const CustomerId&) const;
 
+    /// @return the time before now for which reports of other routers are missing from the aggregate, at most.
+    Duration reportLag(TimePoint now) const;
+
+    /// Requests that other routers have not reported yet are not counted here either: while demand grows, the parts of
+    /// all routers would add up to more than 1.
+    /// @return this router's part of the customer's requests, 0 to 1.
+    double demandPart(TimePoint now, const CustomerId&) const;
+
     /// @param tokens of the request.
     /// @return what is left of this router's part of the limit, in tokens.
     double allowance(TimePoint now, const CustomerId&, double tokens, const ReasonedLimit&);
--- a/tests/early_answers_test.py
+++ b/tests/early_answers_test.py
@@ -13,10 +13,8 @@
 import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
-from late_answers_test import Target, success  # noqa: E402
-from platform_fleet import Fleet, call  # noqa: E402
+from late_answers_test import TargetsTest, success  # noqa: E402
 
-BUILD = "build"
 UPLOAD = "x" * (7 << 20)  # More than the kernel takes at once.
 READ_BYTES = 20_000  # Of the body, before the target answers.
 PART = "the beginning of an answer"
@@ -31,22 +29,7 @@
     return f"{line}X-Sagechute-Attempt-Id: {request_id}\r\nX-Sagechute-Response-Signature: s\r\n"
 
 
-class EarlyAnswersTest(unittest.TestCase):
-    def setUp(self):
-        self.fleet = Fleet(BUILD, routers=1, engines=0, applications=0)
-        self.addCleanup(self.fleet.__exit__)
-        self.fleet.wait_until("the store answers", lambda: call(self.fleet.store, "GET", "/standin/counts")[0] == 200)
-
-    def start(self, *answers):
-        """Starts one target for each of these functions."""
-        targets = [Target(f"early-{i}", self.fleet, it) for i, it in enumerate(answers)]
-        for it in targets:
-            self.addCleanup(it.end)
-        self.fleet.wait_ready()
-        self.fleet.wait_until("the router knows the targets",
-                              lambda: {it.name for it in targets} <= self.fleet.known_to(self.fleet.routers[0]))
-        return targets
-
+class EarlyAnswersTest(TargetsTest):
     def send(self, path, method="POST", body=""):
         """Returns (id, status, body); the status is 0 where the answer visibly ends early.
 
@@ -124,5 +107,5 @@
 
 
 if __name__ == "__main__":
-    BUILD = sys.argv.pop(1)
+    TargetsTest.build = sys.argv.pop(1)
     unittest.main(verbosity=2)
--- a/tests/late_answers_test.py
+++ b/tests/late_answers_test.py
@@ -16,7 +16,6 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tools"))
 from platform_fleet import Fleet, call  # noqa: E402
 
-BUILD = "build"
 COPY_DELAY_S = 0.02
 WORK_S = 0.06  # Longer than the delay of a copy.
 HEARTBEAT_S = 1.0
@@ -100,15 +99,19 @@
         connection.sendall(data)
 
 
-class LateAnswersTest(unittest.TestCase):
+class TargetsTest(unittest.TestCase):
+    """A router and targets that a test answers for."""
+
+    build = "build"
+
     def setUp(self):
-        self.fleet = Fleet(BUILD, routers=1, engines=0, applications=0)
+        self.fleet = Fleet(self.build, routers=1, engines=0, applications=0)
         self.addCleanup(self.fleet.__exit__)
         self.fleet.wait_until("the store answers", lambda: call(self.fleet.store, "GET", "/standin/counts")[0] == 200)
 
     def start(self, *answers):
         """Starts one target for each of these functions."""
-        targets = [Target(f"late-{i}", self.fleet, it) for i, it in enumerate(answers)]
+        targets = [Target(f"target-{i}", self.fleet, it) for i, it in enumerate(answers)]
         for it in targets:
             self.addCleanup(it.end)
         self.fleet.wait_ready()
@@ -116,6 +119,8 @@
                               lambda: {it.name for it in targets} <= self.fleet.known_to(self.fleet.routers[0]))
         return targets
 
+
+class LateAnswersTest(TargetsTest):
     def send(self):
         """Returns (id, status, body) of an unsafe request."""
         request_id = uuid.uuid4().hex[:16]
@@ -192,5 +197,5 @@
 
 
 if __name__ == "__main__":
-    BUILD = sys.argv.pop(1)
+    TargetsTest.build = sys.argv.pop(1)
     unittest.main(verbosity=2)
