Format tokens for the log in one place

Change: formatTokens() is in AgeText.h, beside the other formats of log fields, and both places call it.

--- a/apps/sagechute-edge/AgeText.h
+++ b/apps/sagechute-edge/AgeText.h
@@ -1,10 +1,11 @@
 #pragma once
 
 /// @file
-/// Formats durations and ages for log fields.
+/// Formats durations, ages and tokens for log fields.
 
 #include <sagechute/Core.h>
 
+#include <cmath>
 #include <optional>
 #include <string>
 
@@ -18,6 +19,9 @@
 /// @return whole milliseconds.
 inline std::string formatMs(Duration duration) { return std::to_string(toMilliseconds(duration).count()); }
 
+/// @return whole tokens. @param n finite.
+inline std::string formatTokens(double n) { return std::to_string(std::llround(n)); }
+
 /// @return whole milliseconds from @p until to @p now, or "unknown" without @p until.
 inline std::string formatAgeMs(std::optional<TimePoint> until, TimePoint now)
 {
--- a/apps/sagechute-edge/Relay.cpp
+++ b/apps/sagechute-edge/Relay.cpp
@@ -1,7 +1,8 @@
 #include "Relay.h"
 
+#include "AgeText.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace sagechute::edge {
 
@@ -31,8 +32,6 @@
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
     }
 
-    std::string formatTokens(double n) { return std::to_string(std::llround(n)); }
-
     /// @return the IDs of the parts that other requests may have in common with this one: all but the last.
     std::string sharedPartsText(const dispatch::PromptSize& prompt)
     {
--- a/apps/sagechute-edge/ShareMonitor.cpp
+++ b/apps/sagechute-edge/ShareMonitor.cpp
@@ -1,5 +1,7 @@
 #include "ShareMonitor.h"
 
+#include "AgeText.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -21,8 +23,6 @@
         return attainable > 0 ? use.granted / attainable : 1;
     }
 
-    std::string formatTokens(double n) { return std::to_string(std::llround(n)); }
-
     /// @return "CUSTOMER:GRANTED/ASKED", in tokens.
     std::string describeUse(const CustomerEntry* it)
     {
