--- a/review/harness2.py
+++ b/review/harness2.py
@@ -9,6 +9,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -107,15 +108,14 @@
         await self.until("the store answers", lambda: self.call(self.store, "GET", "/standin/counts"))
         await self.configure(document)
         addresses = [f"127.0.0.{11 + i}" for i in range(self.count)]
-        ports = free_ports(4, addresses)
-        between = free_ports(40, addresses)[20:22]  # First and last of the ports between routers.
+        ports = free_ports(6, addresses)  # The last two are the first and last of those between routers.
         seeds = ",".join(f"{it}:{ports[2]}" for it in addresses[:3])
         for i, address in enumerate(addresses):
             values = {
                 "node": f"edge-{i}", "zone": "zone-a", "listen.front": f"{address}:{ports[0]}",
                 "listen.readiness": f"{address}:{ports[1]}", "listen.control": f"{address}:{ports[2]}",
                 "listen.directory": f"{address}:{ports[3]}", "ip": address,
-                "portRange": f"{min(between)},{max(between)}", "seeds": seeds, "provider.address": self.store,
+                "portRange": f"{min(ports[4:])},{max(ports[4:])}", "seeds": seeds, "provider.address": self.store,
                 "limits.maxFds": 4100, "limits.memoryMb": 260, "limits.cpuShare": 0.25, "limits.cores": 1,
                 "bounds.graceS": 8, "bounds.retryBudgetRatio": 0.2, "bounds.budgetSlack": 52, "bounds.budgetWindowS": 10,
                 "bounds.quotaWindowS": 4, "bounds.ttl_max_s": 5, "bounds.configApplyMs": 2000, "bounds.drainMs": 2000,
@@ -182,6 +182,7 @@
                 child.kill()
         for child in self.processes:
             child.wait()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
 
 class Worker:
